chore: set up the workspace, lint rules and contracts

Cause: an empty repository. Change: npm workspaces by layer, strict TypeScript, the verb and import-direction lint rules, INI settings with line numbers, result codes, the configuration's shape, the peer protocol and the published protocols of platform and upstreams.

--- /dev/null
+++ b/packages/common/src/configuration/enums.ts
@@ -0,0 +1,19 @@
+/** Service tiers, highest first. */
+export enum Tier {
+  Premium = 'premium',
+  Paying = 'paying',
+  Trial = 'trial',
+  Free = 'free',
+}
+
+/** What kind of upstream stands behind a service. */
+export enum ServiceKind {
+  Model = 'model',
+  Plain = 'plain',
+}
+
+/** Whether an upstream checks the fencing number of an order to load a model or change role. */
+export enum FencingSupport {
+  Checked = 'checked',
+  Ignored = 'ignored',
+}
--- /dev/null
+++ b/packages/common/src/errors/index.ts
@@ -0,0 +1,4 @@
+/** Errors, result codes and their HTTP statuses. */
+export * from './constants.js';
+export * from './resultCode.js';
+export * from './SardinegradeError.js';
--- /dev/null
+++ b/packages/common/src/ids/index.ts
@@ -0,0 +1,3 @@
+/** Identifiers shared by all packages. */
+export * from './brand.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/common/src/ids/types.ts
@@ -0,0 +1,18 @@
+/** Branded identifier types, so that one kind of name is never passed for another. */
+
+declare const BRAND: unique symbol;
+
+/** A string that stands for one kind of thing only. */
+export type Branded<Name extends string> = string & { readonly [BRAND]: Name };
+
+export type VmId = Branded<'VmId'>;
+export type DataCentreName = Branded<'DataCentreName'>;
+export type ServiceName = Branded<'ServiceName'>;
+export type ClassName = Branded<'ClassName'>;
+export type WorkspaceName = Branded<'WorkspaceName'>;
+export type ModelName = Branded<'ModelName'>;
+export type PoolName = Branded<'PoolName'>;
+export type UpstreamId = Branded<'UpstreamId'>;
+export type RequestId = Branded<'RequestId'>;
+export type AttemptId = Branded<'AttemptId'>;
+export type Fingerprint = Branded<'Fingerprint'>;
--- /dev/null
+++ b/packages/common/src/time/index.ts
@@ -0,0 +1,2 @@
+/** Time sources. */
+export * from './clock.js';
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,3 @@
+/** Messages and services between daemons, generated from the files in `proto/`. */
+export * as DispatchProtocol from './generated/dispatch.js';
+export * as FleetProtocol from './generated/fleet.js';
--- /dev/null
+++ b/packages/upstream/src/index.ts
@@ -0,0 +1,2 @@
+/** Clients of engines and plain services. */
+export * from './types.js';
