feat(dispatch): grant slots by tier or in order of arrival

Thin first version of both policies behind createDispatcher({policy, random}), so that the daemons can be wired. The contract gains DispatcherOptions and RandomSource.

--- /dev/null
+++ b/packages/dispatch/src/createDispatcher.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { createDispatcher } from './createDispatcher.js';
+import { DispatchActionKind, DispatchPolicy, ReleaseReason } from './enums.js';
+import { buildAsk, buildConfigured, toAskEvent, toReleaseEvent } from './testing/index.js';
+
+const POLICIES = [DispatchPolicy.Tiered, DispatchPolicy.Naive];
+
+for (const policy of POLICIES) {
+  test(`${policy}: no more grants than slots, and a release lets the next one in`, () => {
+    const dispatcher = createDispatcher({ policy, random: () => 0.5 });
+    dispatcher.handle(buildConfigured({ engines: 1, slots: 1 }), 0);
+    const first = dispatcher.handle(toAskEvent(buildAsk({ askId: 'a' })), 0);
+    const second = dispatcher.handle(toAskEvent(buildAsk({ askId: 'b' })), 0);
+    assert.deepEqual(
+      first.map((action) => action.kind),
+      [DispatchActionKind.Grant],
+    );
+    assert.deepEqual(second, []);
+    const third = dispatcher.handle(toReleaseEvent('a', ReleaseReason.Finished), 1);
+    assert.deepEqual(
+      third.map((action) => 'askId' in action && action.askId),
+      ['b'],
+    );
+  });
+}
+
+test('tiered serves the higher tier first, naive the earlier', () => {
+  const serveAfterRelease = (policy: DispatchPolicy) => {
+    const dispatcher = createDispatcher({ policy, random: () => 0.5 });
+    dispatcher.handle(buildConfigured({ engines: 1, slots: 1 }), 0);
+    dispatcher.handle(toAskEvent(buildAsk({ askId: 'running', className: 'query' })), 0);
+    dispatcher.handle(toAskEvent(buildAsk({ askId: 'free', className: 'history' })), 0);
+    dispatcher.handle(toAskEvent(buildAsk({ askId: 'paying', className: 'query' })), 0);
+    return dispatcher
+      .handle(toReleaseEvent('running', ReleaseReason.Finished), 1)
+      .map((action) => 'askId' in action && action.askId);
+  };
+  assert.deepEqual(serveAfterRelease(DispatchPolicy.Tiered), ['paying']);
+  assert.deepEqual(serveAfterRelease(DispatchPolicy.Naive), ['free']);
+});
--- /dev/null
+++ b/packages/dispatch/src/naive/createSlotDispatcher.ts
@@ -0,0 +1,198 @@
+import { ResultCode } from '@sardinegrade/common';
+
+import { DispatchActionKind, DispatchEventKind } from '../enums.js';
+
+import type { Configuration, UpstreamConfiguration, UpstreamId } from '@sardinegrade/common';
+import type { DispatchAction, DispatchEvent, Dispatcher, GrantAsk } from '../types.js';
+
+/** Gives the order in which asks are served; a lower rank comes first, equal ranks by arrival. */
+export type AskRank = (ask: GrantAsk, configuration: Configuration) => number;
+
+interface WaitingAsk {
+  readonly ask: GrantAsk;
+  readonly rank: number;
+}
+
+interface SlotState {
+  configuration: Configuration | undefined;
+  upstreams: readonly UpstreamConfiguration[];
+  nextUpstream: number;
+  waiting: WaitingAsk[];
+  readonly granted: Map<string, UpstreamId>;
+  readonly counts: Map<UpstreamId, number>;
+  readonly gone: Set<UpstreamId>;
+}
+
+const getCount = (state: SlotState, upstream: UpstreamId): number =>
+  state.counts.get(upstream) ?? 0;
+
+const canServe = (state: SlotState, upstream: UpstreamConfiguration, ask: GrantAsk): boolean => {
+  if (upstream.draining || state.gone.has(upstream.id)) return false;
+  if (ask.excludedUpstreams.includes(upstream.id)) return false;
+  if (state.configuration?.services.get(ask.service)?.pool !== upstream.pool) return false;
+  return getCount(state, upstream.id) < upstream.slots;
+};
+
+const pickNext = (state: SlotState, ask: GrantAsk): UpstreamId | undefined => {
+  const count = state.upstreams.length;
+  for (let step = 0; step < count; step += 1) {
+    const index = (state.nextUpstream + step) % count;
+    const upstream = state.upstreams[index];
+    if (upstream === undefined || !canServe(state, upstream, ask)) continue;
+    state.nextUpstream = (index + 1) % count;
+    return upstream.id;
+  }
+  return undefined;
+};
+
+const addGrant = (state: SlotState, askId: string, upstream: UpstreamId): void => {
+  state.granted.set(askId, upstream);
+  state.counts.set(upstream, getCount(state, upstream) + 1);
+};
+
+const removeGrant = (state: SlotState, askId: string): void => {
+  const upstream = state.granted.get(askId);
+  if (upstream === undefined) return;
+  state.granted.delete(askId);
+  state.counts.set(upstream, getCount(state, upstream) - 1);
+};
+
+const refuse = (askId: string, code: ResultCode): DispatchAction => ({
+  kind: DispatchActionKind.Refuse,
+  askId,
+  code,
+  retryAfterMs: undefined,
+});
+
+const grantWaiting = (state: SlotState, nowMs: number): readonly DispatchAction[] => {
+  const actions: DispatchAction[] = [];
+  const kept: WaitingAsk[] = [];
+  for (const waiting of state.waiting) {
+    const { ask } = waiting;
+    if (ask.deadlineAtMs <= nowMs) {
+      actions.push(refuse(ask.askId, ResultCode.DeadlineBeforeStart));
+      continue;
+    }
+    const upstream = pickNext(state, ask);
+    if (upstream === undefined) {
+      kept.push(waiting);
+      continue;
+    }
+    addGrant(state, ask.askId, upstream);
+    actions.push({ kind: DispatchActionKind.Grant, askId: ask.askId, upstream, priority: 0 });
+  }
+  state.waiting = kept;
+  return actions;
+};
+
+const handleAsk = (state: SlotState, ask: GrantAsk, rankOf: AskRank): readonly DispatchAction[] => {
+  if (state.granted.has(ask.askId)) return [];
+  if (state.waiting.some((waiting) => waiting.ask.askId === ask.askId)) return [];
+  if (ask.heldUpstream !== undefined) {
+    addGrant(state, ask.askId, ask.heldUpstream);
+    return [];
+  }
+  const service = state.configuration?.services.get(ask.service);
+  if (state.configuration === undefined || service === undefined)
+    return [refuse(ask.askId, ResultCode.UnknownService)];
+  const rank = rankOf(ask, state.configuration);
+  const index = state.waiting.findIndex((waiting) => waiting.rank > rank);
+  state.waiting.splice(index < 0 ? state.waiting.length : index, 0, { ask, rank });
+  return [];
+};
+
+const removeWaiting = (state: SlotState, askId: string): void => {
+  state.waiting = state.waiting.filter((waiting) => waiting.ask.askId !== askId);
+};
+
+const removeUpstream = (state: SlotState, upstream: UpstreamId): void => {
+  state.gone.add(upstream);
+  for (const [askId, holder] of [...state.granted]) {
+    if (holder === upstream) removeGrant(state, askId);
+  }
+};
+
+const applyConfiguration = (
+  state: SlotState,
+  configuration: Configuration,
+  upstreams: readonly UpstreamId[],
+): void => {
+  state.configuration = configuration;
+  state.upstreams = upstreams.flatMap((id) => configuration.upstreams.get(id) ?? []);
+  state.nextUpstream = 0;
+};
+
+const applyEvent = (
+  state: SlotState,
+  event: DispatchEvent,
+  rankOf: AskRank,
+): readonly DispatchAction[] => {
+  switch (event.kind) {
+    case DispatchEventKind.Ask:
+      return handleAsk(state, event.ask, rankOf);
+    case DispatchEventKind.Withdraw:
+      removeWaiting(state, event.askId);
+      removeGrant(state, event.askId);
+      return [];
+    case DispatchEventKind.Release:
+      removeGrant(state, event.release.askId);
+      return [];
+    case DispatchEventKind.UpstreamLeaving:
+      state.gone.add(event.upstream);
+      return [];
+    case DispatchEventKind.UpstreamLost:
+      removeUpstream(state, event.upstream);
+      return [];
+    case DispatchEventKind.UpstreamProbed:
+      if (event.isHealthy) state.gone.delete(event.upstream);
+      return [];
+    case DispatchEventKind.Configured:
+      applyConfiguration(state, event.configuration, event.upstreams);
+      return [];
+    case DispatchEventKind.LoadReport:
+    case DispatchEventKind.CacheEvent:
+    case DispatchEventKind.Progress:
+    case DispatchEventKind.Quarantined:
+    case DispatchEventKind.Tick:
+      return [];
+  }
+};
+
+const countByClass = (waiting: readonly WaitingAsk[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {};
+  for (const { ask } of waiting) counts[ask.className] = (counts[ask.className] ?? 0) + 1;
+  return counts;
+};
+
+/**
+ * Creates a dispatcher that grants free slots in rank order, engines in turn.
+ *
+ * @param rankOf - gives the order in which asks are served
+ * @returns the dispatcher
+ */
+export const createSlotDispatcher = (rankOf: AskRank): Dispatcher => {
+  const state: SlotState = {
+    configuration: undefined,
+    upstreams: [],
+    nextUpstream: 0,
+    waiting: [],
+    granted: new Map(),
+    counts: new Map(),
+    gone: new Set(),
+  };
+  return {
+    handle: (event, nowMs) => {
+      const actions = applyEvent(state, event, rankOf);
+      return [...actions, ...grantWaiting(state, nowMs)];
+    },
+    describe: () => ({
+      queuedByClass: countByClass(state.waiting),
+      upstreams: state.upstreams.map(({ id, slots }) => ({
+        upstream: id,
+        granted: getCount(state, id),
+        limit: slots,
+        health: state.gone.has(id) ? 'gone' : 'healthy',
+      })),
+    }),
+  };
+};
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -12,6 +12,7 @@
 import type {
   DispatchActionKind,
   DispatchEventKind,
+  DispatchPolicy,
   PreemptionMode,
   ReleaseReason,
 } from './enums.js';
@@ -154,3 +155,12 @@
   /** @returns queue lengths and the state of each upstream */
   readonly describe: () => DispatcherSnapshot;
 }
+
+/** A source of random numbers, at least 0 and below 1. */
+export type RandomSource = () => number;
+
+/** What a dispatcher is made of. */
+export interface DispatcherOptions {
+  readonly policy: DispatchPolicy;
+  readonly random: RandomSource;
+}
