--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -1,2 +1,2 @@
-/** Clients of engines and plain services. */
-export * from './types.js';
+/** Clients of upstreams. */
+export * from './engine/index.js';
