feat(common): rank candidates by rendezvous hashing

Cause: dispatchers, watchers and delegates are all picked so that daemons agree without talking. Change: one hash and ranking for all of them.

--- /dev/null
+++ b/packages/common/src/hashing/index.ts
@@ -0,0 +1,2 @@
+/** Hashing for placement. */
+export * from './rendezvous.js';
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,7 @@
 /** What all packages share: identifiers, the configuration's shape, errors, settings and time. */
 export * from './configuration/index.js';
 export * from './errors/index.js';
+export * from './hashing/index.js';
 export * from './ids/index.js';
 export * from './settings/index.js';
 export * from './time/index.js';
