feat(dispatch): state charts of asks, engines and fingerprints as JSON files

Change: common gains buildChartTable, which interprets a chart once at start into a look-up table and checks that chart and enums agree; the JSON files stay the source.

--- /dev/null
+++ b/packages/common/src/charts/buildChartTable.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { buildChartTable } from './buildChartTable.js';
+
+import type { Chart } from './buildChartTable.js';
+
+enum DoorState {
+  Open = 'open',
+  Closed = 'closed',
+}
+
+enum DoorEvent {
+  Open = 'open',
+  Close = 'close',
+}
+
+const CHART: Chart = {
+  id: 'door',
+  initial: 'closed',
+  states: { open: { on: { close: 'closed' } }, closed: { on: { open: 'open' } } },
+};
+
+test('a compiled chart gives the transitions that it allows, and no others', () => {
+  const findNext = buildChartTable(CHART, DoorState, DoorEvent);
+  assert.equal(findNext(DoorState.Closed, DoorEvent.Open), DoorState.Open);
+  assert.equal(findNext(DoorState.Open, DoorEvent.Close), DoorState.Closed);
+  assert.equal(findNext(DoorState.Open, DoorEvent.Open), undefined);
+});
+
+test('a chart that names other states than its enum is refused', () => {
+  const chart = { ...CHART, states: { ...CHART.states, ajar: { on: { close: 'closed' } } } };
+  assert.throws(() => buildChartTable(chart, DoorState, DoorEvent), /ajar/);
+});
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 /** What all packages share: identifiers, the configuration's shape, errors, settings and time. */
+export * from './charts/index.js';
 export * from './configuration/index.js';
 export * from './errors/index.js';
 export * from './hashing/index.js';
--- /dev/null
+++ b/packages/dispatch/src/charts/index.ts
@@ -0,0 +1,3 @@
+/** The state charts of asks, engines and fingerprints. */
+export * from './enums.js';
+export * from './tables.js';
--- /dev/null
+++ b/packages/dispatch/src/charts/tables.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  EngineHealth,
+  EngineHealthEvent,
+  RequestEvent,
+  RequestState,
+  SuspicionEvent,
+  SuspicionState,
+} from './enums.js';
+import { findNextEngineHealth, findNextRequestState, findNextSuspicion } from './tables.js';
+
+test('an ended ask stays ended whatever arrives late', () => {
+  for (const event of Object.values(RequestEvent)) {
+    assert.equal(findNextRequestState(RequestState.Ended, event), undefined);
+  }
+});
+
+test('a leaving engine comes back only by an explicit return', () => {
+  for (const event of Object.values(EngineHealthEvent)) {
+    const next = findNextEngineHealth(EngineHealth.Leaving, event);
+    if (event === EngineHealthEvent.Return) assert.equal(next, EngineHealth.Healthy);
+    else assert.ok(next === undefined || next === EngineHealth.Lost, event);
+  }
+});
+
+test('a second crash quarantines, whether or not the retry was granted here', () => {
+  const { Crash } = SuspicionEvent;
+  assert.equal(findNextSuspicion(SuspicionState.Clear, Crash), SuspicionState.Suspect);
+  assert.equal(findNextSuspicion(SuspicionState.Suspect, Crash), SuspicionState.Quarantined);
+  assert.equal(findNextSuspicion(SuspicionState.Retrying, Crash), SuspicionState.Quarantined);
+});
--- /dev/null
+++ b/packages/dispatch/src/charts/tables.ts
@@ -0,0 +1,37 @@
+import { createRequire } from 'node:module';
+
+import { buildChartTable } from '@sardinegrade/common';
+
+import {
+  EngineHealth,
+  EngineHealthEvent,
+  RequestEvent,
+  RequestState,
+  SuspicionEvent,
+  SuspicionState,
+} from './enums.js';
+
+import type { Chart } from '@sardinegrade/common';
+
+const loadChart = (file: string): Chart => createRequire(import.meta.url)(file) as Chart;
+
+/** Transitions of an ask at its dispatcher. */
+export const findNextRequestState = buildChartTable(
+  loadChart('./request.json'),
+  RequestState,
+  RequestEvent,
+);
+
+/** Transitions of an engine's health. */
+export const findNextEngineHealth = buildChartTable(
+  loadChart('./engineConnection.json'),
+  EngineHealth,
+  EngineHealthEvent,
+);
+
+/** Transitions of the suspicion against a fingerprint. */
+export const findNextSuspicion = buildChartTable(
+  loadChart('./quarantine.json'),
+  SuspicionState,
+  SuspicionEvent,
+);
