feat(dispatch): tiers, guaranteed shares, fairness, preemption, engine health and quarantine

Cause: the thin policy knew slots and tier order only. Change: the whole tiered policy in small modules: queues per class with deficit round robin between workspaces, guaranteed shares as credits, preemption by least waste, early refusal with a computed time to come back, displacement, adaptive limits, prefix affinity bounded by load, late load reports, stragglers, leaving and lost engines, suspects and quarantine, grants taken over after a fail-over. Found by the property test and now named tests: a leaving engine that was lost and probed healthy got work; an engine overfull after a fail-over got one more; a paying ask waiting in a queue was displaced while a lower tier ran; a paused request was resumed after its deadline.

--- a/packages/dispatch/src/charts/tables.test.ts
+++ b/packages/dispatch/src/charts/tables.test.ts
@@ -20,8 +20,8 @@
 test('a leaving engine comes back only by an explicit return', () => {
   for (const event of Object.values(EngineHealthEvent)) {
     const next = findNextEngineHealth(EngineHealth.Leaving, event);
-    if (event === EngineHealthEvent.Return) assert.equal(next, EngineHealth.Healthy);
-    else assert.ok(next === undefined || next === EngineHealth.Lost, event);
+    const expected = event === EngineHealthEvent.Return ? EngineHealth.Healthy : undefined;
+    assert.equal(next, expected, event);
   }
 });
 
--- a/packages/dispatch/src/enums.ts
+++ b/packages/dispatch/src/enums.ts
@@ -11,6 +11,7 @@
   UpstreamProbed = 'upstream_probed',
   Quarantined = 'quarantined',
   Configured = 'configured',
+  VmLost = 'vm_lost',
   Tick = 'tick',
 }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,5 @@
 /** Admission, queueing, routing and preemption: pure decisions, with time and randomness passed in. */
 export * from './createDispatcher.js';
 export * from './enums.js';
+export * from './random.js';
 export type * from './types.js';
--- a/packages/dispatch/src/naive/createSlotDispatcher.ts
+++ b/packages/dispatch/src/naive/createSlotDispatcher.ts
@@ -2,12 +2,17 @@
 
 import { DispatchActionKind, DispatchEventKind } from '../enums.js';
 
-import type { Configuration, UpstreamConfiguration, UpstreamId } from '@sardinegrade/common';
+import type { Configuration, UpstreamConfiguration, UpstreamId, VmId } from '@sardinegrade/common';
 import type { DispatchAction, DispatchEvent, Dispatcher, GrantAsk } from '../types.js';
 
 /** Gives the order in which asks are served; a lower rank comes first, equal ranks by arrival. */
 export type AskRank = (ask: GrantAsk, configuration: Configuration) => number;
 
+interface GrantedAsk {
+  readonly vm: VmId;
+  readonly upstream: UpstreamId;
+}
+
 interface WaitingAsk {
   readonly ask: GrantAsk;
   readonly rank: number;
@@ -18,7 +23,7 @@
   upstreams: readonly UpstreamConfiguration[];
   nextUpstream: number;
   waiting: WaitingAsk[];
-  readonly granted: Map<string, UpstreamId>;
+  readonly granted: Map<string, GrantedAsk>;
   readonly counts: Map<UpstreamId, number>;
   readonly gone: Set<UpstreamId>;
 }
@@ -45,16 +50,16 @@
   return undefined;
 };
 
-const addGrant = (state: SlotState, askId: string, upstream: UpstreamId): void => {
-  state.granted.set(askId, upstream);
+const addGrant = (state: SlotState, { askId, vm }: GrantAsk, upstream: UpstreamId): void => {
+  state.granted.set(askId, { vm, upstream });
   state.counts.set(upstream, getCount(state, upstream) + 1);
 };
 
 const removeGrant = (state: SlotState, askId: string): void => {
-  const upstream = state.granted.get(askId);
-  if (upstream === undefined) return;
+  const grant = state.granted.get(askId);
+  if (grant === undefined) return;
   state.granted.delete(askId);
-  state.counts.set(upstream, getCount(state, upstream) - 1);
+  state.counts.set(grant.upstream, getCount(state, grant.upstream) - 1);
 };
 
 const refuse = (askId: string, code: ResultCode): DispatchAction => ({
@@ -78,7 +83,7 @@
       kept.push(waiting);
       continue;
     }
-    addGrant(state, ask.askId, upstream);
+    addGrant(state, ask, upstream);
     actions.push({ kind: DispatchActionKind.Grant, askId: ask.askId, upstream, priority: 0 });
   }
   state.waiting = kept;
@@ -89,7 +94,7 @@
   if (state.granted.has(ask.askId)) return [];
   if (state.waiting.some((waiting) => waiting.ask.askId === ask.askId)) return [];
   if (ask.heldUpstream !== undefined) {
-    addGrant(state, ask.askId, ask.heldUpstream);
+    addGrant(state, ask, ask.heldUpstream);
     return [];
   }
   const service = state.configuration?.services.get(ask.service);
@@ -107,8 +112,15 @@
 
 const removeUpstream = (state: SlotState, upstream: UpstreamId): void => {
   state.gone.add(upstream);
-  for (const [askId, holder] of [...state.granted]) {
-    if (holder === upstream) removeGrant(state, askId);
+  for (const [askId, grant] of [...state.granted]) {
+    if (grant.upstream === upstream) removeGrant(state, askId);
+  }
+};
+
+const removeVm = (state: SlotState, vm: VmId): void => {
+  state.waiting = state.waiting.filter((waiting) => waiting.ask.vm !== vm);
+  for (const [askId, grant] of [...state.granted]) {
+    if (grant.vm === vm) removeGrant(state, askId);
   }
 };
 
@@ -149,6 +161,9 @@
     case DispatchEventKind.Configured:
       applyConfiguration(state, event.configuration, event.upstreams);
       return [];
+    case DispatchEventKind.VmLost:
+      removeVm(state, event.vm);
+      return [];
     case DispatchEventKind.LoadReport:
     case DispatchEventKind.CacheEvent:
     case DispatchEventKind.Progress:
--- /dev/null
+++ b/packages/dispatch/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+/** Requests that crash the engines that run them: suspects and quarantine. */
+export * from './SuspicionTable.js';
--- /dev/null
+++ b/packages/dispatch/src/testing/ModelShard.ts
@@ -0,0 +1,274 @@
+import { DispatchActionKind, DispatchEventKind, PreemptionMode, ReleaseReason } from '../enums.js';
+import { toAskEvent, toReleaseEvent } from './builders.js';
+import { ModelEngine } from './ModelEngine.js';
+import { ModelOutcome } from './enums.js';
+
+import type { UpstreamId } from '@sardinegrade/common';
+import type { DispatchAction, DispatchEvent, Dispatcher, GrantAsk } from '../types.js';
+import type { ModelStream } from './ModelEngine.js';
+import type { EngineShape, ModelObserver, ModelRequest, ModelResult } from './types.js';
+
+/** An asking daemon's view of one request. */
+interface OpenRequest {
+  readonly request: ModelRequest;
+  ask: GrantAsk;
+  engine: ModelEngine | undefined;
+  tokensDone: number;
+  firstTokenAtMs: number | undefined;
+  runMs: number;
+  wastedTokens: number;
+  failures: number;
+}
+
+const FAILURE_LIMIT = 3;
+
+/** What computing a prompt again costs, in generated tokens. */
+const WASTED_PROMPT_SHARE = 0.1;
+
+/**
+ * A shard at the dispatcher's interface: engines that compute, and daemons that ask, report, resume elsewhere after
+ * a cancel or a crash, and give up after some attempts. Time passes in steps; everything is deterministic.
+ */
+export class ModelShard {
+  readonly engines: ReadonlyMap<UpstreamId, ModelEngine>;
+  readonly results: ModelResult[] = [];
+  private readonly open = new Map<string, OpenRequest>();
+  private readonly probes = new Set<UpstreamId>();
+  private readonly cancelled = new Set<OpenRequest>();
+  private nowMs = 0;
+
+  constructor(
+    private readonly dispatcher: Dispatcher,
+    shapes: readonly EngineShape[],
+    private readonly observe: ModelObserver = () => undefined,
+  ) {
+    this.engines = new Map(shapes.map((shape) => [shape.id, new ModelEngine(shape)]));
+  }
+
+  get present(): number {
+    return this.nowMs;
+  }
+
+  get openCount(): number {
+    return this.open.size;
+  }
+
+  /** Tells the dispatcher something and carries out what it wants. */
+  send(event: DispatchEvent): void {
+    const actions = this.dispatcher.handle(event, this.nowMs);
+    this.observe(event, actions, this.nowMs);
+    for (const action of actions) this.perform(action);
+  }
+
+  /** Lets a caller's request arrive. */
+  request(request: ModelRequest): void {
+    this.open.set(request.ask.askId, {
+      request,
+      ask: request.ask,
+      engine: undefined,
+      tokensDone: 0,
+      firstTokenAtMs: undefined,
+      runMs: 0,
+      wastedTokens: 0,
+      failures: 0,
+    });
+    this.send(toAskEvent(request.ask));
+  }
+
+  /** Lets a caller hang up. */
+  cancel(askId: string): void {
+    const open = this.open.get(askId);
+    if (open === undefined) return;
+    open.engine?.cancel(askId);
+    this.open.delete(askId);
+    this.send({ kind: DispatchEventKind.Withdraw, askId });
+  }
+
+  /** Ends an engine; the daemons see their connections die before anyone reports the engine lost. */
+  abort(upstream: UpstreamId): void {
+    const engine = this.engines.get(upstream);
+    if (engine?.isAlive !== true) return;
+    const hit = [...this.open.values()].filter((open) => open.engine === engine);
+    for (const open of hit) {
+      const stream = engine.streams.get(open.ask.askId);
+      if (stream !== undefined) this.release(open, stream, ReleaseReason.UpstreamDied);
+    }
+    engine.abort();
+    this.send({ kind: DispatchEventKind.UpstreamLost, upstream });
+    for (const open of hit) {
+      open.failures += 1;
+      this.resume(open, { isSuspect: true });
+    }
+  }
+
+  /** Starts a dead engine anew; the dispatcher learns of it by a probe. */
+  start(upstream: UpstreamId): void {
+    const engine = this.engines.get(upstream);
+    if (engine === undefined || engine.isAlive) return;
+    engine.isAlive = true;
+    this.send({ kind: DispatchEventKind.UpstreamProbed, upstream, isHealthy: true });
+  }
+
+  /** Lets time pass: engines compute, daemons report, the dispatcher ticks. */
+  advance(durationMs: number): void {
+    this.nowMs += durationMs;
+    this.resumeCancelled();
+    this.answerProbes();
+    for (const engine of this.engines.values()) {
+      if (!engine.isAlive) continue;
+      if (engine.advance(durationMs, this.nowMs)) this.abort(engine.shape.id);
+    }
+    for (const open of [...this.open.values()]) this.reportProgress(open);
+    this.send({ kind: DispatchEventKind.Tick });
+  }
+
+  /** Sends an engine's load as it was, with the lag that the caller gives it. */
+  reportLoad(upstream: UpstreamId, atMs: number, isLeaving = false): void {
+    const engine = this.engines.get(upstream);
+    if (engine === undefined) return;
+    const report = {
+      upstream,
+      atMs,
+      running: engine.runningCount,
+      queued: 0,
+      cacheUse: 0.5,
+      tokenIntervalMs: engine.computeIntervalMs(),
+      isLeaving,
+    };
+    this.send({ kind: DispatchEventKind.LoadReport, report });
+  }
+
+  /** @returns identifiers of the requests that have not ended, as the dispatcher knows them */
+  listOpen(): readonly string[] {
+    return [...this.open.keys()];
+  }
+
+  private perform(action: DispatchAction): void {
+    switch (action.kind) {
+      case DispatchActionKind.Grant:
+        this.startStream(action.askId, action.upstream);
+        return;
+      case DispatchActionKind.Refuse:
+        this.finish(this.open.get(action.askId), ModelOutcome.Refused);
+        return;
+      case DispatchActionKind.Preempt:
+        this.preempt(action.askId, action.mode);
+        return;
+      case DispatchActionKind.ProbeUpstream:
+        this.probes.add(action.upstream);
+        return;
+      case DispatchActionKind.Quarantine:
+        return;
+    }
+  }
+
+  private answerProbes(): void {
+    const probes = [...this.probes];
+    this.probes.clear();
+    for (const upstream of probes) {
+      const isHealthy = this.engines.get(upstream)?.isAlive === true;
+      this.send({ kind: DispatchEventKind.UpstreamProbed, upstream, isHealthy });
+    }
+  }
+
+  private startStream(askId: string, upstream: UpstreamId): void {
+    const open = this.open.get(askId);
+    const engine = this.engines.get(upstream);
+    if (open === undefined || engine === undefined || open.engine === engine) return;
+    open.engine = engine;
+    engine.start({
+      askId,
+      isPoison: open.request.isPoison,
+      startedAtMs: this.nowMs,
+      promptTokens: open.ask.promptTokens + open.ask.resumeAt,
+      tokensLeft: open.request.outputTokens - open.tokensDone,
+      tokensMade: 0,
+      firstTokenAtMs: undefined,
+      isPaused: false,
+      runMs: 0,
+    });
+  }
+
+  private preempt(askId: string, mode: PreemptionMode): void {
+    const open = this.open.get(askId);
+    const stream = open?.engine?.streams.get(askId);
+    if (open === undefined || stream === undefined) return;
+    stream.isPaused = mode !== PreemptionMode.Resume;
+    if (mode === PreemptionMode.Cancel) this.cancelled.add(open);
+  }
+
+  private resumeCancelled(): void {
+    const cancelled = [...this.cancelled];
+    this.cancelled.clear();
+    for (const open of cancelled) {
+      const stream = open.engine?.streams.get(open.ask.askId);
+      if (stream === undefined) continue;
+      open.wastedTokens += WASTED_PROMPT_SHARE * open.ask.promptTokens;
+      this.release(open, stream, ReleaseReason.Preempted);
+      this.resume(open, {});
+    }
+  }
+
+  private reportProgress(open: OpenRequest): void {
+    const { engine, ask } = open;
+    const stream = engine?.streams.get(ask.askId);
+    if (engine === undefined || stream === undefined) return;
+    open.firstTokenAtMs ??= stream.firstTokenAtMs;
+    if (stream.tokensLeft <= 0) {
+      this.release(open, stream, ReleaseReason.Finished);
+      this.finish(open, ModelOutcome.Finished);
+      return;
+    }
+    if (stream.isPaused) return;
+    const tokens = Math.floor(stream.tokensMade);
+    this.send({ kind: DispatchEventKind.Progress, askId: ask.askId, tokens });
+  }
+
+  private release(open: OpenRequest, stream: ModelStream, reason: ReleaseReason): void {
+    const { askId } = open.ask;
+    open.engine?.cancel(askId);
+    open.tokensDone += Math.floor(stream.tokensMade);
+    open.runMs += stream.runMs;
+    const firstTokenMs =
+      stream.firstTokenAtMs === undefined ? undefined : stream.firstTokenAtMs - stream.startedAtMs;
+    const tokens = Math.floor(stream.tokensMade);
+    const tokenIntervalMs = stream.runMs / stream.tokensMade;
+    const measured = firstTokenMs === undefined ? {} : { firstTokenMs, tokenIntervalMs };
+    this.send(toReleaseEvent(askId, reason, { tokens, ...measured }));
+  }
+
+  private resume(open: OpenRequest, change: Partial<Pick<GrantAsk, 'isSuspect'>>): void {
+    if (this.open.get(open.ask.askId) !== open) return;
+    this.open.delete(open.ask.askId);
+    open.engine = undefined;
+    const attempt = open.ask.attempt + 1;
+    if (open.failures > FAILURE_LIMIT) {
+      this.recordResult(open, ModelOutcome.Cut);
+      return;
+    }
+    const askId = `${open.request.ask.askId}#${attempt}`;
+    open.ask = { ...open.ask, ...change, askId, attempt, resumeAt: open.tokensDone };
+    this.open.set(askId, open);
+    this.send(toAskEvent(open.ask));
+  }
+
+  private finish(open: OpenRequest | undefined, outcome: ModelOutcome): void {
+    if (open === undefined) return;
+    this.open.delete(open.ask.askId);
+    const wasCut = outcome === ModelOutcome.Refused && open.tokensDone > 0;
+    this.recordResult(open, wasCut ? ModelOutcome.Cut : outcome);
+  }
+
+  private recordResult(open: OpenRequest, outcome: ModelOutcome): void {
+    const { request, firstTokenAtMs, tokensDone, runMs } = open;
+    const isWhole = outcome === ModelOutcome.Finished;
+    this.results.push({
+      request,
+      outcome,
+      atMs: this.nowMs,
+      firstTokenAtMs,
+      meanIntervalMs: isWhole ? runMs / Math.max(1, tokensDone) : undefined,
+      wastedTokens: open.wastedTokens + (isWhole ? 0 : tokensDone),
+    });
+  }
+}
--- a/packages/dispatch/src/testing/index.ts
+++ b/packages/dispatch/src/testing/index.ts
@@ -1,2 +1,7 @@
-/** Builders of configurations, asks and events for tests and benches. */
+/** Builders of configurations, asks and events, and a model of a shard, for tests and benches. */
 export * from './builders.js';
+export * from './enums.js';
+export * from './InvariantObserver.js';
+export * from './ModelEngine.js';
+export * from './ModelShard.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/dispatch/src/tiered/createTieredDispatcher.ts
@@ -0,0 +1,157 @@
+import { IndexedHeap, createAverage } from '../collections/index.js';
+import { DispatchEventKind, PreemptionMode } from '../enums.js';
+import { computeLimit } from '../engines/index.js';
+import { SuspicionTable } from '../quarantine/index.js';
+import { handleAsk } from './admit.js';
+import { countQueuedByClass, handleConfigured } from './configure.js';
+import { expireWaiting, refuseAllDoomed } from './deadlines.js';
+import { handleProgress, handleRelease, handleWithdraw } from './feedback.js';
+import {
+  handleLeaving,
+  handleLoadReport,
+  handleLost,
+  handleProbed,
+  removeOverdue,
+  checkEngines,
+} from './health.js';
+import { preemptForUrgent } from './preempt.js';
+import { grantRoom } from './serve.js';
+import { handleQuarantined } from './suspects.js';
+
+import type { VmId } from '@sardinegrade/common';
+import type { DispatchAction, DispatchEvent, Dispatcher, DispatcherOptions } from '../types.js';
+import type { TieredState } from './types.js';
+
+/** Ended asks are remembered so long, for events that are repeated or overtaken. */
+const SETTLED_LIFETIME_MS = 30_000;
+
+/** Slow reviews run at most this often, however often ticks come. */
+const REVIEW_INTERVAL_MS = 100;
+
+const createState = ({ random, tuning }: DispatcherOptions): TieredState => ({
+  tuning: {
+    adaptsLimits: true,
+    preemption: PreemptionMode.Pause,
+    usesPrefixes: true,
+    detectsStragglers: true,
+    ...tuning,
+  },
+  random,
+  configuration: undefined,
+  classes: [],
+  classByKey: new Map(),
+  engines: [],
+  engineById: new Map(),
+  soundPools: new Set(),
+  records: new Map(),
+  deadlines: new IndexedHeap((record) => record.latestStartMs),
+  settled: new Map(),
+  suspicions: new SuspicionTable(),
+  runningSuspects: new Map(),
+  holdMs: createAverage(),
+  firstTokenMs: createAverage(),
+  medianIntervalMs: undefined,
+  nextSequence: 0,
+  tickAtMs: -Infinity,
+  actions: [],
+});
+
+const removeSettled = (state: TieredState, nowMs: number): void => {
+  for (const [askId, { atMs }] of state.settled) {
+    if (nowMs - atMs < SETTLED_LIFETIME_MS) return;
+    state.settled.delete(askId);
+  }
+};
+
+const handleTick = (state: TieredState, nowMs: number): void => {
+  if (nowMs - state.tickAtMs < REVIEW_INTERVAL_MS) return;
+  state.tickAtMs = nowMs;
+  checkEngines(state, nowMs);
+  removeOverdue(state, nowMs);
+  state.suspicions.expire(nowMs);
+  removeSettled(state, nowMs);
+  refuseAllDoomed(state, nowMs);
+};
+
+const handleVmLost = (state: TieredState, vm: VmId, nowMs: number): void => {
+  for (const record of [...state.records.values()]) {
+    if (record.ask.vm === vm) handleWithdraw(state, record.ask.askId, nowMs);
+  }
+};
+
+type EventOf<Kind extends DispatchEventKind> = Extract<DispatchEvent, { kind: Kind }>;
+
+type Handlers = {
+  readonly [Kind in DispatchEventKind]: (
+    state: TieredState,
+    event: EventOf<Kind>,
+    nowMs: number,
+  ) => void;
+};
+
+const HANDLERS: Handlers = {
+  [DispatchEventKind.Ask]: (state, { ask }, nowMs) => handleAsk(state, ask, nowMs),
+  [DispatchEventKind.Withdraw]: (state, { askId }, nowMs) => handleWithdraw(state, askId, nowMs),
+  [DispatchEventKind.Progress]: (state, { askId, tokens }, nowMs) =>
+    handleProgress(state, askId, tokens, nowMs),
+  [DispatchEventKind.Release]: (state, { release }, nowMs) => handleRelease(state, release, nowMs),
+  [DispatchEventKind.LoadReport]: (state, { report }, nowMs) =>
+    handleLoadReport(state, report, nowMs),
+  [DispatchEventKind.CacheEvent]: (state, { event }, nowMs) =>
+    state.engineById.get(event.upstream)?.prefixes.applyEvent(event, nowMs),
+  [DispatchEventKind.UpstreamLeaving]: (state, { upstream }, nowMs) =>
+    handleLeaving(state, upstream, nowMs),
+  [DispatchEventKind.UpstreamLost]: (state, { upstream }, nowMs) =>
+    handleLost(state, upstream, nowMs),
+  [DispatchEventKind.UpstreamProbed]: (state, { upstream, isHealthy }, nowMs) =>
+    handleProbed(state, upstream, isHealthy, nowMs),
+  [DispatchEventKind.Quarantined]: (state, { fingerprint, untilMs }, nowMs) =>
+    handleQuarantined(state, fingerprint, untilMs, nowMs),
+  [DispatchEventKind.Configured]: (state, { configuration, upstreams }, nowMs) =>
+    handleConfigured(state, configuration, upstreams, nowMs),
+  [DispatchEventKind.VmLost]: (state, { vm }, nowMs) => handleVmLost(state, vm, nowMs),
+  [DispatchEventKind.Tick]: (state, _event, nowMs) => handleTick(state, nowMs),
+};
+
+const applyEvent = (state: TieredState, event: DispatchEvent, nowMs: number): void => {
+  const handler = HANDLERS[event.kind] as (
+    state: TieredState,
+    event: DispatchEvent,
+    nowMs: number,
+  ) => void;
+  handler(state, event, nowMs);
+};
+
+const takeActions = (state: TieredState): readonly DispatchAction[] => {
+  const { actions } = state;
+  state.actions = [];
+  return actions;
+};
+
+/**
+ * Creates a dispatcher with the product's policy.
+ *
+ * @param options - random source and tuning
+ * @returns a dispatcher that refuses everything until it is configured
+ */
+export const createTieredDispatcher = (options: DispatcherOptions): Dispatcher => {
+  const state = createState(options);
+  return {
+    handle: (event, nowMs) => {
+      applyEvent(state, event, nowMs);
+      grantRoom(state, nowMs);
+      expireWaiting(state, nowMs);
+      preemptForUrgent(state, nowMs);
+      return takeActions(state);
+    },
+    describe: () => ({
+      queuedByClass: countQueuedByClass(state),
+      upstreams: state.engines.map((engine) => ({
+        upstream: engine.id,
+        granted: engine.running.size,
+        limit: computeLimit(engine),
+        health: engine.health,
+      })),
+    }),
+  };
+};
--- /dev/null
+++ b/packages/dispatch/src/tiered/invariants.test.ts
@@ -0,0 +1,259 @@
+import { test } from 'node:test';
+
+import { Tier, toBranded } from '@sardinegrade/common';
+import fc from 'fast-check';
+
+import { createDispatcher } from '../createDispatcher.js';
+import { DispatchEventKind, DispatchPolicy } from '../enums.js';
+import { createRandomSource } from '../random.js';
+import {
+  buildAsk,
+  buildConfiguration,
+  InvariantObserver,
+  ModelShard,
+  toEngineId,
+} from '../testing/index.js';
+
+import type { ClassConfiguration, UpstreamId } from '@sardinegrade/common';
+import type { DispatchEvent } from '../types.js';
+
+const SEED = 20261204;
+const ENGINES = 3;
+const SLOTS = 2;
+
+const CLASSES: readonly Partial<ClassConfiguration>[] = [
+  { name: toBranded('urgent'), tier: Tier.Premium, queueLimit: 4, deadlineMs: 3_000 },
+  { name: toBranded('query'), tier: Tier.Paying, queueLimit: 4, deadlineMs: 3_000 },
+  { name: toBranded('report'), tier: Tier.Paying, priority: 1, queueLimit: 6 },
+  { name: toBranded('trial'), tier: Tier.Trial, queueLimit: 4, deadlineMs: 4_000 },
+  { name: toBranded('history'), tier: Tier.Free, queueLimit: 6, minimumShare: 0.1 },
+];
+
+/** One step of a random scenario; the numbers choose among what is there. */
+type Command =
+  | { kind: 'ask'; tier: number; workspace: number; tokens: number; deadline: number; body: number }
+  | { kind: 'advance'; ms: number }
+  | { kind: 'abort' | 'start' | 'leave' | 'probe' | 'repeat' | 'cache'; pick: number }
+  | { kind: 'cancel' | 'held'; pick: number }
+  | { kind: 'report'; pick: number; lag: number }
+  | { kind: 'configure'; members: number; drained: number };
+
+const PICK = fc.nat(1_000);
+
+const COMMAND: fc.Arbitrary<Command> = fc.oneof(
+  {
+    weight: 20,
+    arbitrary: fc.record({
+      kind: fc.constant('ask' as const),
+      tier: fc.nat(4),
+      workspace: fc.nat(2),
+      tokens: fc.integer({ min: 1, max: 120 }),
+      deadline: fc.constantFrom(150, 600, 3_000, 20_000),
+      body: fc.nat(150),
+    }),
+  },
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant('advance' as const),
+      ms: fc.constantFrom(10, 100, 400, 1_500),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constantFrom('start', 'probe', 'repeat', 'cache'),
+      pick: PICK,
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constantFrom('leave' as const, 'abort' as const), pick: PICK }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constantFrom('cancel' as const, 'held' as const), pick: PICK }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('report' as const),
+      pick: PICK,
+      lag: fc.constantFrom(0, 500, 5_000),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('configure' as const),
+      members: fc.integer({ min: 1, max: 2 ** ENGINES - 1 }),
+      drained: fc.nat(ENGINES),
+    }),
+  },
+);
+
+const toEngine = (pick: number): UpstreamId => toEngineId(pick % ENGINES);
+
+/** One scenario: a shard, its dispatcher and the observer that checks all that passes. */
+class Scenario {
+  readonly observer: InvariantObserver;
+  readonly shard: ModelShard;
+  private last: DispatchEvent = { kind: DispatchEventKind.Tick };
+  private asks = 0;
+
+  constructor(seed: number) {
+    const dispatcher = createDispatcher({
+      policy: DispatchPolicy.Tiered,
+      random: createRandomSource(seed),
+    });
+    this.observer = new InvariantObserver(dispatcher);
+    const shapes = Array.from({ length: ENGINES }, (_, index) => ({
+      id: toEngineId(index),
+      slots: SLOTS,
+      baseIntervalMs: 20,
+      batchingCost: 0.5,
+      prefillMsPerToken: 0.2,
+    }));
+    this.shard = new ModelShard(dispatcher, shapes, (event, actions, nowMs) => {
+      this.last = event;
+      this.observer.observe(event, actions, nowMs);
+    });
+    this.sendConfiguration(2 ** ENGINES - 1, ENGINES);
+  }
+
+  run(command: Command): void {
+    switch (command.kind) {
+      case 'ask':
+        this.ask(command);
+        return;
+      case 'advance':
+        this.shard.advance(command.ms);
+        return;
+      case 'abort':
+        this.shard.abort(toEngine(command.pick));
+        return;
+      case 'start':
+        this.shard.start(toEngine(command.pick));
+        return;
+      case 'leave':
+        this.shard.send({
+          kind: DispatchEventKind.UpstreamLeaving,
+          upstream: toEngineId(ENGINES - 1),
+        });
+        return;
+      case 'probe':
+        this.probe(toEngine(command.pick));
+        return;
+      case 'repeat':
+        this.sendAgain();
+        return;
+      case 'cache':
+        this.sendCacheEvent(command.pick);
+        return;
+      case 'cancel':
+        this.cancel(command.pick);
+        return;
+      case 'held':
+        this.registerHeld(command.pick);
+        return;
+      case 'report':
+        this.shard.reportLoad(toEngine(command.pick), this.shard.present - command.lag);
+        return;
+      case 'configure':
+        this.sendConfiguration(command.members, command.drained);
+        return;
+    }
+  }
+
+  finish(): void {
+    for (let step = 0; step < 400 && this.shard.openCount > 0; step += 1) this.shard.advance(200);
+    this.observer.checkAllAnswered();
+  }
+
+  private ask(command: Extract<Command, { kind: 'ask' }>): void {
+    const isPoison = command.body === 0;
+    this.asks += 1;
+    this.shard.request({
+      ask: buildAsk({
+        askId: `ask-${this.asks}`,
+        className: CLASSES[command.tier]?.name ?? '',
+        workspace: `workspace-${command.workspace}`,
+        arrivedAtMs: this.shard.present,
+        deadlineAtMs: this.shard.present + command.deadline,
+        maxTokens: command.tokens * 2,
+        prefixBlocks: [command.body % 4, 100 + (command.body % 8)],
+        fingerprint: isPoison ? 'poison' : `body-${this.asks}`,
+      }),
+      outputTokens: command.tokens,
+      isPoison,
+    });
+  }
+
+  private probe(upstream: UpstreamId): void {
+    const isHealthy = this.shard.engines.get(upstream)?.isAlive === true;
+    this.shard.send({ kind: DispatchEventKind.UpstreamProbed, upstream, isHealthy });
+  }
+
+  /** Only events that say the same when they come twice; a second loss is a loss of its own. */
+  private sendAgain(): void {
+    const { last } = this;
+    if (last.kind !== DispatchEventKind.Configured) this.shard.send(last);
+  }
+
+  private sendCacheEvent(pick: number): void {
+    const event = {
+      upstream: toEngine(pick),
+      sequence: pick,
+      stored: [pick % 4],
+      evicted: [pick % 8],
+    };
+    this.shard.send({ kind: DispatchEventKind.CacheEvent, event });
+  }
+
+  private cancel(pick: number): void {
+    const open = this.shard.listOpen();
+    const askId = open[pick % Math.max(1, open.length)];
+    if (askId !== undefined) this.shard.cancel(askId);
+  }
+
+  private registerHeld(pick: number): void {
+    this.asks += 1;
+    const ask = buildAsk({
+      askId: `held-${this.asks}`,
+      className: CLASSES[pick % CLASSES.length]?.name ?? '',
+      heldUpstream: toEngine(pick),
+      deadlineAtMs: this.shard.present + 2_000,
+    });
+    this.shard.send({ kind: DispatchEventKind.Ask, ask });
+  }
+
+  private sendConfiguration(members: number, drained: number): void {
+    const configuration = buildConfiguration({
+      engines: ENGINES,
+      slots: SLOTS,
+      classes: CLASSES,
+      drained: drained === ENGINES ? [] : [toEngineId(drained)],
+    });
+    const upstreams = [...configuration.upstreams.keys()].filter(
+      (_, index) => (members >> index) % 2 === 1,
+    );
+    this.shard.send({ kind: DispatchEventKind.Configured, configuration, upstreams });
+  }
+}
+
+test('the invariants hold over random arrivals, crashes, reports and changes', () => {
+  const property = fc.property(
+    fc.array(COMMAND, { minLength: 1, maxLength: 160, size: 'max' }),
+    fc.nat(),
+    (commands, seed) => {
+      const scenario = new Scenario(seed);
+      for (const command of commands) scenario.run(command);
+      scenario.finish();
+    },
+  );
+  fc.assert(property, {
+    seed: SEED,
+    includeErrorInReport: true,
+    numRuns: 2_000,
+  });
+});
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -102,6 +102,9 @@
       /** The upstreams of this dispatcher's shard. */
       readonly upstreams: readonly UpstreamId[];
     }
+  /** A daemon is gone for good: its waiting asks are dropped and its grants no longer accounted. */
+  | { readonly kind: DispatchEventKind.VmLost; readonly vm: VmId }
+  /** To be sent several times a second: deadlines, probes and stragglers are checked then. */
   | { readonly kind: DispatchEventKind.Tick };
 
 export type DispatchAction =
@@ -159,8 +162,20 @@
 /** A source of random numbers, at least 0 and below 1. */
 export type RandomSource = () => number;
 
+/** Parts of the tiered policy that a comparison may switch off. */
+export interface DispatcherTuning {
+  /** Whether concurrency limits follow measured latency; else they are the engines' slots. */
+  readonly adaptsLimits: boolean;
+  /** How running requests make room; undefined where they never do. */
+  readonly preemption: PreemptionMode.Pause | PreemptionMode.Cancel | undefined;
+  readonly usesPrefixes: boolean;
+  readonly detectsStragglers: boolean;
+}
+
 /** What a dispatcher is made of. */
 export interface DispatcherOptions {
   readonly policy: DispatchPolicy;
   readonly random: RandomSource;
+  /** All parts are on by default. */
+  readonly tuning?: Partial<DispatcherTuning>;
 }
