--- /dev/null
+++ b/packages/entry/src/grants/messages.ts
@@ -0,0 +1,232 @@
+import { ResultCode } from '@sardinegrade/common';
+import { DispatchActionKind, PreemptionMode, ReleaseReason } from '@sardinegrade/dispatch';
+import { DispatchProtocol } from '@sardinegrade/peer';
+
+import type {
+  ClassName,
+  Fingerprint,
+  RequestId,
+  ServiceName,
+  UpstreamId,
+  VmId,
+  WorkspaceName,
+} from '@sardinegrade/common';
+import type { DispatchAction, GrantAsk, GrantRelease } from '@sardinegrade/dispatch';
+import type { ShardKey, ShardLoad } from './types.js';
+
+const WireReason = DispatchProtocol.ReleaseReason;
+const WireMode = DispatchProtocol.PreemptionMode;
+const TENTHS = 10;
+
+const REASON_TO_WIRE: Readonly<Record<ReleaseReason, DispatchProtocol.ReleaseReason>> = {
+  [ReleaseReason.Finished]: WireReason.RELEASE_REASON_FINISHED,
+  [ReleaseReason.CallerGone]: WireReason.RELEASE_REASON_CALLER_GONE,
+  [ReleaseReason.UpstreamRefused]: WireReason.RELEASE_REASON_UPSTREAM_REFUSED,
+  [ReleaseReason.UpstreamDied]: WireReason.RELEASE_REASON_UPSTREAM_DIED,
+  [ReleaseReason.UpstreamSilent]: WireReason.RELEASE_REASON_UPSTREAM_SILENT,
+  [ReleaseReason.Preempted]: WireReason.RELEASE_REASON_PREEMPTED,
+};
+
+const MODE_TO_WIRE: Readonly<Record<PreemptionMode, DispatchProtocol.PreemptionMode>> = {
+  [PreemptionMode.Pause]: WireMode.PREEMPTION_MODE_PAUSE,
+  [PreemptionMode.Resume]: WireMode.PREEMPTION_MODE_RESUME,
+  [PreemptionMode.Cancel]: WireMode.PREEMPTION_MODE_CANCEL,
+};
+
+const invert = <Key extends string, Value extends number>(
+  table: Readonly<Record<Key, Value>>,
+): ReadonlyMap<number, Key> =>
+  new Map((Object.entries(table) as [Key, Value][]).map(([key, value]) => [value, key]));
+
+const REASON_FROM_WIRE = invert(REASON_TO_WIRE);
+const MODE_FROM_WIRE = invert(MODE_TO_WIRE);
+
+const KNOWN_CODES: ReadonlyMap<number, ResultCode> = new Map(
+  Object.values(ResultCode)
+    .filter((code) => typeof code === 'number')
+    .map((code) => [code, code]),
+);
+
+/** A code that a newer daemon knows and this one does not reads as an overload. */
+const readCode = (code: number): ResultCode => KNOWN_CODES.get(code) ?? ResultCode.Overloaded;
+
+/**
+ * Encodes an ask; its times become durations, since clocks of VMs differ.
+ *
+ * @param shard - the shard asked
+ * @param ask - the ask in this daemon's time
+ * @param nowMs - the present
+ * @returns the message
+ */
+export const encodeAsk = (shard: ShardKey, ask: GrantAsk, nowMs: number): DispatchProtocol.Ask => ({
+  askId: ask.askId,
+  requestId: ask.requestId,
+  service: ask.service,
+  className: ask.className,
+  workspace: ask.workspace,
+  ageMs: Math.max(0, Math.round(nowMs - ask.arrivedAtMs)),
+  remainingMs: Math.max(0, Math.round(ask.deadlineAtMs - nowMs)),
+  promptTokens: ask.promptTokens,
+  maxTokens: ask.maxTokens,
+  prefixBlocks: [...ask.prefixBlocks],
+  fingerprint: ask.fingerprint,
+  resumeAt: ask.resumeAt,
+  excludedUpstreams: [...ask.excludedUpstreams],
+  attempt: ask.attempt,
+  suspect: ask.isSuspect,
+  shard,
+  heldUpstream: ask.heldUpstream ?? '',
+});
+
+/**
+ * Decodes an ask into this daemon's time.
+ *
+ * @param message - the message
+ * @param vm - the daemon that sent it
+ * @param nowMs - the present
+ * @returns the ask
+ */
+export const decodeAsk = (message: DispatchProtocol.Ask, vm: VmId, nowMs: number): GrantAsk => ({
+  askId: message.askId,
+  requestId: message.requestId as RequestId,
+  vm,
+  service: message.service as ServiceName,
+  className: message.className as ClassName,
+  workspace: message.workspace as WorkspaceName,
+  arrivedAtMs: nowMs - message.ageMs,
+  deadlineAtMs: nowMs + message.remainingMs,
+  promptTokens: message.promptTokens,
+  maxTokens: message.maxTokens,
+  prefixBlocks: message.prefixBlocks,
+  fingerprint: message.fingerprint as Fingerprint,
+  resumeAt: message.resumeAt,
+  excludedUpstreams: message.excludedUpstreams as UpstreamId[],
+  attempt: message.attempt,
+  isSuspect: message.suspect,
+  heldUpstream: message.heldUpstream === '' ? undefined : (message.heldUpstream as UpstreamId),
+});
+
+/**
+ * Encodes the end of a grant.
+ *
+ * @param release - the release
+ * @returns the message
+ */
+export const encodeRelease = (release: GrantRelease): DispatchProtocol.Release => ({
+  askId: release.askId,
+  tokens: release.tokens,
+  reason: REASON_TO_WIRE[release.reason],
+  firstTokenMs: Math.round(release.firstTokenMs ?? 0),
+  tokenIntervalTenthMs: Math.round((release.tokenIntervalMs ?? 0) * TENTHS),
+});
+
+/**
+ * Decodes the end of a grant.
+ *
+ * @param message - the message
+ * @returns the release
+ */
+export const decodeRelease = (message: DispatchProtocol.Release): GrantRelease => ({
+  askId: message.askId,
+  reason: REASON_FROM_WIRE.get(message.reason) ?? ReleaseReason.CallerGone,
+  tokens: message.tokens,
+  firstTokenMs: message.firstTokenMs === 0 ? undefined : message.firstTokenMs,
+  tokenIntervalMs:
+    message.tokenIntervalTenthMs === 0 ? undefined : message.tokenIntervalTenthMs / TENTHS,
+});
+
+/** @returns an empty message of an entry daemon, to be filled over one tick */
+export const createEntryMessage = (): DispatchProtocol.EntryMessage => ({
+  vm: '',
+  asks: [],
+  withdrawals: [],
+  progress: [],
+  releases: [],
+});
+
+/** @returns an empty message of a dispatcher, to be filled over one tick */
+export const createDispatcherMessage = (): DispatchProtocol.DispatcherMessage => ({
+  grants: [],
+  refusals: [],
+  preemptions: [],
+  loads: [],
+});
+
+/**
+ * Adds a decision to a dispatcher's message; actions that concern no single ask are left out.
+ *
+ * @param message - the message being filled
+ * @param action - the decision
+ */
+export const appendAction = (
+  message: DispatchProtocol.DispatcherMessage,
+  action: DispatchAction,
+): void => {
+  switch (action.kind) {
+    case DispatchActionKind.Grant:
+      message.grants.push({
+        askId: action.askId,
+        upstream: action.upstream,
+        priority: action.priority,
+      });
+      return;
+    case DispatchActionKind.Refuse:
+      message.refusals.push({
+        askId: action.askId,
+        code: action.code,
+        retryAfterMs: Math.round(action.retryAfterMs ?? 0),
+      });
+      return;
+    case DispatchActionKind.Preempt:
+      message.preemptions.push({ askId: action.askId, mode: MODE_TO_WIRE[action.mode] });
+      return;
+    case DispatchActionKind.ProbeUpstream:
+    case DispatchActionKind.Quarantine:
+  }
+};
+
+/**
+ * Decodes a dispatcher's decisions.
+ *
+ * @param message - the message
+ * @returns the decisions in the order in which they apply
+ */
+export const decodeActions = (
+  message: DispatchProtocol.DispatcherMessage,
+): readonly DispatchAction[] => [
+  ...message.grants.map((grant) => ({
+    kind: DispatchActionKind.Grant as const,
+    askId: grant.askId,
+    upstream: grant.upstream as UpstreamId,
+    priority: grant.priority,
+  })),
+  ...message.refusals.map((refusal) => ({
+    kind: DispatchActionKind.Refuse as const,
+    askId: refusal.askId,
+    code: readCode(refusal.code),
+    retryAfterMs: refusal.retryAfterMs === 0 ? undefined : refusal.retryAfterMs,
+  })),
+  ...message.preemptions.map((preemption) => ({
+    kind: DispatchActionKind.Preempt as const,
+    askId: preemption.askId,
+    mode: MODE_FROM_WIRE.get(preemption.mode) ?? PreemptionMode.Cancel,
+  })),
+];
+
+/**
+ * Decodes the shard loads that ride on a dispatcher's message.
+ *
+ * @param message - the message
+ * @param nowMs - the present
+ * @returns the load of each shard named
+ */
+export const decodeLoads = (
+  message: DispatchProtocol.DispatcherMessage,
+  nowMs: number,
+): ReadonlyMap<ShardKey, ShardLoad> =>
+  new Map(
+    message.loads.map(({ shard, queued, freeSlots }) => [
+      shard as ShardKey,
+      { queued, freeSlots, atMs: nowMs },
+    ]),
+  );
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,2 @@
-/** Placeholder */
+/** The entry daemon. */
+export * from './grants/index.js';
