feat(platform): client over HTTP, confirmed writes and a platform in memory

Cause: everything that lasts goes through the platform's object API. Change: createPlatformClient maps each failure to whether it can have had an effect; writeConfirmed reads a write of unknown outcome back by its change id and sends it again under the same condition; createMemoryPlatform serves tests and the stand-in, with outage, slowness, lost writes and answers, limits and counts.

--- /dev/null
+++ b/packages/platform/src/createPlatformClient.ts
@@ -0,0 +1,207 @@
+import { Pool } from 'undici';
+
+import {
+  CALL_CONNECTIONS,
+  CALL_TIMEOUT_MS,
+  CONNECT_TIMEOUT_MS,
+  WATCH_CONNECTIONS,
+  WATCH_MARGIN_MS,
+} from './constants.js';
+import { PlatformError, PlatformFailure } from './PlatformError.js';
+import { ANSWER_SCHEMAS } from './schemas.js';
+import { toTransportError } from './transportError.js';
+
+import type { z } from 'zod';
+import type { ObjectWrite, PlatformClient, WriteResult } from './types.js';
+
+/** How a client reaches the platform. */
+export interface PlatformClientOptions {
+  /** Base address, `http://host:port`. */
+  readonly address: string;
+  readonly callTimeoutMs?: number;
+  readonly connectTimeoutMs?: number;
+  readonly connections?: number;
+  readonly watchConnections?: number;
+}
+
+/** A client with connections of its own, which its owner closes. */
+export interface HttpPlatformClient extends PlatformClient {
+  /** Closes the connections; calls in progress fail. */
+  readonly close: () => Promise<void>;
+}
+
+interface Call {
+  readonly pool: Pool;
+  readonly method: 'GET' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly timeoutMs: number;
+  readonly ifVersion?: number;
+  readonly body?: string;
+  readonly signal?: AbortSignal | undefined;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const isWrite = (call: Call): boolean => call.method !== 'GET';
+
+const parseJson = (text: string): unknown => {
+  if (text === '') return undefined;
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+const buildHeaders = (call: Call): Record<string, string> => ({
+  accept: 'application/json',
+  ...(call.ifVersion === undefined ? {} : { 'if-version': String(call.ifVersion) }),
+  ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
+});
+
+/** Failures of the platform that surely had no effect, by HTTP status. */
+const REFUSALS: Readonly<Partial<Record<number, PlatformFailure>>> = {
+  400: PlatformFailure.Invalid,
+  413: PlatformFailure.Invalid,
+  429: PlatformFailure.Limited,
+  503: PlatformFailure.Unavailable,
+};
+
+const EXPECTED_STATUSES: ReadonlySet<number> = new Set([200, 404, 409]);
+
+const checkStatus = (call: Call, status: number): void => {
+  if (EXPECTED_STATUSES.has(status)) return;
+  const otherwise = isWrite(call) ? PlatformFailure.Uncertain : PlatformFailure.Invalid;
+  const failure = REFUSALS[status] ?? otherwise;
+  throw new PlatformError(failure, `The platform answered ${call.method} with ${status}.`);
+};
+
+const performCall = async (call: Call): Promise<Answer> => {
+  const timeout = AbortSignal.timeout(call.timeoutMs);
+  const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]);
+  try {
+    const response = await call.pool.request({
+      method: call.method,
+      path: call.path,
+      headers: buildHeaders(call),
+      body: call.body ?? null,
+      signal,
+    });
+    const text = await response.body.text();
+    checkStatus(call, response.statusCode);
+    return { status: response.statusCode, body: parseJson(text) };
+  } catch (error) {
+    throw toTransportError(error, isWrite(call));
+  }
+};
+
+const parseAnswer = <Schema extends z.ZodType>(
+  schema: Schema,
+  answer: Answer,
+  failure: PlatformFailure,
+): z.output<Schema> => {
+  const result = schema.safeParse(answer.body);
+  if (result.success) return result.data;
+  throw new PlatformError(failure, 'The platform answered against its protocol.', result.error);
+};
+
+const parseRead = <Schema extends z.ZodType>(schema: Schema, answer: Answer): z.output<Schema> => {
+  if (answer.status !== 200) {
+    throw new PlatformError(
+      PlatformFailure.Invalid,
+      `The platform answered a read with ${answer.status}.`,
+    );
+  }
+  return parseAnswer(schema, answer, PlatformFailure.Invalid);
+};
+
+const parseWrite = (answer: Answer): WriteResult => {
+  if (answer.status === 200) {
+    return parseAnswer(ANSWER_SCHEMAS.written, answer, PlatformFailure.Uncertain);
+  }
+  if (answer.status === 409) {
+    return parseAnswer(ANSWER_SCHEMAS.conflict, answer, PlatformFailure.Invalid);
+  }
+  throw new PlatformError(PlatformFailure.Invalid, 'The platform does not know this kind.');
+};
+
+const buildObjectPath = (kind: string, name: string): string =>
+  `/v1/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
+
+const buildQuery = (parameters: Readonly<Record<string, string | number | undefined>>): string => {
+  const query = new URLSearchParams();
+  for (const [key, value] of Object.entries(parameters)) {
+    if (value !== undefined) query.set(key, String(value));
+  }
+  return query.toString();
+};
+
+const createPool = (options: PlatformClientOptions, connections: number): Pool =>
+  new Pool(options.address, {
+    connections,
+    pipelining: 1,
+    connect: { timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS },
+    // Each call has a timeout of its own, which also covers the wait for a connection.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+/**
+ * Opens a client of the platform's object API over HTTP.
+ *
+ * @param options - the platform's address, and limits where the defaults do not fit
+ * @returns the client; connections are opened on the first call
+ */
+export const createPlatformClient = (options: PlatformClientOptions): HttpPlatformClient => {
+  const calls = createPool(options, options.connections ?? CALL_CONNECTIONS);
+  const watches = createPool(options, options.watchConnections ?? WATCH_CONNECTIONS);
+  const timeoutMs = options.callTimeoutMs ?? CALL_TIMEOUT_MS;
+  const get = (path: string): Promise<Answer> =>
+    performCall({ pool: calls, method: 'GET', path, timeoutMs });
+
+  const write = async (change: ObjectWrite): Promise<WriteResult> => {
+    const body = JSON.stringify({ change_id: change.changeId, value: change.value });
+    const path = buildObjectPath(change.kind, change.name);
+    const { ifVersion } = change;
+    return parseWrite(
+      await performCall({ pool: calls, method: 'PUT', path, timeoutMs, ifVersion, body }),
+    );
+  };
+
+  return {
+    read: async (kind, name) => {
+      const answer = await get(buildObjectPath(kind, name));
+      return answer.status === 404 ? undefined : parseRead(ANSWER_SCHEMAS.object, answer);
+    },
+    list: async (kind, prefix, after) => {
+      const query = buildQuery({ prefix, after });
+      const answer = await get(`/v1/objects/${encodeURIComponent(kind)}?${query}`);
+      return parseRead(ANSWER_SCHEMAS.page, answer);
+    },
+    write,
+    remove: async (kind, name, ifVersion) => {
+      const path = buildObjectPath(kind, name);
+      return parseWrite(
+        await performCall({ pool: calls, method: 'DELETE', path, timeoutMs, ifVersion }),
+      );
+    },
+    watch: async (kind, afterVersion, waitMs, signal) => {
+      const query = buildQuery({ after: afterVersion, timeout_ms: waitMs });
+      const answer = await performCall({
+        pool: watches,
+        method: 'GET',
+        path: `/v1/watch/${encodeURIComponent(kind)}?${query}`,
+        timeoutMs: waitMs + WATCH_MARGIN_MS,
+        signal,
+      });
+      return parseRead(ANSWER_SCHEMAS.watch, answer);
+    },
+    listVms: async () => parseRead(ANSWER_SCHEMAS.vms, await get('/v1/vms')).vms,
+    close: async () => {
+      await Promise.all([calls.destroy(), watches.destroy()]);
+    },
+  };
+};
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,3 +1,7 @@
-/** Client of the platform's object API. */
+/** Client of the platform's object API, and an implementation in memory for tests. */
+export * from './constants.js';
+export * from './createPlatformClient.js';
+export * from './memory/index.js';
 export * from './PlatformError.js';
 export * from './types.js';
+export * from './writeConfirmed.js';
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -65,7 +65,12 @@
 
 export type WriteResult =
   | { readonly outcome: WriteOutcome.Written; readonly version: number }
-  | { readonly outcome: WriteOutcome.Conflict; readonly current: PlatformObject | undefined };
+  | {
+      readonly outcome: WriteOutcome.Conflict;
+      readonly current: PlatformObject | undefined;
+      /** The write's first answer was lost, and another writer's version stands: it may have held for a while. */
+      readonly mayHaveTakenEffect?: boolean;
+    };
 
 /**
  * The platform's object API.
