feat(common): add logs, traces and metrics

Cause: the daemon needs one way to log, to trace and to count from its first line on. Change: logs over consola with a closed set of fields on standard error; OpenTelemetry spans per hop with explicit parents (no async context, which would cost on the relay path), a bounded buffer of recent traces and batched OTLP/HTTP export; counters and HDR percentiles with a bound on series, attainment over a window.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,9 @@
-/** What all packages share: identifiers, the configuration's shape, errors, settings and time. */
+/** What all packages share: identifiers, the configuration's shape, errors, settings, time, logs, traces and metrics. */
 export * from './configuration/index.js';
 export * from './errors/index.js';
 export * from './ids/index.js';
+export * from './logs/index.js';
+export * from './metrics/index.js';
 export * from './settings/index.js';
 export * from './time/index.js';
+export * from './traces/index.js';
--- /dev/null
+++ b/packages/common/src/logs/index.ts
@@ -0,0 +1,5 @@
+/** Structured logs: one line per event on standard error, as text or JSON, without keys or bodies. */
+export * from './createLogger.js';
+export * from './enums.js';
+export * from './sanitizeText.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/common/src/logs/toRecord.ts
@@ -0,0 +1,53 @@
+import { SardinegradeError } from '../errors/index.js';
+import { sanitizeText } from './sanitizeText.js';
+
+import type { LogFields } from './types.js';
+
+/** One log line's content, in the order in which it is written. */
+export type LogRecord = Readonly<Record<string, string | number>>;
+
+type FieldName = Exclude<keyof LogFields, 'error'>;
+
+/** The names under which fields are written. A field without an entry is not written. */
+const FIELD_NAMES: Readonly<Record<FieldName, string>> = {
+  requestId: 'request_id',
+  service: 'service',
+  className: 'class',
+  workspace: 'workspace',
+  code: 'code',
+  upstream: 'upstream',
+  vm: 'vm',
+  dataCentre: 'data_centre',
+  generation: 'generation',
+  traceId: 'trace_id',
+  durationMs: 'duration_ms',
+  count: 'count',
+  operator: 'operator',
+};
+
+const toErrorRecord = (thrown: unknown, withStack: boolean): LogRecord => {
+  if (!(thrown instanceof Error)) return { error: sanitizeText(typeof thrown) };
+  return {
+    error: sanitizeText(`${thrown.name}: ${thrown.message}`),
+    ...(thrown instanceof SardinegradeError ? { code: thrown.code } : {}),
+    ...(withStack && thrown.stack !== undefined ? { stack: sanitizeText(thrown.stack) } : {}),
+  };
+};
+
+/**
+ * Builds the content of a log line from the fields that may be logged.
+ *
+ * @param fields - the fields given
+ * @param withStack - whether an error's stack is included
+ * @returns names and sanitized values
+ */
+export const toRecord = (fields: LogFields, withStack: boolean): LogRecord => {
+  const record: Record<string, string | number> = {};
+  for (const [field, name] of Object.entries(FIELD_NAMES)) {
+    const value = fields[field as FieldName];
+    if (value === undefined) continue;
+    record[name] = typeof value === 'number' ? value : sanitizeText(value);
+  }
+  if (fields.error === undefined) return record;
+  return { ...toErrorRecord(fields.error, withStack), ...record };
+};
--- /dev/null
+++ b/packages/common/src/metrics/AttainmentWindow.ts
@@ -0,0 +1,42 @@
+import { RecentWindow } from './RecentWindow.js';
+
+import type { Clock } from '../time/index.js';
+import type { Attainment } from './types.js';
+
+interface AttainmentHalf {
+  requests: number;
+  attained: number;
+}
+
+const createHalf = (): AttainmentHalf => ({ requests: 0, attained: 0 });
+
+/** Counts how many requests of a recent window met their targets. */
+export class AttainmentWindow {
+  readonly #window: RecentWindow<AttainmentHalf>;
+
+  constructor(clock: Clock) {
+    this.#window = new RecentWindow(clock, createHalf);
+  }
+
+  /**
+   * Records the end of a request.
+   *
+   * @param isAttained - whether it got its whole answer within its targets
+   */
+  record(isAttained: boolean): void {
+    const half = this.#window.present;
+    half.requests += 1;
+    if (isAttained) half.attained += 1;
+  }
+
+  /** @returns the attainment over the window */
+  describe(): Attainment {
+    let requests = 0;
+    let attained = 0;
+    for (const half of this.#window.halves) {
+      requests += half.requests;
+      attained += half.attained;
+    }
+    return { requests, attained, share: requests === 0 ? undefined : attained / requests };
+  }
+}
--- /dev/null
+++ b/packages/common/src/metrics/constants.ts
@@ -0,0 +1,170 @@
+import { MetricKind, MetricName } from './enums.js';
+
+import type { MetricDefinition } from './types.js';
+
+const { Counter, Gauge, Summary } = MetricKind;
+
+const TRAFFIC = ['service', 'class'];
+
+/** Kind, meaning and labels of each metric. */
+export const METRIC_DEFINITIONS: Readonly<Record<MetricName, MetricDefinition>> = {
+  [MetricName.Requests]: {
+    kind: Counter,
+    help: 'Requests that ended, by outcome (whole, invalid, refused, failed).',
+    labels: [...TRAFFIC, 'outcome'],
+  },
+  [MetricName.WorkspaceRequests]: {
+    kind: Counter,
+    help: 'Requests that ended, by workspace and outcome.',
+    labels: ['workspace', 'outcome'],
+  },
+  [MetricName.Refusals]: {
+    kind: Counter,
+    help: 'Requests that ended without a whole answer, by result code.',
+    labels: [...TRAFFIC, 'code'],
+  },
+  [MetricName.Attained]: {
+    kind: Counter,
+    help: 'Whole answers that met each latency target of their class.',
+    labels: TRAFFIC,
+  },
+  [MetricName.WorkspaceAttained]: {
+    kind: Counter,
+    help: 'Whole answers that met each latency target, by workspace.',
+    labels: ['workspace'],
+  },
+  [MetricName.GoodTokens]: {
+    kind: Counter,
+    help: 'Tokens of whole answers that met each target: the goodput.',
+    labels: TRAFFIC,
+  },
+  [MetricName.WorkspaceTokens]: {
+    kind: Counter,
+    help: 'Tokens of whole answers, by workspace.',
+    labels: ['workspace'],
+  },
+  [MetricName.WastedTokens]: {
+    kind: Counter,
+    help: 'Tokens made by engines that were of no use to any caller, by cause.',
+    labels: ['service', 'cause'],
+  },
+  [MetricName.Grants]: {
+    kind: Counter,
+    help: 'Grants that this daemon asked for, by how they were decided.',
+    labels: [...TRAFFIC, 'decision'],
+  },
+  [MetricName.Preemptions]: {
+    kind: Counter,
+    help: 'Running requests made to give way, by mode (pause, cancel).',
+    labels: [...TRAFFIC, 'mode'],
+  },
+  [MetricName.Retries]: {
+    kind: Counter,
+    help: 'Attempts after the first, by cause.',
+    labels: ['service', 'cause'],
+  },
+  [MetricName.UpstreamAttempts]: {
+    kind: Counter,
+    help: 'Attempts at upstreams, by outcome.',
+    labels: ['upstream', 'outcome'],
+  },
+  [MetricName.OrderWrites]: {
+    kind: Counter,
+    help: 'Conditional writes of order records, by outcome.',
+    labels: ['outcome'],
+  },
+  [MetricName.PlatformCalls]: {
+    kind: Counter,
+    help: 'Calls to the platform, by method and outcome.',
+    labels: ['method', 'outcome'],
+  },
+  [MetricName.PeerBytes]: {
+    kind: Counter,
+    help: 'Bytes sent to other daemons, by kind (membership, dispatch, configuration).',
+    labels: ['kind'],
+  },
+  [MetricName.FirstToken]: {
+    kind: Summary,
+    help: 'Time from arrival to the first token.',
+    labels: TRAFFIC,
+  },
+  [MetricName.TokenInterval]: {
+    kind: Summary,
+    help: 'Mean interval between the tokens of an answer.',
+    labels: TRAFFIC,
+  },
+  [MetricName.QueueWait]: {
+    kind: Summary,
+    help: 'Time from arrival to the grant.',
+    labels: TRAFFIC,
+  },
+  [MetricName.RequestDuration]: {
+    kind: Summary,
+    help: 'Time from arrival to the last byte.',
+    labels: TRAFFIC,
+  },
+  [MetricName.Attainment]: {
+    kind: Gauge,
+    help: 'Part of the requests of the last minutes that met their targets.',
+    labels: TRAFFIC,
+  },
+  [MetricName.Queued]: {
+    kind: Gauge,
+    help: 'Requests that wait at dispatchers of this daemon.',
+    labels: TRAFFIC,
+  },
+  [MetricName.Running]: {
+    kind: Gauge,
+    help: 'Requests of this daemon that run on upstreams.',
+    labels: ['service'],
+  },
+  [MetricName.Generation]: {
+    kind: Gauge,
+    help: 'Configuration generation in force.',
+    labels: [],
+  },
+  [MetricName.Members]: {
+    kind: Gauge,
+    help: 'Daemons known to this one, by state.',
+    labels: ['state'],
+  },
+  [MetricName.Upstreams]: {
+    kind: Gauge,
+    help: 'Upstreams by pool and health.',
+    labels: ['pool', 'health'],
+  },
+  [MetricName.ControlCpu]: {
+    kind: Counter,
+    help: 'Processor time spent on control (membership, configuration, dispatch).',
+    labels: ['kind'],
+  },
+  [MetricName.DroppedLabels]: {
+    kind: Counter,
+    help: 'Label sets counted under other because a metric had reached its bound.',
+    labels: ['metric'],
+  },
+};
+
+/** Series of one counter before further label sets are counted together. */
+export const COUNTER_SERIES_LIMIT = 1_024;
+
+/** Series of one summary before further label sets are recorded together. */
+export const SUMMARY_SERIES_LIMIT = 64;
+
+/** Workspaces and classes whose recent attainment is kept apart. */
+export const ATTAINMENT_SERIES_LIMIT = 512;
+
+/** The label value that stands for all label sets beyond a bound. */
+export const OTHER_LABEL = 'other';
+
+/** Length of one of the two halves of the window of percentiles and attainment. */
+export const WINDOW_HALF_MS = 60_000;
+
+/** Percentiles that summaries give. */
+export const SUMMARY_QUANTILES = [0.5, 0.9, 0.95, 0.99] as const;
+
+/** Longest duration that a histogram tells apart, in its unit of a hundredth of a millisecond. */
+export const HISTOGRAM_MAXIMUM = 360_000_000;
+
+/** Histogram units in a millisecond. */
+export const HISTOGRAM_UNITS_PER_MS = 100;
--- /dev/null
+++ b/packages/common/src/traces/index.ts
@@ -0,0 +1,5 @@
+/** Traces: a span for each hop, W3C trace context, a buffer of recent traces and export over OTLP/HTTP. */
+export * from './enums.js';
+export * from './startTracing.js';
+export * from './traceparent.js';
+export type * from './types.js';
