--- /dev/null
+++ b/packages/entry/src/callers/errorAnswer.ts
@@ -0,0 +1,91 @@
+import { ErrorFormat } from './types.js';
+
+import type { ServerResponse } from 'node:http';
+import type { SardinegradeError } from '@sardinegrade/common';
+
+const MS_PER_SECOND = 1_000;
+const STATUS_BAD_REQUEST = 400;
+const STATUS_UNAUTHORIZED = 401;
+const STATUS_FORBIDDEN = 403;
+const STATUS_NOT_FOUND = 404;
+const STATUS_TOO_MANY = 429;
+const STATUS_SERVER_ERROR = 500;
+
+const OPENAI_TYPES: ReadonlyMap<number, string> = new Map([
+  [STATUS_UNAUTHORIZED, 'authentication_error'],
+  [STATUS_FORBIDDEN, 'permission_error'],
+  [STATUS_NOT_FOUND, 'not_found_error'],
+  [STATUS_TOO_MANY, 'rate_limit_error'],
+]);
+
+const getOpenAiType = (status: number): string => {
+  const special = OPENAI_TYPES.get(status);
+  if (special !== undefined) return special;
+  return status >= STATUS_SERVER_ERROR ? 'server_error' : 'invalid_request_error';
+};
+
+/**
+ * Builds an error in OpenAI's envelope, with the numbered code and the run state besides.
+ *
+ * @param error - the error
+ * @returns the value to encode as JSON
+ */
+export const buildOpenAiError = (error: SardinegradeError): object => ({
+  error: {
+    message: error.message,
+    type: getOpenAiType(error.httpStatus),
+    param: null,
+    code: error.code,
+    run: error.run,
+  },
+});
+
+const buildProblem = (error: SardinegradeError): object => ({
+  type: 'about:blank',
+  title: error.httpStatus < STATUS_SERVER_ERROR ? 'Request refused' : 'Request failed',
+  status: error.httpStatus,
+  detail: error.message,
+  code: error.code,
+  run: error.run,
+});
+
+interface ErrorRenderer {
+  readonly contentType: string;
+  readonly build: (error: SardinegradeError) => object;
+}
+
+const RENDERERS: Readonly<Record<ErrorFormat, ErrorRenderer>> = {
+  [ErrorFormat.OpenAi]: { contentType: 'application/json', build: buildOpenAiError },
+  [ErrorFormat.Problem]: { contentType: 'application/problem+json', build: buildProblem },
+};
+
+/**
+ * Answers a request with an error; a response that has begun is cut off instead, so that it never looks whole.
+ *
+ * @param response - the response
+ * @param format - the shape that callers of this path expect
+ * @param error - the error
+ */
+export const sendError = (
+  response: ServerResponse,
+  format: ErrorFormat,
+  error: SardinegradeError,
+): void => {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const renderer = RENDERERS[format];
+  const body = JSON.stringify(renderer.build(error));
+  if (error.retryAfterMs !== undefined) {
+    response.setHeader('retry-after', Math.max(1, Math.ceil(error.retryAfterMs / MS_PER_SECOND)));
+    response.setHeader('retry-after-ms', Math.max(1, Math.ceil(error.retryAfterMs)));
+  }
+  // A body that was not read to its end would be taken for the next request.
+  if (!response.req.complete) response.setHeader('connection', 'close');
+  response.writeHead(error.httpStatus || STATUS_BAD_REQUEST, {
+    'content-type': renderer.contentType,
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+};
--- /dev/null
+++ b/packages/entry/src/models/findTarget.ts
@@ -0,0 +1,83 @@
+import { ResultCode, SardinegradeError, ServiceKind } from '@sardinegrade/common';
+
+import type {
+  ClassConfiguration,
+  ClassName,
+  Configuration,
+  ServiceConfiguration,
+  ServiceName,
+  WorkspaceConfiguration,
+} from '@sardinegrade/common';
+import type { ChatTarget } from './types.js';
+
+/**
+ * Whether a workspace may use a class.
+ *
+ * @param serviceClass - the class
+ * @param workspace - the workspace
+ * @returns true for a class open to all or naming the workspace
+ */
+export const canUseClass = (
+  serviceClass: ClassConfiguration,
+  workspace: WorkspaceConfiguration,
+): boolean =>
+  serviceClass.workspaces.length === 0 || serviceClass.workspaces.includes(workspace.name);
+
+const findService = (configuration: Configuration, model: string): ServiceConfiguration => {
+  const byName = configuration.services.get(model as ServiceName);
+  if (byName?.kind === ServiceKind.Model) return byName;
+  for (const service of configuration.services.values()) {
+    if (service.kind === ServiceKind.Model && service.model === model) return service;
+  }
+  throw new SardinegradeError(ResultCode.UnknownModel, `No model or model service '${model}'.`);
+};
+
+/**
+ * Finds the class that a request runs under.
+ *
+ * @param service - the service
+ * @param workspace - the caller's workspace
+ * @param wanted - value of the header `sardinegrade-class`; undefined for the service's default class
+ * @returns the class
+ * @throws SardinegradeError with code 1010 for an unknown class, 1011 for one closed to the workspace
+ */
+export const findClass = (
+  service: ServiceConfiguration,
+  workspace: WorkspaceConfiguration,
+  wanted: string | undefined,
+): ClassConfiguration => {
+  const name = (wanted ?? service.defaultClass) as ClassName;
+  const serviceClass = service.classes.get(name);
+  if (serviceClass === undefined) {
+    const known = [...service.classes.keys()].join(', ');
+    throw new SardinegradeError(
+      ResultCode.UnknownClass,
+      `Service '${service.name}' has no class '${name}'; it has ${known}.`,
+    );
+  }
+  if (canUseClass(serviceClass, workspace)) return serviceClass;
+  throw new SardinegradeError(
+    ResultCode.ClassNotAllowed,
+    `Workspace '${workspace.name}' may not use class '${name}' of service '${service.name}'.`,
+  );
+};
+
+/**
+ * Finds the service and class of a completion request.
+ *
+ * @param configuration - the configuration in force
+ * @param workspace - the caller's workspace
+ * @param model - a model service's name, or its model
+ * @param wantedClass - value of the header `sardinegrade-class`
+ * @returns service and class
+ * @throws SardinegradeError with code 1003, 1010 or 1011
+ */
+export const findTarget = (
+  configuration: Configuration,
+  workspace: WorkspaceConfiguration,
+  model: string,
+  wantedClass: string | undefined,
+): ChatTarget => {
+  const service = findService(configuration, model);
+  return { service, serviceClass: findClass(service, workspace, wantedClass) };
+};
--- /dev/null
+++ b/packages/entry/src/models/routes.ts
@@ -0,0 +1,104 @@
+import { createHash } from 'node:crypto';
+
+import { ServiceKind } from '@sardinegrade/common';
+import { CHARACTERS_PER_TOKEN, hashPrefixBlocks } from '@sardinegrade/upstream';
+
+import { ErrorFormat, readBody } from '../callers/index.js';
+import { CollectedAnswer, StreamedAnswer } from './AnswerSink.js';
+import { ChatCall } from './ChatCall.js';
+import { canUseClass, findTarget } from './findTarget.js';
+import { parseChatRequest } from './parseChatRequest.js';
+
+import type { Fingerprint, ServiceConfiguration } from '@sardinegrade/common';
+import type { CallerRequest, CallerRoute } from '../callers/index.js';
+import type { ChatCallServices } from './ChatCall.js';
+
+const FINGERPRINT_LENGTH = 16;
+const CLASS_HEADER = 'sardinegrade-class';
+const MS_PER_SECOND = 1_000;
+
+/** What the model routes need of their daemon. */
+export interface ModelRouteOptions extends ChatCallServices {
+  readonly bodyLimitBytes: number;
+  /** Throws where something that the service depends on cannot serve. */
+  readonly checkDependencies: (caller: CallerRequest, service: ServiceConfiguration) => void;
+}
+
+const buildFingerprint = (workspace: string, body: Buffer): Fingerprint =>
+  createHash('sha256')
+    .update(workspace)
+    .update('\n')
+    .update(body)
+    .digest('hex')
+    .slice(0, FINGERPRINT_LENGTH) as Fingerprint;
+
+const getClassHeader = ({ request }: CallerRequest): string | undefined => {
+  const value = request.headers[CLASS_HEADER];
+  return typeof value === 'string' ? value : undefined;
+};
+
+const serveChat = async (options: ModelRouteOptions, caller: CallerRequest): Promise<void> => {
+  const body = await readBody(caller.request, options.bodyLimitBytes);
+  const chat = parseChatRequest(body);
+  const { configuration, workspace } = caller;
+  const target = findTarget(configuration, workspace, chat.model, getClassHeader(caller));
+  options.checkDependencies(caller, target.service);
+  const heading = {
+    id: caller.requestId,
+    model: chat.model,
+    createdAtMs: caller.arrivedAtMs,
+    includesUsage: chat.includesUsage,
+  };
+  const sink = chat.isStreamed
+    ? new StreamedAnswer(caller.response, heading)
+    : new CollectedAnswer(caller.response, heading);
+  const input = {
+    caller,
+    chat,
+    target,
+    fingerprint: buildFingerprint(workspace.name, body),
+    promptTokens: Math.ceil(chat.prompt.length / CHARACTERS_PER_TOKEN),
+    prefixBlocks: hashPrefixBlocks(chat.prompt),
+    deadlineAtMs: caller.arrivedAtMs + target.serviceClass.deadlineMs,
+  };
+  await new ChatCall(options, input, sink).run();
+};
+
+const listModels = (caller: CallerRequest): Promise<void> => {
+  const { configuration, workspace, response, arrivedAtMs } = caller;
+  const data = [...configuration.services.values()]
+    .filter((service) => service.kind === ServiceKind.Model)
+    .filter((service) =>
+      [...service.classes.values()].some((serviceClass) => canUseClass(serviceClass, workspace)),
+    )
+    .map((service) => ({
+      id: service.model ?? service.name,
+      object: 'model',
+      created: Math.floor(arrivedAtMs / MS_PER_SECOND),
+      owned_by: service.name,
+    }));
+  response.writeHead(200, { 'content-type': 'application/json' });
+  response.end(JSON.stringify({ object: 'list', data }));
+  return Promise.resolve();
+};
+
+/**
+ * Builds the routes of model services.
+ *
+ * @param options - what they need of their daemon
+ * @returns the routes
+ */
+export const createModelRoutes = (options: ModelRouteOptions): readonly CallerRoute[] => [
+  {
+    pattern: /^\/v1\/chat\/completions$/,
+    methods: ['POST'],
+    errorFormat: ErrorFormat.OpenAi,
+    serve: (caller) => serveChat(options, caller),
+  },
+  {
+    pattern: /^\/v1\/models$/,
+    methods: ['GET'],
+    errorFormat: ErrorFormat.OpenAi,
+    serve: listModels,
+  },
+];
--- /dev/null
+++ b/packages/entry/src/settings/entrySettings.ts
@@ -0,0 +1,84 @@
+import { durationSchema, LogFormat, LogLevel } from '@sardinegrade/common';
+import { DispatchPolicy } from '@sardinegrade/dispatch';
+import { z } from 'zod';
+
+const ADDRESS = /^[^\s:]+:\d{1,5}$/;
+const KEY_HASH = /^[0-9a-f]{64}$/;
+
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const DEFAULT_BODY_BYTES = 1024 * 1024;
+
+/** What the holder of an administration key may do. */
+export enum AdministratorRole {
+  Read = 'read',
+  Change = 'change',
+  Settle = 'settle',
+}
+
+const addressSchema = z.string().regex(ADDRESS, 'write host:port; port 0 lets the system choose');
+
+const createIntegerSchema = (minimum: number, maximum: number) =>
+  z
+    .string()
+    .regex(/^\d+$/, 'write a whole number')
+    .transform(Number)
+    .pipe(z.number().min(minimum).max(maximum));
+
+const toList = (value: unknown): unknown => (typeof value === 'string' ? [value] : value);
+
+const createListSchema = <Item extends z.ZodType>(item: Item) =>
+  z.preprocess(toList, z.array(item));
+
+/** The settings file of an entry daemon. */
+export const ENTRY_SETTINGS_SCHEMA = z.strictObject({
+  vm: z.strictObject({
+    id: z.string().min(1).max(64),
+    data_centre: z.string().min(1).max(64),
+  }),
+  callers: z.strictObject({
+    listen: addressSchema,
+    body_limit: createIntegerSchema(1_024, MAX_BODY_BYTES).default(DEFAULT_BODY_BYTES),
+    tls_certificate: z.string().optional(),
+    tls_key: z.string().optional(),
+  }),
+  administration: z.strictObject({ listen: addressSchema }),
+  administrator: z
+    .record(
+      z.string(),
+      z.strictObject({
+        roles: createListSchema(z.enum(AdministratorRole)),
+        key_sha256: createListSchema(
+          z.string().regex(KEY_HASH, 'write the SHA-256 of a key, 64 hex digits'),
+        ),
+      }),
+    )
+    .default({}),
+  peer: z.strictObject({
+    listen: addressSchema,
+    advertise: addressSchema.optional(),
+    seeds: createListSchema(addressSchema).default([]),
+    tls_certificate: z.string().optional(),
+    tls_key: z.string().optional(),
+    tls_authority: z.string().optional(),
+  }),
+  platform: z.strictObject({ address: z.url() }),
+  dispatch: z
+    .strictObject({
+      policy: z.enum(DispatchPolicy).default(DispatchPolicy.Tiered),
+      shard_size: createIntegerSchema(1, 64).default(8),
+    })
+    .default({ policy: DispatchPolicy.Tiered, shard_size: 8 }),
+  traces: z.strictObject({ otlp_address: z.url().optional() }).default({}),
+  log: z
+    .strictObject({
+      level: z.enum(LogLevel).default(LogLevel.Info),
+      format: z.enum(LogFormat).default(LogFormat.Text),
+    })
+    .default({ level: LogLevel.Info, format: LogFormat.Text }),
+  shutdown: z
+    .strictObject({ settle_time: durationSchema.default(1_000) })
+    .default({ settle_time: 1_000 }),
+});
+
+/** Validated settings of an entry daemon. */
+export type EntrySettings = z.output<typeof ENTRY_SETTINGS_SCHEMA>;
--- /dev/null
+++ b/packages/entry/src/settings/index.ts
@@ -0,0 +1,2 @@
+/** Settings of the entry daemon. */
+export * from './entrySettings.js';
