--- a/packages/dispatch/src/tiered/health.ts
+++ b/packages/dispatch/src/tiered/health.ts
@@ -20,6 +20,9 @@
 
 const PROBE_SPACING_MS = 500;
 
+/** A grant is forgotten when its end has not been reported so long after its deadline. */
+const OVERDUE_LIMIT_MS = 30_000;
+
 /** After this time a report that no longer says so ends an engine's leaving. */
 const LEAVING_HOLD_MS = 30_000;
 
@@ -225,11 +228,8 @@
   for (const record of state.records.values()) {
     if (record.state === RequestState.Waiting) continue;
     const overdueMs = nowMs - record.ask.deadlineAtMs;
-    if (record.state === RequestState.Paused && overdueMs >= 0)
-      preemptRecord(state, record, PreemptionMode.Cancel, nowMs);
     if (overdueMs > OVERDUE_LIMIT_MS) finishGrant(state, record, RequestEvent.Withdraw, nowMs);
+    else if (record.state === RequestState.Paused && overdueMs >= 0)
+      preemptRecord(state, record, PreemptionMode.Cancel, nowMs);
   }
 };
-
-/** A grant is forgotten when its end has not been reported so long after its deadline. */
-const OVERDUE_LIMIT_MS = 30_000;
