--- /dev/null
+++ b/packages/dispatch/src/retries/RetryBudget.ts
@@ -0,0 +1,52 @@
+/** Retries that a service may save up. */
+const TOKEN_LIMIT = 20;
+
+/** Retries that a service with little traffic earns by time alone. */
+const TOKENS_PER_SECOND = 0.2;
+
+/** The retries of one service: a share of its first attempts, so that failures do not multiply its load. */
+export class RetryBudget {
+  private tokens = TOKEN_LIMIT;
+  private updatedAtMs: number;
+
+  /**
+   * @param share - retries earned by each first attempt, between 0 and 1
+   * @param nowMs - the present
+   */
+  constructor(
+    private share: number,
+    nowMs: number,
+  ) {
+    this.updatedAtMs = nowMs;
+  }
+
+  /** Takes a new share into account. */
+  setShare(share: number): void {
+    this.share = share;
+  }
+
+  /** Records a first attempt. */
+  recordFirstAttempt(): void {
+    this.tokens = Math.min(TOKEN_LIMIT, this.tokens + this.share);
+  }
+
+  /** @returns whether a retry is left */
+  hasToken(nowMs: number): boolean {
+    this.advance(nowMs);
+    return this.tokens >= 1;
+  }
+
+  /** @returns whether a retry was left, which is then taken */
+  take(nowMs: number): boolean {
+    if (!this.hasToken(nowMs)) return false;
+    this.tokens -= 1;
+    return true;
+  }
+
+  private advance(nowMs: number): void {
+    if (nowMs <= this.updatedAtMs || this.share <= 0) return;
+    const earned = ((nowMs - this.updatedAtMs) / 1_000) * TOKENS_PER_SECOND;
+    this.tokens = Math.min(TOKEN_LIMIT, this.tokens + earned);
+    this.updatedAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/shards/chooseShard.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { toBranded } from '@sardinegrade/common';
+import fc from 'fast-check';
+
+import { createRandomSource } from '../random.js';
+import { chooseShard } from './chooseShard.js';
+import { rankDispatchers } from './rankDispatchers.js';
+
+import type { VmId } from '@sardinegrade/common';
+import type { ShardView } from './types.js';
+
+const SEED = 20261204;
+
+const buildShard = (key: string, change: Partial<ShardView> = {}): ShardView => ({
+  key,
+  queued: 0,
+  freeSlots: 4,
+  slots: 8,
+  holdMs: 4_000,
+  knownAtMs: 0,
+  isReachable: true,
+  distanceMs: 0,
+  ...change,
+});
+
+const choose = (shards: readonly ShardView[], prefixBlock?: number) =>
+  chooseShard({ shards, prefixBlock, nowMs: 0 }, createRandomSource(SEED))?.key;
+
+test('the shorter of two queues is taken', () => {
+  const long = buildShard('long', { queued: 20, freeSlots: 0 });
+  assert.equal(choose([long, buildShard('short')]), 'short');
+});
+
+test('a prefix keeps its shard until that one is much longer', () => {
+  const shards = [buildShard('a'), buildShard('b'), buildShard('c')];
+  const preferred = choose(shards, 7);
+  for (let step = 0; step < 5; step += 1) assert.equal(choose(shards, 7), preferred);
+  const loaded = shards.map((shard) =>
+    shard.key === preferred ? { ...shard, queued: 40, freeSlots: 0 } : shard,
+  );
+  assert.notEqual(choose(loaded, 7), preferred);
+});
+
+test('another data centre is taken only where it saves more than it costs, and can be reached', () => {
+  const near = buildShard('near', { queued: 4, freeSlots: 0 });
+  const far = buildShard('far', { distanceMs: 30 });
+  assert.equal(choose([near, far]), 'far');
+  assert.equal(choose([near, { ...far, isReachable: false }]), 'near');
+  assert.equal(choose([buildShard('near'), far]), 'near');
+  assert.equal(choose([{ ...near, isReachable: false }, far]), 'far');
+  assert.equal(choose([]), undefined);
+});
+
+test('no shard out of reach is ever chosen', () => {
+  const views = fc.array(fc.record({ queued: fc.nat(50), isReachable: fc.boolean() }));
+  const property = fc.property(views, fc.option(fc.nat(9), { nil: undefined }), (shapes, block) => {
+    const shards = shapes.map((shape, index) => buildShard(`s${index}`, shape));
+    const key = choose(shards, block);
+    const isAny = shards.some(({ isReachable }) => isReachable);
+    assert.equal(key !== undefined, isAny);
+    assert.ok(key === undefined || shards.find((shard) => shard.key === key)?.isReachable);
+  });
+  fc.assert(property, { seed: SEED });
+});
+
+test('a lost dispatcher is followed by the next in order', () => {
+  const members = ['vm-1', 'vm-2', 'vm-3'].map((name) => toBranded<VmId>(name));
+  const order = rankDispatchers('pool/hobart/0', members);
+  assert.deepEqual(
+    rankDispatchers('pool/hobart/0', members, new Set(order.slice(0, 1))),
+    order.slice(1),
+  );
+});
--- a/packages/dispatch/src/tiered/admit.ts
+++ b/packages/dispatch/src/tiered/admit.ts
@@ -179,6 +179,7 @@
 ): ResultCode | undefined => {
   const suspicion = state.suspicions.getState(ask.fingerprint);
   if (suspicion === SuspicionState.Quarantined) return ResultCode.Quarantined;
+  if (state.configuration === undefined) return ResultCode.NotReady;
   if (owner?.isConfigured !== true) return ResultCode.UnknownClass;
   return ask.deadlineAtMs <= nowMs ? ResultCode.DeadlineBeforeStart : undefined;
 };
--- a/packages/dispatch/src/tiered/feedback.ts
+++ b/packages/dispatch/src/tiered/feedback.ts
@@ -171,17 +171,15 @@
  */
 export const handleWithdraw = (state: TieredState, askId: string, nowMs: number): void => {
   const record = state.records.get(askId);
-  if (record === undefined) {
-    if (!state.settled.has(askId)) state.settled.set(askId, { atMs: nowMs, refusal: undefined });
-    return;
-  }
+  if (record === undefined) return;
   if (record.state === RequestState.Waiting) {
     removeWaiting(state, record);
     record.state = RequestState.Ended;
     state.records.delete(askId);
-    state.settled.set(askId, { atMs: nowMs, refusal: undefined });
     return;
   }
   finishGrant(state, record, RequestEvent.Withdraw, nowMs);
+  // Its daemon may have moved it to another dispatcher, and may bring it back.
+  state.settled.delete(askId);
   releaseSuspect(state, record, nowMs);
 };
--- a/packages/dispatch/src/tiered/scenarios.test.ts
+++ b/packages/dispatch/src/tiered/scenarios.test.ts
@@ -371,3 +371,40 @@
   const actions = dispatcher.handle(toAskEvent(buildAsk({ askId: 'paying' })), 0);
   assert.deepEqual(listKinds(actions), ['preempt:cancel free', 'grant paying']);
 });
+
+test('an ask that its daemon took elsewhere and brings back is taken anew', () => {
+  const shard = createShard({ engines: 1, slots: 1 });
+  shard.ask({ askId: 'running' });
+  shard.ask({ askId: 'waiting' });
+  for (const askId of ['running', 'waiting'])
+    shard.send({ kind: DispatchEventKind.Withdraw, askId }, 10);
+  shard.ask({ askId: 'running', heldUpstream: toEngineId(0) }, 20);
+  assert.deepEqual(shard.ask({ askId: 'waiting' }, 20), []);
+  assert.deepEqual(listKinds(shard.release('running', 30)), ['grant waiting']);
+});
+
+test('a paying ask is not displaced from its queue while a lower tier runs', () => {
+  const classes = [
+    { name: toBranded<never>('urgent'), tier: Tier.Premium, queueLimit: 1 },
+    { name: toBranded<never>('query'), queueLimit: 8 },
+    { name: toBranded<never>('history'), tier: Tier.Free, minimumShare: 0.9 },
+  ];
+  const shard = createShard({ engines: 1, slots: 2, classes });
+  shard.ask({ askId: 'urgent-0', className: 'urgent' });
+  shard.ask({ askId: 'urgent-1', className: 'urgent' });
+  shard.ask({ askId: 'free', className: 'history' });
+  shard.release('urgent-0');
+  shard.ask({ askId: 'query-0' });
+  shard.ask({ askId: 'query-1' });
+  shard.ask({ askId: 'urgent-2', className: 'urgent' });
+  const actions = listKinds(shard.ask({ askId: 'urgent-3', className: 'urgent' }));
+  assert.ok(!actions.some((action) => action.startsWith('refuse')), actions.join());
+});
+
+test('a paused request whose deadline has passed is cancelled and never resumed', () => {
+  const shard = createShard({ engines: 1, slots: 1 });
+  shard.ask({ askId: 'free', className: 'history', deadlineAtMs: 500 });
+  shard.ask({ askId: 'paying' });
+  assert.deepEqual(shard.release('paying', 600), []);
+  assert.deepEqual(listKinds(shard.tick(700)), ['preempt:cancel free']);
+});
