--- /dev/null
+++ b/packages/lab/src/standins/platform/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's object API. */
+export * from './startPlatform.js';
