feat(lab): stand-ins of platform, engine, plain service and weight store

Cause: the thin whole path and all failure tests need something to talk to. Change: startPlatform, startEngine, startService and startWeightStore, in a process or as subcommands of sardinegrade-lab; the engine batches continuously, queues by priority, caches prefixes, resumes, pauses and cancels, and brings about the faults of docs/UPSTREAMS.md. The package takes no new library.

--- /dev/null
+++ b/packages/lab/src/bin/commands/index.ts
@@ -0,0 +1,6 @@
+import { STAND_IN_COMMANDS } from './standIns.js';
+
+import type { LabCommand } from '../types.js';
+
+/** All subcommands of `sardinegrade-lab`. */
+export const LAB_COMMANDS: readonly LabCommand[] = [...STAND_IN_COMMANDS];
--- /dev/null
+++ b/packages/lab/src/bin/index.ts
@@ -0,0 +1,2 @@
+/** The command line of `sardinegrade-lab`. */
+export * from './runLab.js';
--- /dev/null
+++ b/packages/lab/src/standins/engine/answerText.ts
@@ -0,0 +1,40 @@
+import { hashText } from './hashText.js';
+
+const WORDS = (
+  'the bit was regrind to gauge and its carbide inserts show even wear on each cone ' +
+  'seal bearing thread shank checked logged ready for rig queue order booked today'
+).split(' ');
+
+const LENGTH_REQUEST = /\btokens=(\d+)\b/;
+const SHORTEST_TOKENS = 16;
+const LENGTH_SPREAD_TOKENS = 112;
+
+/** An answer whose text and length depend on the request's body alone. */
+export interface Answer {
+  readonly length: number;
+  /** Whether `max_tokens` cut the answer. */
+  readonly isCut: boolean;
+  readonly getToken: (number: number) => string;
+}
+
+const measureAnswer = (prompt: string, hash: number): number => {
+  const asked = LENGTH_REQUEST.exec(prompt)?.[1];
+  return asked === undefined ? SHORTEST_TOKENS + (hash % LENGTH_SPREAD_TOKENS) : Number(asked);
+};
+
+/**
+ * Derives the answer to a prompt.
+ *
+ * @param prompt - the prompt's text; `tokens=N` in it sets the answer's length
+ * @param maxTokens - the longest answer allowed
+ * @returns the answer, the same for the same prompt
+ */
+export const deriveAnswer = (prompt: string, maxTokens: number): Answer => {
+  const hash = hashText(prompt);
+  const length = measureAnswer(prompt, hash);
+  return {
+    length: Math.min(length, maxTokens),
+    isCut: length > maxTokens,
+    getToken: (number) => `${WORDS[(hash + number * 7 + (number >> 3)) % WORDS.length] ?? ''} `,
+  };
+};
--- /dev/null
+++ b/packages/lab/src/standins/engine/hashText.ts
@@ -0,0 +1,16 @@
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/**
+ * Hashes a text with FNV-1a.
+ *
+ * @param text - any text
+ * @returns an unsigned number of 32 bits
+ */
+export const hashText = (text: string): number => {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return hash >>> 0;
+};
--- /dev/null
+++ b/packages/lab/src/standins/engine/index.ts
@@ -0,0 +1,3 @@
+/** Stand-in of a model engine. */
+export * from './startEngine.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/lab/src/standins/engine/schemas.ts
@@ -0,0 +1,63 @@
+import { z } from 'zod';
+
+const TEXT_PART = z.object({ type: z.literal('text'), text: z.string() });
+
+const MESSAGE_SCHEMA = z.object({
+  role: z.string(),
+  content: z.union([z.string(), z.array(TEXT_PART)]).nullish(),
+});
+
+/** The part of a completion request that the engine acts upon. */
+export const COMPLETION_SCHEMA = z.object({
+  model: z.string(),
+  messages: z.array(MESSAGE_SCHEMA).min(1),
+  stream: z.boolean().nullish(),
+  stream_options: z.object({ include_usage: z.boolean().nullish() }).nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+});
+
+export type CompletionRequest = z.output<typeof COMPLETION_SCHEMA>;
+
+/** An order to load or unload a model, or to change role. */
+export const ORDER_SCHEMA = z.object({
+  fencing: z.number().int().nonnegative(),
+  order: z.enum(['load', 'unload', 'role']),
+  model: z.string().optional(),
+  adapter: z.string().optional(),
+  version: z.string().optional(),
+  role: z.string().optional(),
+  deadline_ms: z.number().positive().optional(),
+});
+
+export type EngineOrder = z.output<typeof ORDER_SCHEMA>;
+
+/** What the control port sets. */
+export const CONTROL_SCHEMA = z.strictObject({
+  crash: z.boolean().optional(),
+  mute: z.boolean().optional(),
+  slowdown: z.number().positive().optional(),
+  leaving: z.boolean().optional(),
+  load_lag_ms: z.number().nonnegative().optional(),
+  cache_event_lag_ms: z.number().nonnegative().optional(),
+  cache_event_loss: z.number().min(0).max(1).optional(),
+  crash_marker: z.string().optional(),
+  wrong_attempt_id: z.boolean().optional(),
+});
+
+export type EngineControl = z.output<typeof CONTROL_SCHEMA>;
+
+/**
+ * Renders the text that the engine takes as prompt.
+ *
+ * @param request - the request
+ * @returns the texts of its messages, each followed by a line feed
+ */
+export const renderPrompt = (request: CompletionRequest): string => {
+  let prompt = '';
+  for (const { content } of request.messages) {
+    const text = Array.isArray(content) ? content.map((part) => part.text).join('') : content;
+    prompt += `${text ?? ''}\n`;
+  }
+  return prompt;
+};
--- /dev/null
+++ b/packages/lab/src/standins/engine/weightFetcher.ts
@@ -0,0 +1,19 @@
+import { request } from 'undici';
+
+import type { FetchWeights } from './ModelShelf.js';
+
+/**
+ * Makes the function by which an engine fetches weights.
+ *
+ * @param address - base address of the weight store; undefined where loading takes no time
+ * @returns a function that resolves once the weights are there
+ */
+export const createWeightFetcher =
+  (address: string | undefined): FetchWeights =>
+  async (model, signal) => {
+    if (address === undefined) return;
+    const url = `${address}/v1/weights/${encodeURIComponent(model)}`;
+    const { statusCode, body } = await request(url, { signal, headersTimeout: 0, bodyTimeout: 0 });
+    await body.dump({ limit: Infinity });
+    if (statusCode !== 200) throw new Error(`the weight store answered ${statusCode}`);
+  };
--- a/packages/lab/src/standins/http/startHttpServer.ts
+++ b/packages/lab/src/standins/http/startHttpServer.ts
@@ -9,6 +9,14 @@
 
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
+/** Keeps a socket open for good without reading or sending anything more. */
+const pauseSocket = (socket: Socket): void => {
+  socket.pause();
+  // A write that never calls back holds up all later ones.
+  socket._write = () => undefined;
+  socket._writev = () => undefined;
+};
+
 /**
  * Starts an HTTP server for a stand-in.
  *
@@ -42,12 +50,11 @@
       server.close(() => resolve());
       for (const socket of sockets) socket.destroy();
     });
-  const suspendConnections = (exceptRequest?: IncomingMessage): void => {
+  const pauseConnections = (exceptRequest?: IncomingMessage): void => {
     for (const socket of sockets) {
       if (socket === exceptRequest?.socket) continue;
-      socket.cork();
-      socket.pause();
+      pauseSocket(socket);
     }
   };
-  return { address: `http://${formatAddress(server.address())}`, stop, server, suspendConnections };
+  return { address: `http://${formatAddress(server.address())}`, stop, server, pauseConnections };
 };
--- a/packages/lab/src/standins/http/types.ts
+++ b/packages/lab/src/standins/http/types.ts
@@ -19,7 +19,7 @@
    *
    * @param exceptRequest - a request whose connection goes on
    */
-  readonly suspendConnections: (exceptRequest?: IncomingMessage) => void;
+  readonly pauseConnections: (exceptRequest?: IncomingMessage) => void;
 }
 
 /** One row of a routing table. The pattern's groups are the parameters of the handler. */
--- /dev/null
+++ b/packages/lab/src/standins/index.ts
@@ -0,0 +1,6 @@
+/** Stand-ins of what sardinegrade talks to: the platform, engines, plain services and the weight store. */
+export * from './engine/index.js';
+export * from './platform/index.js';
+export * from './service/index.js';
+export * from './weights/index.js';
+export type { StandIn } from './http/index.js';
--- /dev/null
+++ b/packages/lab/src/standins/weights/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in of the weight store. */
+export * from './startWeightStore.js';
