--- a/packages/lab/src/bin/commands/index.ts
+++ b/packages/lab/src/bin/commands/index.ts
@@ -1,6 +1,7 @@
+import { PROXY_COMMAND } from './proxy.js';
 import { STAND_IN_COMMANDS } from './standIns.js';
 
 import type { LabCommand } from '../types.js';
 
 /** All subcommands of `sardinegrade-lab`. */
-export const LAB_COMMANDS: readonly LabCommand[] = [...STAND_IN_COMMANDS];
+export const LAB_COMMANDS: readonly LabCommand[] = [...STAND_IN_COMMANDS, PROXY_COMMAND];
