feat(lab): open load with seeded plans, callers' figures and checked answers

Change: deriveLoad plans arrivals (Poisson with bursts, skewed workspaces, log-normal lengths, shared prefixes); runLoad keeps to the plan's times and counts latency from them, which corrects for coordinated omission; each answer is compared with the text that its own prompt gives, so crossed and cut answers show. The stand-in engine takes its prompt text as the entry daemon does. Libraries: hdr-histogram-js and eventsource-parser, which other packages have already.

--- /dev/null
+++ b/packages/lab/src/load/sendRequest.ts
@@ -0,0 +1,116 @@
+import { RunState } from '@sardinegrade/common';
+import { request as sendHttp } from 'undici';
+
+import { deriveAnswer } from '../standins/index.js';
+import { CallerStream } from './CallerStream.js';
+import { CallerOutcome } from './types.js';
+
+import type { Dispatcher } from 'undici';
+import type { CallerError } from './CallerStream.js';
+import type { PlannedRequest, RequestResult } from './types.js';
+
+/** Where and when a request is sent. */
+export interface SendOptions {
+  readonly address: string;
+  readonly dispatcher: Dispatcher;
+  /** Milliseconds since the run began. */
+  readonly getNowMs: () => number;
+  /** Ends the request when the run is stopped. */
+  readonly signal: AbortSignal;
+}
+
+const buildExpected = (request: PlannedRequest): string => {
+  const answer = deriveAnswer(`user: ${request.prompt}`, request.answerTokens);
+  let text = '';
+  for (let number = 0; number < answer.length; number += 1) text += answer.getToken(number);
+  return text;
+};
+
+const buildBody = (request: PlannedRequest): string =>
+  JSON.stringify({
+    model: request.loadClass.model,
+    stream: true,
+    max_tokens: request.answerTokens,
+    messages: [{ role: 'user', content: request.prompt }],
+  });
+
+const parseError = (text: string): CallerError => {
+  try {
+    const { error } = JSON.parse(text) as { error?: { code?: number; run?: RunState } };
+    return { code: error?.code, run: error?.run };
+  } catch {
+    return { code: undefined, run: undefined };
+  }
+};
+
+const classifyStream = (stream: CallerStream, request: PlannedRequest): CallerOutcome => {
+  const isClean = stream.hasClosingMarker && stream.error === undefined;
+  if (isClean) {
+    return stream.text === buildExpected(request) ? CallerOutcome.Whole : CallerOutcome.Wrong;
+  }
+  if (stream.tokens > 0) return CallerOutcome.Cut;
+  return stream.error?.run === RunState.NotRun ? CallerOutcome.Refused : CallerOutcome.Failed;
+};
+
+const readAnswer = async (
+  request: PlannedRequest,
+  options: SendOptions,
+  stream: CallerStream,
+  signal: AbortSignal,
+): Promise<CallerOutcome> => {
+  const { statusCode, body } = await sendHttp(`${options.address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      authorization: `Bearer ${request.key}`,
+      'sardinegrade-class': request.loadClass.name,
+    },
+    body: buildBody(request),
+    dispatcher: options.dispatcher,
+    signal,
+  });
+  if (statusCode !== 200) {
+    stream.error = parseError(await body.text());
+    const isRefused = stream.error.run === RunState.NotRun || statusCode === 429;
+    return isRefused ? CallerOutcome.Refused : CallerOutcome.Failed;
+  }
+  for await (const bytes of body) stream.push(bytes as Uint8Array);
+  return classifyStream(stream, request);
+};
+
+/**
+ * Sends one request and reads its answer.
+ *
+ * @param request - the request
+ * @param options - where and when
+ * @returns what became of it; times count from the time that the plan set
+ */
+export const sendRequest = async (
+  request: PlannedRequest,
+  options: SendOptions,
+): Promise<RequestResult> => {
+  const stream = new CallerStream(options.getNowMs);
+  const patience = AbortSignal.timeout(request.loadClass.patienceMs);
+  const signal = AbortSignal.any([patience, options.signal]);
+  let outcome: CallerOutcome;
+  try {
+    outcome = await readAnswer(request, options, stream, signal);
+  } catch {
+    outcome = CallerOutcome.Unreachable;
+    if (stream.tokens > 0) outcome = CallerOutcome.Cut;
+    if (signal.aborted) outcome = CallerOutcome.GivenUp;
+  }
+  const { firstTokenAtMs } = stream;
+  return {
+    request,
+    outcome,
+    atMs: request.atMs,
+    endedAtMs: options.getNowMs(),
+    tokens: stream.tokens,
+    firstTokenMs: firstTokenAtMs === undefined ? undefined : firstTokenAtMs - request.atMs,
+    tokenIntervalMs: stream.tokenIntervalMs,
+    longestIntervalMs: stream.longestIntervalMs,
+    code: stream.error?.code,
+    run: stream.error?.run,
+  };
+};
--- a/packages/lab/src/standins/engine/answerText.ts
+++ b/packages/lab/src/standins/engine/answerText.ts
@@ -7,6 +7,7 @@
 
 const LENGTH_REQUEST = /\btokens=(\d+)\b/;
 const SHORTEST_TOKENS = 16;
+const MARK_INTERVAL_TOKENS = 8;
 const LENGTH_SPREAD_TOKENS = 112;
 
 /** An answer whose text and length depend on the request's body alone. */
@@ -32,9 +33,14 @@
 export const deriveAnswer = (prompt: string, maxTokens: number): Answer => {
   const hash = hashText(prompt);
   const length = measureAnswer(prompt, hash);
+  const mark = hash.toString(36);
   return {
     length: Math.min(length, maxTokens),
     isCut: length > maxTokens,
-    getToken: (number) => `${WORDS[(hash + number * 7 + (number >> 3)) % WORDS.length] ?? ''} `,
+    getToken: (number) => {
+      // Some tokens name the prompt, so that crossed answers never look alike.
+      if (number % MARK_INTERVAL_TOKENS === 0) return `${mark} `;
+      return `${WORDS[(hash + number * 7) % WORDS.length] ?? ''} `;
+    },
   };
 };
--- a/packages/lab/src/standins/engine/index.ts
+++ b/packages/lab/src/standins/engine/index.ts
@@ -1,3 +1,4 @@
 /** Stand-in of a model engine. */
+export * from './answerText.js';
 export * from './startEngine.js';
 export type * from './types.js';
--- a/packages/lab/src/standins/engine/schemas.ts
+++ b/packages/lab/src/standins/engine/schemas.ts
@@ -47,17 +47,16 @@
 
 export type EngineControl = z.output<typeof CONTROL_SCHEMA>;
 
+const getText = ({ content }: CompletionRequest['messages'][number]): string => {
+  if (typeof content === 'string') return content;
+  return (content ?? []).map((part) => part.text).join('\n');
+};
+
 /**
  * Renders the text that the engine takes as prompt.
  *
  * @param request - the request
- * @returns the texts of its messages, each followed by a line feed
+ * @returns a line for each message, with its role before its text
  */
-export const renderPrompt = (request: CompletionRequest): string => {
-  let prompt = '';
-  for (const { content } of request.messages) {
-    const text = Array.isArray(content) ? content.map((part) => part.text).join('') : content;
-    prompt += `${text ?? ''}\n`;
-  }
-  return prompt;
-};
+export const renderPrompt = (request: CompletionRequest): string =>
+  request.messages.map((message) => `${message.role}: ${getText(message)}`).join('\n');
--- a/packages/lab/src/standins/engine/startEngine.test.ts
+++ b/packages/lab/src/standins/engine/startEngine.test.ts
@@ -142,7 +142,7 @@
     events.map((event) => event.sequence),
     [1, 3],
   );
-  assert.deepEqual(events[0]?.stored, hashPrefixBlocks(`${prompts[0] ?? ''}\n`));
+  assert.deepEqual(events[0]?.stored, hashPrefixBlocks(`user: ${prompts[0] ?? ''}`));
   await client.close();
 });
 
