--- /dev/null
+++ b/packages/lab/src/bin/commands/bench.ts
@@ -0,0 +1,46 @@
+import { ResultCode, SardinegradeError } from '@sardinegrade/common';
+
+import { BENCHES, runBench } from '../../bench/index.js';
+import { OPTION_SCHEMAS, readOptions } from '../options.js';
+
+import type { LabCommand } from '../types.js';
+
+const BENCH_OPTIONS = {
+  seed: { schema: OPTION_SCHEMAS.count, description: 'seed of all chances (1)' },
+} as const;
+
+const DEFAULT_SEED = 1;
+const MISSED_EXIT_CODE = 1;
+
+const writeLine = (stream: NodeJS.WriteStream) => (line: string) => {
+  stream.write(`${line}\n`);
+};
+
+const describeBenches = (): string =>
+  BENCHES.map(({ name, description }) => `  ${name.padEnd(12)} ${description}`).join('\n');
+
+/** The subcommand that runs a bench. */
+export const BENCH_COMMAND: LabCommand = {
+  name: 'bench',
+  positionals: '[name]',
+  description: 'Run a benchmark; without a name, list them',
+  options: BENCH_OPTIONS,
+  run: async (flags, [name]) => {
+    const { seed = DEFAULT_SEED } = readOptions('bench', BENCH_OPTIONS, flags);
+    const print = writeLine(process.stdout);
+    if (name === undefined) {
+      print(`Benches:\n${describeBenches()}`);
+      return;
+    }
+    const bench = BENCHES.find((candidate) => candidate.name === name);
+    if (bench === undefined) {
+      const known = BENCHES.map((candidate) => candidate.name).join(', ');
+      throw new SardinegradeError(
+        ResultCode.SettingInvalid,
+        `No bench '${name}'; there are ${known}.`,
+      );
+    }
+    const ok = await runBench(bench, seed, print, writeLine(process.stderr));
+    if (!ok) process.exitCode = MISSED_EXIT_CODE;
+  },
+};
--- a/packages/lab/src/bin/runLab.ts
+++ b/packages/lab/src/bin/runLab.ts
@@ -27,7 +27,10 @@
   }
   registered.action((...parameters: readonly unknown[]) => {
     const flags = (parameters.at(-1) ?? {}) as Readonly<Record<string, unknown>>;
-    const positionals = parameters.slice(0, -1).map(String);
+    const positionals = parameters
+      .slice(0, -1)
+      .filter((value) => value !== undefined)
+      .map(String);
     return command.run(flags, positionals);
   });
 };
