--- /dev/null
+++ b/packages/common/src/administration/schemas.ts
@@ -0,0 +1,253 @@
+import { z } from 'zod';
+
+import { RunState } from '../errors/index.js';
+import { ChangeKind, ServiceState } from './enums.js';
+
+/** JSON bodies of the administration API. Fields in snake case, times in milliseconds since the epoch. */
+
+const countSchema = z.number().int().nonnegative();
+const shareSchema = z.number().min(0).max(1);
+
+export const faultSchema = z.object({
+  line: countSchema,
+  key: z.string(),
+  message: z.string(),
+});
+
+/** An error, as `application/problem+json`. */
+export const problemSchema = z.object({
+  type: z.string(),
+  title: z.string(),
+  status: countSchema,
+  detail: z.string(),
+  code: countSchema,
+  run: z.enum(RunState),
+  /** What the operator can do about it. */
+  next_step: z.string(),
+  retry_after_ms: z.number().optional(),
+  faults: z.array(faultSchema).optional(),
+  /** The generation in force, where the one expected was another. */
+  current_generation: countSchema.optional(),
+});
+
+export const configurationSchema = z.object({ generation: countSchema, text: z.string() });
+
+export const checkSchema = z.object({
+  valid: z.boolean(),
+  faults: z.array(faultSchema),
+});
+
+export const changeSchema = z.object({
+  kind: z.enum(ChangeKind),
+  /** Section and key, joined by dots; keys of workspaces are shown as hashes only. */
+  key: z.string(),
+  before: z.string().optional(),
+  after: z.string().optional(),
+});
+
+export const diffSchema = z.object({
+  /** The generation that the text was compared with. */
+  generation: countSchema,
+  changes: z.array(changeSchema),
+});
+
+export const drainScopeSchema = z.enum(['vm', 'upstream', 'data_centre']);
+
+export const drainSchema = z.object({
+  scope: drainScopeSchema,
+  name: z.string(),
+  author: z.string(),
+  since_ms: z.number(),
+});
+
+export const generationSchema = z.object({
+  generation: countSchema,
+  /** The generation that brought the text in force; drain marks change without the text. */
+  text_generation: countSchema,
+  author: z.string(),
+  at_ms: z.number(),
+});
+
+export const historySchema = z.object({ entries: z.array(generationSchema) });
+
+export const historyEntrySchema = generationSchema.extend({ text: z.string() });
+
+export const drainsSchema = z.object({ drains: z.array(drainSchema) });
+
+export const attainmentSchema = z.object({
+  /** Requests that ended at this VM within the last one to two minutes. */
+  requests: countSchema,
+  attained: countSchema,
+  share: shareSchema.optional(),
+});
+
+export const latencySchema = z.object({
+  count: countSchema,
+  p50_ms: z.number(),
+  p95_ms: z.number(),
+  p99_ms: z.number(),
+});
+
+export const classSchema = z.object({
+  name: z.string(),
+  tier: z.string(),
+  priority: z.number(),
+  first_token_target_ms: z.number(),
+  token_interval_target_ms: z.number(),
+  deadline_ms: z.number(),
+  minimum_share: shareSchema,
+  queued: countSchema,
+  queue_limit: countSchema,
+  attainment: attainmentSchema,
+  first_token: latencySchema.optional(),
+  token_interval: latencySchema.optional(),
+  queue_wait: latencySchema.optional(),
+});
+
+export const serviceSchema = z.object({
+  name: z.string(),
+  kind: z.string(),
+  model: z.string().optional(),
+  pool: z.string(),
+  depends_on: z.array(z.string()),
+  state: z.enum(ServiceState),
+  /** Why the service is not fully serving; empty where it is. */
+  reasons: z.array(z.string()),
+  upstreams_in_use: countSchema,
+  upstreams: countSchema,
+  classes: z.array(classSchema),
+});
+
+export const workspaceSchema = z.object({
+  name: z.string(),
+  weight: z.number(),
+  keys: countSchema,
+  attainment: attainmentSchema,
+});
+
+export const vmSchema = z.object({
+  vm: z.string(),
+  data_centre: z.string(),
+  address: z.string(),
+  state: z.string(),
+  /** The generation that it had in force when last heard of. */
+  generation: countSchema.optional(),
+  draining: z.boolean(),
+});
+
+export const upstreamSchema = z.object({
+  id: z.string(),
+  pool: z.string(),
+  data_centre: z.string(),
+  address: z.string(),
+  slots: countSchema,
+  fencing: z.string(),
+  draining: z.boolean(),
+  /** Health and grants as this VM knows them; absent where it does not dispatch to the upstream. */
+  health: z.string().optional(),
+  granted: countSchema.optional(),
+  limit: countSchema.optional(),
+});
+
+export const statusSchema = z.object({
+  vm: z.string(),
+  data_centre: z.string(),
+  ready: z.boolean(),
+  /** The generation in force at this VM; 0 for none. */
+  generation: countSchema,
+  /** The highest generation that this VM has heard of. */
+  highest_generation: countSchema,
+  drains: z.array(drainSchema),
+  /** Each service after those that it depends on. */
+  services: z.array(serviceSchema),
+  vms: z.array(vmSchema),
+});
+
+export const servicesSchema = z.object({ services: z.array(serviceSchema) });
+export const workspacesSchema = z.object({ workspaces: z.array(workspaceSchema) });
+export const vmsSchema = z.object({ vms: z.array(vmSchema) });
+export const upstreamsSchema = z.object({ upstreams: z.array(upstreamSchema) });
+
+export const auditSchema = z.object({
+  at_ms: z.number(),
+  by: z.string(),
+  event: z.string(),
+  to: z.string(),
+  reason: z.string(),
+});
+
+export const orderSchema = z.object({
+  workspace: z.string(),
+  service: z.string(),
+  key: z.string(),
+  state: z.string(),
+  request_id: z.string(),
+  /** The VM that last worked on it. */
+  owner: z.string(),
+  accepted_at_ms: z.number(),
+  dispatched_at_ms: z.number().optional(),
+  settled_at_ms: z.number().optional(),
+  answer_status: z.number().optional(),
+  answer_bytes: z.number().optional(),
+  audit: z.array(auditSchema),
+});
+
+export const ordersSchema = z.object({
+  orders: z.array(orderSchema),
+  /** Pass as `after` for the next page; absent on the last. */
+  next: z.string().optional(),
+});
+
+export const settlementSchema = z.strictObject({
+  /** Whether the service carried the order out. */
+  verdict: z.enum(['run', 'not_run']),
+  /** How the operator knows; kept in the order's audit trail. */
+  reason: z.string().trim().min(3).max(500),
+});
+
+export const decisionSchema = z.object({
+  at_ms: z.number(),
+  /** Milliseconds since the request arrived at this VM. */
+  after_ms: z.number(),
+  kind: z.string(),
+  detail: z.string(),
+  upstream: z.string().optional(),
+  code: z.number().optional(),
+});
+
+export const explanationSchema = z.object({
+  request_id: z.string(),
+  vm: z.string(),
+  trace_id: z.string().optional(),
+  service: z.string(),
+  class: z.string(),
+  tier: z.string().optional(),
+  workspace: z.string(),
+  arrived_at_ms: z.number(),
+  /** Absent while the request is in progress. */
+  ended_at_ms: z.number().optional(),
+  /** Present where it ended without a whole answer. */
+  code: z.number().optional(),
+  /** One sentence on how it ended. */
+  summary: z.string(),
+  decisions: z.array(decisionSchema),
+  /** Decisions left out between the first and the last ones. */
+  omitted: countSchema,
+});
+
+export const spanSchema = z.object({
+  span_id: z.string(),
+  parent_span_id: z.string().optional(),
+  name: z.string(),
+  vm: z.string(),
+  request_id: z.string().optional(),
+  started_at_ms: z.number(),
+  duration_ms: z.number(),
+  code: z.number().optional(),
+  attributes: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])),
+  events: z.array(z.object({ name: z.string(), at_ms: z.number() })),
+});
+
+export const traceSchema = z.object({ trace_id: z.string(), spans: z.array(spanSchema) });
+
+export const tracesSchema = z.object({ traces: z.array(traceSchema) });
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 /** What all packages share: identifiers, the configuration's shape, errors, settings, time, logs, traces and metrics. */
+export * from './administration/index.js';
 export * from './configuration/index.js';
 export * from './errors/index.js';
 export * from './hashing/index.js';
--- /dev/null
+++ b/packages/entry/src/administration/journal/createRequestJournal.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { ResultCode } from '@sardinegrade/common';
+
+import { FIRST_DECISION_LIMIT, LAST_DECISION_LIMIT } from './constants.js';
+import { createRequestJournal } from './createRequestJournal.js';
+import { DecisionKind } from './enums.js';
+
+const createFixture = (limit: number) => {
+  const time = { nowMs: 100 };
+  const journal = createRequestJournal({ getNowMs: () => time.nowMs }, limit);
+  const start = (requestId: string) =>
+    journal.start({
+      requestId,
+      service: 'counter',
+      className: 'query',
+      tier: 'paying',
+      workspace: 'rig-desk',
+      traceId: undefined,
+    });
+  return { time, journal, start };
+};
+
+test('an account holds the decisions in order and how the request ended', () => {
+  const { time, journal, start } = createFixture(10);
+  const trail = start('r1');
+  trail.record(DecisionKind.Queued, 'third in class query');
+  time.nowMs += 40;
+  trail.record(DecisionKind.Refused, 'queue full', { code: ResultCode.QueueFull });
+  trail.finish(ResultCode.QueueFull);
+  trail.record(DecisionKind.Answered, 'too late');
+  trail.finish();
+  const account = journal.find('r1');
+  assert.equal(account?.code, ResultCode.QueueFull);
+  assert.equal(account.endedAtMs, 140);
+  assert.deepEqual(
+    account.decisions.map(({ atMs, kind }) => [atMs, kind]),
+    [
+      [100, DecisionKind.Queued],
+      [140, DecisionKind.Refused],
+    ],
+  );
+});
+
+test('the oldest request makes room, and a repeated id shows its latest request', () => {
+  const { journal, start } = createFixture(3);
+  for (const requestId of ['r1', 'r2', 'r3', 'r4']) start(requestId);
+  assert.equal(journal.find('r1'), undefined);
+  start('r2').record(DecisionKind.Received, 'again');
+  assert.equal(journal.find('r2')?.decisions.length, 1);
+  assert.deepEqual(
+    journal.list(2).map((account) => account.requestId),
+    ['r2', 'r4'],
+  );
+  assert.deepEqual(journal.list(0), []);
+});
+
+test('a request with many decisions keeps the first and the last ones', () => {
+  const { journal, start } = createFixture(1);
+  const trail = start('r1');
+  for (let number = 0; number < 100; number += 1) {
+    trail.record(DecisionKind.AttemptStarted, `attempt ${number}`);
+  }
+  const account = journal.find('r1');
+  assert.equal(account?.decisions.length, FIRST_DECISION_LIMIT + LAST_DECISION_LIMIT);
+  assert.equal(account.omitted, 100 - FIRST_DECISION_LIMIT - LAST_DECISION_LIMIT);
+  assert.equal(account.decisions.at(0)?.detail, 'attempt 0');
+  assert.equal(account.decisions.at(-1)?.detail, 'attempt 99');
+});
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,3 @@
 /** The entry daemon. */
+export * from './administration/index.js';
 export * from './grants/index.js';
