--- /dev/null
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -0,0 +1,238 @@
+import { randomUUID } from 'node:crypto';
+
+import { credentials, ServerCredentials } from '@grpc/grpc-js';
+import { createLogger, createMetrics, startTracing, SYSTEM_CLOCK } from '@sardinegrade/common';
+import { createFleetAgent, DrainScope, MemberState } from '@sardinegrade/fleet';
+import { createPlatformClient } from '@sardinegrade/platform';
+import { EngineClient } from '@sardinegrade/upstream';
+
+import { CallerServer } from '../callers/index.js';
+import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
+import { DependencyCheck, UpstreamProber } from '../health/index.js';
+import { createModelRoutes, RetryAllowance } from '../models/index.js';
+import { listenOn } from './addresses.js';
+import { FleetFacts } from './FleetFacts.js';
+import { createOpenPaths } from './openPaths.js';
+import { PeerServer } from './PeerServer.js';
+
+import type {
+  AttemptId,
+  Clock,
+  DataCentreName,
+  Logger,
+  Metrics,
+  Tracing,
+  VmId,
+} from '@sardinegrade/common';
+import type { FleetAgent } from '@sardinegrade/fleet';
+import type { PlatformClient } from '@sardinegrade/platform';
+import type { CallerRoute } from '../callers/index.js';
+import type { DispatchMember } from '../grants/index.js';
+import type { EntrySettings } from '../settings/index.js';
+
+const SHUTDOWN_POLL_MS = 20;
+
+/** Where a daemon listens. */
+export interface DaemonAddresses {
+  readonly callers: string;
+  readonly administration: string;
+  readonly peer: string;
+}
+
+/** The entry daemon: all parts of one VM's share in the system, wired together. */
+export class EntryDaemon {
+  readonly logger: Logger;
+  readonly tracing: Tracing;
+  readonly #settings: EntrySettings;
+  readonly #vm: VmId;
+  readonly #dataCentre: DataCentreName;
+  readonly #clock: Clock = SYSTEM_CLOCK;
+  readonly #metrics: Metrics = createMetrics();
+  readonly #platform: PlatformClient;
+  readonly #fleet: FleetAgent;
+  readonly #engines = new EngineClient(SYSTEM_CLOCK);
+  readonly #host: DispatchHost;
+  readonly #broker: GrantBroker;
+  readonly #facts: FleetFacts;
+  readonly #dependencies: DependencyCheck;
+  readonly #prober: UpstreamProber;
+  readonly #callers: CallerServer;
+  readonly #peers: PeerServer;
+  #isLeaving = false;
+
+  constructor(settings: EntrySettings) {
+    this.#settings = settings;
+    this.#vm = settings.vm.id as VmId;
+    this.#dataCentre = settings.vm.data_centre as DataCentreName;
+    this.logger = createLogger({ ...settings.log, fields: { vm: this.#vm } });
+    this.tracing = startTracing({
+      vm: this.#vm,
+      dataCentre: this.#dataCentre,
+      otlpAddress: settings.traces.otlp_address,
+      onExportError: (error) => this.logger.warn('Traces were not exported.', { error }),
+    });
+    this.#platform = createPlatformClient({ address: settings.platform.address });
+    this.#fleet = this.#createFleet();
+    this.#host = this.#createHost();
+    this.#broker = this.#createBroker();
+    this.#facts = new FleetFacts(this.#fleet, this.#host, this.#clock);
+    this.#dependencies = new DependencyCheck(this.#facts.downUpstreams, this.#clock);
+    this.#prober = this.#createProber();
+    this.#callers = this.#createCallers();
+    this.#peers = new PeerServer(
+      this.#fleet.handlers,
+      createDispatchService(this.#host, this.#clock),
+    );
+  }
+
+  /**
+   * Opens all ports, joins the fleet and begins to serve.
+   *
+   * @returns where the daemon listens
+   * @throws Error where a port cannot be opened
+   */
+  readonly start = async (): Promise<DaemonAddresses> => {
+    const { peer, callers } = this.#settings;
+    this.#followFleet();
+    const peerAddress = await this.#peers.listen(peer.listen, ServerCredentials.createInsecure());
+    this.#fleet.start(peer.advertise ?? peerAddress);
+    this.#prober.start();
+    const callersAddress = await listenOn(this.#callers.server, callers.listen);
+    return { callers: callersAddress, administration: '', peer: peerAddress };
+  };
+
+  /** Takes no new work, hands dispatch on, finishes all in progress, and stops. */
+  readonly shutDown = async (): Promise<void> => {
+    if (this.#isLeaving) return;
+    this.#isLeaving = true;
+    this.logger.info('Shutting down.', { count: this.#callers.countOpen() });
+    this.#prober.stop();
+    await this.#fleet.leave();
+    // The balancer goes on sending requests until it has seen that this VM is not ready.
+    await sleepMs(this.#settings.shutdown.settle_time);
+    this.#callers.server.close();
+    this.#callers.server.closeIdleConnections();
+    while (this.#callers.countOpen() > 0) await sleepMs(SHUTDOWN_POLL_MS);
+    await this.#stop();
+  };
+
+  /** Whether the daemon takes callers' requests. */
+  readonly isReady = (): boolean => {
+    const configuration = this.#fleet.getConfiguration();
+    if (configuration === undefined || this.#isLeaving) return false;
+    return !configuration.drains.some(
+      ({ scope, name }) =>
+        (scope === DrainScope.Vm && name === this.#vm) ||
+        (scope === DrainScope.DataCentre && name === this.#dataCentre),
+    );
+  };
+
+  readonly #stop = async (): Promise<void> => {
+    this.#broker.close();
+    this.#host.stop();
+    this.#fleet.stop();
+    this.#peers.stop();
+    this.#callers.server.closeAllConnections();
+    await this.#engines.close();
+    await this.tracing.stop();
+  };
+
+  readonly #createFleet = (): FleetAgent =>
+    createFleetAgent({
+      settings: {
+        vm: this.#vm,
+        dataCentre: this.#dataCentre,
+        seeds: this.#settings.peer.seeds,
+      },
+      platform: this.#platform,
+      clock: this.#clock,
+      random: Math.random,
+    });
+
+  readonly #createHost = (): DispatchHost =>
+    new DispatchHost({
+      policy: this.#settings.dispatch.policy,
+      clock: this.#clock,
+      random: Math.random,
+      engines: this.#engines,
+      onQuarantine: (fingerprint, untilMs) => this.#facts.spreadQuarantine(fingerprint, untilMs),
+      onProbe: (upstream, isHealthy) => {
+        if (!isHealthy) this.logger.warn('An upstream did not answer a probe.', { upstream });
+      },
+    });
+
+  readonly #createBroker = (): GrantBroker =>
+    new GrantBroker({
+      vm: this.#vm,
+      dataCentre: this.#dataCentre,
+      shardSize: this.#settings.dispatch.shard_size,
+      clock: this.#clock,
+      random: Math.random,
+      host: this.#host,
+      openSession: (member, listener) =>
+        new PeerSession(member, this.#vm, credentials.createInsecure(), this.#clock, listener),
+    });
+
+  readonly #createProber = (): UpstreamProber =>
+    new UpstreamProber({
+      vm: this.#vm,
+      dataCentre: this.#dataCentre,
+      getConfiguration: this.#fleet.getConfiguration,
+      listLocalVms: () =>
+        this.#listDispatchMembers()
+          .filter(({ dataCentre }) => dataCentre === this.#dataCentre)
+          .map(({ vm }) => vm),
+      onDown: (upstream) => this.#facts.spreadDown(upstream),
+    });
+
+  readonly #createCallers = (): CallerServer =>
+    new CallerServer({
+      clock: this.#clock,
+      tracing: this.tracing,
+      logger: this.logger,
+      routes: this.#createRoutes(),
+      serveOpenPath: createOpenPaths({
+        isReady: this.isReady,
+        renderMetrics: this.#metrics.renderPrometheus,
+      }),
+      getConfiguration: this.#fleet.getConfiguration,
+    });
+
+  readonly #createRoutes = (): readonly CallerRoute[] =>
+    createModelRoutes({
+      clock: this.#clock,
+      broker: this.#broker,
+      engines: this.#engines,
+      tracing: this.tracing,
+      metrics: this.#metrics,
+      retries: new RetryAllowance(),
+      bodyLimitBytes: this.#settings.callers.body_limit,
+      checkDependencies: ({ configuration }, service) =>
+        this.#dependencies.requireDependencies(configuration, service),
+      isSuspect: (fingerprint) => this.#facts.isSuspect(fingerprint),
+      onUpstreamDied: (_upstream, fingerprint) => this.#facts.spreadSuspect(fingerprint),
+      createAttemptId: () => randomUUID() as AttemptId,
+    });
+
+  readonly #followFleet = (): void => {
+    void this.#fleet.configurations.observe((configuration) => {
+      this.#broker.applyConfiguration(configuration);
+      const { generation } = configuration;
+      this.logger.info('A configuration came into force.', { generation });
+    });
+    void this.#fleet.memberChanges.observe(() =>
+      this.#broker.updateMembers(this.#listDispatchMembers()),
+    );
+    this.#broker.updateMembers(this.#listDispatchMembers());
+  };
+
+  /** Lists the daemons that can be dispatchers; one that leaves hands its part on. */
+  readonly #listDispatchMembers = (): readonly DispatchMember[] =>
+    this.#fleet
+      .getMembers()
+      .filter(({ state }) => state === MemberState.Alive || state === MemberState.Suspect)
+      .map(({ vm, dataCentre, address }) => ({ vm, dataCentre, address }));
+}
+
+const sleepMs = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, durationMs));
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,7 @@
 /** The entry daemon. */
-export * from './administration/index.js';
+export * from './callers/index.js';
+export * from './daemon/index.js';
 export * from './grants/index.js';
+export * from './health/index.js';
+export * from './models/index.js';
+export * from './settings/index.js';
--- a/packages/entry/src/settings/entrySettings.ts
+++ b/packages/entry/src/settings/entrySettings.ts
@@ -1,4 +1,4 @@
-import { durationSchema, LogFormat, LogLevel } from '@sardinegrade/common';
+import { AdministratorRole, durationSchema, LogFormat, LogLevel } from '@sardinegrade/common';
 import { DispatchPolicy } from '@sardinegrade/dispatch';
 import { z } from 'zod';
 
@@ -8,13 +8,6 @@
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const DEFAULT_BODY_BYTES = 1024 * 1024;
 
-/** What the holder of an administration key may do. */
-export enum AdministratorRole {
-  Read = 'read',
-  Change = 'change',
-  Settle = 'settle',
-}
-
 const addressSchema = z.string().regex(ADDRESS, 'write host:port; port 0 lets the system choose');
 
 const createIntegerSchema = (minimum: number, maximum: number) =>
