--- /dev/null
+++ b/packages/entry/src/services/handleServiceCall.ts
@@ -0,0 +1,107 @@
+import { ResultCode, RunState, SardinegradeError, toSardinegradeError } from '@sardinegrade/common';
+import { deriveScopedKey, KEY_LENGTH_LIMIT } from '@sardinegrade/orders';
+
+import { IDEMPOTENCY_KEY_HEADER } from './constants.js';
+import { createRepeatableRunner } from './repeatableCall.js';
+import { readRequestBody } from './requestBody.js';
+import { respondAnswer, respondProblem } from './serviceResponse.js';
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { OrderResult, ServiceRequest } from '@sardinegrade/orders';
+import type { ServiceCallContext, ServiceHandlerOptions } from './types.js';
+
+/** Handles a call to a plain service whose caller was authenticated; never rejects. */
+export type HandleServiceCall = (
+  context: ServiceCallContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void>;
+
+const PRINTABLE = /^[\x21-\x7e]+$/;
+
+const readKey = (request: IncomingMessage): string | undefined => {
+  const value = request.headers[IDEMPOTENCY_KEY_HEADER];
+  const key = Array.isArray(value) ? value[0] : value;
+  if (key === undefined || key === '') return undefined;
+  if (key.length <= KEY_LENGTH_LIMIT && PRINTABLE.test(key)) return key;
+  throw new SardinegradeError(
+    ResultCode.InvalidHeader,
+    `Idempotency-Key must be 1 to ${KEY_LENGTH_LIMIT} printable ASCII characters without spaces.`,
+  );
+};
+
+const requireKey = (key: string | undefined): string => {
+  if (key !== undefined) return key;
+  throw new SardinegradeError(
+    ResultCode.MissingIdempotencyKey,
+    'This call may not be repeated and needs an Idempotency-Key.',
+  );
+};
+
+/**
+ * Creates the handler of `ANY /services/{service}/{path}`.
+ *
+ * @param options - orders, the way to the services, time and random source
+ * @returns the handler
+ */
+export const createServiceHandler = (options: ServiceHandlerOptions): HandleServiceCall => {
+  const { orders, findUpstreams } = options;
+  const runRepeatable = createRepeatableRunner(options);
+
+  const countSlots = (context: ServiceCallContext): number => {
+    let slots = 0;
+    for (const upstream of findUpstreams(context.service)) slots += upstream.slots;
+    return slots;
+  };
+
+  const runCall = (
+    context: ServiceCallContext,
+    request: ServiceRequest,
+    key: string | undefined,
+  ): Promise<OrderResult> => {
+    const { workspace, service, requestId, traceparent, deadlineAtMs } = context;
+    const scopedKey = key === undefined ? '' : deriveScopedKey(workspace, key);
+    if (service.repeatableMethods.has(request.method)) {
+      return runRepeatable(context, request, scopedKey);
+    }
+    const orderKey = requireKey(key);
+    // The service itself sees to it that the order is carried out once, also while the platform is down.
+    if (service.upstreamDeduplicates) return runRepeatable(context, request, scopedKey);
+    const concurrency = countSlots(context);
+    const order = { workspace, service, key: orderKey, request, requestId, traceparent };
+    return orders.submitOrder({ ...order, deadlineAtMs, concurrency });
+  };
+
+  const readRequest = async (
+    context: ServiceCallContext,
+    request: IncomingMessage,
+  ): Promise<ServiceRequest> => ({
+    method: request.method ?? 'GET',
+    path: context.path,
+    contentType: request.headers['content-type'],
+    body: await readRequestBody(request, context.bodyLimitBytes),
+  });
+
+  const handle = async (
+    context: ServiceCallContext,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
+    const key = readKey(request);
+    // Refused before the body is read, which may be large.
+    if (!context.service.repeatableMethods.has(request.method ?? 'GET')) requireKey(key);
+    const result = await runCall(context, await readRequest(context, request), key);
+    if ('error' in result) respondProblem(response, context, result.error);
+    else respondAnswer(response, context, result.answer, result.isReplay);
+  };
+
+  return async (context, request, response) => {
+    try {
+      await handle(context, request, response);
+    } catch (thrown) {
+      const error = toSardinegradeError(thrown, RunState.Unknown);
+      if (response.headersSent) response.destroy();
+      else respondProblem(response, context, error);
+    }
+  };
+};
--- /dev/null
+++ b/packages/entry/src/services/index.ts
@@ -0,0 +1,4 @@
+/** Calls to plain services: repeatable ones with retries, all others as orders. */
+export * from './handleServiceCall.js';
+export * from './serviceCaller.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/entry/src/services/serviceCaller.ts
@@ -0,0 +1,171 @@
+import { CallOutcome, LookupOutcome } from '@sardinegrade/orders';
+import { z } from 'zod';
+
+import {
+  ANSWER_LIMIT_BYTES,
+  ATTEMPT_ID_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  LOOKUP_TIMEOUT_MS,
+  REQUEST_ID_HEADER,
+} from './constants.js';
+import { createSingleUseClient, isBeforeSend } from './singleUseClient.js';
+
+import type { ServiceConfiguration, UpstreamConfiguration, UpstreamId } from '@sardinegrade/common';
+import type { CallResult, LookupResult, ServiceCall, ServiceCaller } from '@sardinegrade/orders';
+import type { Dispatcher } from 'undici';
+import type { FindUpstreams } from './types.js';
+
+const lookupSchema = z.discriminatedUnion('state', [
+  z.object({ state: z.literal('absent') }),
+  z.object({
+    state: z.literal('done'),
+    status: z.number().int(),
+    content_type: z.string().optional(),
+    body: z.string(),
+  }),
+]);
+
+/** A whole body, or none where it is larger than the limit. */
+interface CollectedBody {
+  readonly bytes: number;
+  readonly body: Buffer | undefined;
+}
+
+const collectBody = async (stream: AsyncIterable<Buffer>): Promise<CollectedBody> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of stream) {
+    bytes += chunk.length;
+    if (bytes > ANSWER_LIMIT_BYTES) return { bytes, body: undefined };
+    chunks.push(chunk);
+  }
+  return { bytes, body: Buffer.concat(chunks) };
+};
+
+const getHeader = (response: Dispatcher.ResponseData, name: string): string | undefined => {
+  const value = response.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+};
+
+const buildHeaders = (call: ServiceCall): Record<string, string> => ({
+  [ATTEMPT_ID_HEADER]: call.attemptId,
+  [REQUEST_ID_HEADER]: call.requestId,
+  traceparent: call.traceparent,
+  ...(call.scopedKey === '' ? {} : { [IDEMPOTENCY_KEY_HEADER]: call.scopedKey }),
+  ...(call.request.contentType === undefined ? {} : { 'content-type': call.request.contentType }),
+});
+
+const readAnswer = async (
+  call: ServiceCall,
+  response: Dispatcher.ResponseData,
+): Promise<CallResult> => {
+  // An answer without this attempt's id is another's, or comes from something between.
+  if (getHeader(response, ATTEMPT_ID_HEADER) !== call.attemptId) {
+    return { outcome: CallOutcome.Unknown, cause: 'the answer is not for this attempt' };
+  }
+  const { bytes, body } = await collectBody(response.body);
+  const status = response.statusCode;
+  if (body === undefined) return { outcome: CallOutcome.TooLarge, status, bytes };
+  const contentType = getHeader(response, 'content-type');
+  return { outcome: CallOutcome.Answered, answer: { status, contentType, body } };
+};
+
+const callUpstream = async (
+  upstream: UpstreamConfiguration,
+  call: ServiceCall,
+): Promise<CallResult> => {
+  const client = createSingleUseClient(upstream.address, call.canStart);
+  try {
+    const response = await client.request({
+      method: call.request.method,
+      path: call.request.path,
+      headers: buildHeaders(call),
+      body: call.request.body.length === 0 ? null : call.request.body,
+      signal: AbortSignal.timeout(call.timeoutMs),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    return await readAnswer(call, response);
+  } catch (cause) {
+    const outcome = isBeforeSend(cause) ? CallOutcome.NotStarted : CallOutcome.Unknown;
+    return { outcome, cause };
+  } finally {
+    await client.destroy().catch(() => undefined);
+  }
+};
+
+const lookupUpstream = async (
+  upstream: UpstreamConfiguration,
+  path: string,
+): Promise<LookupResult> => {
+  const client = createSingleUseClient(upstream.address, () => true);
+  try {
+    const signal = AbortSignal.timeout(LOOKUP_TIMEOUT_MS);
+    const response = await client.request({ method: 'GET', path, signal });
+    const { body } = await collectBody(response.body);
+    if (response.statusCode !== 200 || body === undefined) {
+      return { outcome: LookupOutcome.Unavailable };
+    }
+    const found = lookupSchema.parse(JSON.parse(body.toString('utf8')));
+    if (found.state === 'absent') return { outcome: LookupOutcome.Absent };
+    const { status, content_type: contentType } = found;
+    const answer = { status, contentType, body: Buffer.from(found.body) };
+    return { outcome: LookupOutcome.Done, answer };
+  } catch {
+    return { outcome: LookupOutcome.Unavailable };
+  } finally {
+    await client.destroy().catch(() => undefined);
+  }
+};
+
+/**
+ * Creates the way to the plain services of the configuration.
+ *
+ * @param findUpstreams - the upstreams that may be given work
+ * @returns a caller that prefers the upstream with the fewest of this daemon's calls for its slots
+ */
+export const createServiceCaller = (findUpstreams: FindUpstreams): ServiceCaller => {
+  const running = new Map<UpstreamId, number>();
+
+  const getLoad = ({ id, slots }: UpstreamConfiguration): number =>
+    (running.get(id) ?? 0) / Math.max(1, slots);
+
+  const sortUpstreams = (service: ServiceConfiguration): readonly UpstreamConfiguration[] =>
+    [...findUpstreams(service)].sort((left, right) => getLoad(left) - getLoad(right));
+
+  const runCall = async (upstream: UpstreamConfiguration, call: ServiceCall) => {
+    running.set(upstream.id, (running.get(upstream.id) ?? 0) + 1);
+    try {
+      return await callUpstream(upstream, call);
+    } finally {
+      running.set(upstream.id, (running.get(upstream.id) ?? 1) - 1);
+    }
+  };
+
+  const callService = async (call: ServiceCall): Promise<CallResult> => {
+    let result: CallResult = {
+      outcome: CallOutcome.NotStarted,
+      cause: 'no upstream may be given work',
+    };
+    for (const upstream of sortUpstreams(call.service)) {
+      result = await runCall(upstream, call);
+      if (result.outcome !== CallOutcome.NotStarted) return result;
+    }
+    return result;
+  };
+
+  const lookupStatus = async (
+    service: ServiceConfiguration,
+    scopedKey: string,
+  ): Promise<LookupResult> => {
+    const path = service.statusLookupPath?.replaceAll('{key}', encodeURIComponent(scopedKey));
+    if (path === undefined) return { outcome: LookupOutcome.Unavailable };
+    for (const upstream of sortUpstreams(service)) {
+      const result = await lookupUpstream(upstream, path);
+      if (result.outcome !== LookupOutcome.Unavailable) return result;
+    }
+    return { outcome: LookupOutcome.Unavailable };
+  };
+
+  return { callService, lookupStatus };
+};
--- /dev/null
+++ b/packages/entry/src/services/serviceResponse.ts
@@ -0,0 +1,66 @@
+import { STATUS_CODES } from 'node:http';
+
+import { REQUEST_ID_HEADER } from './constants.js';
+
+import type { ServerResponse } from 'node:http';
+import type { SardinegradeError } from '@sardinegrade/common';
+import type { ServiceAnswer } from '@sardinegrade/orders';
+import type { ServiceCallContext } from './types.js';
+
+const SECOND_MS = 1_000;
+
+const setCommonHeaders = (response: ServerResponse, context: ServiceCallContext) => {
+  response.setHeader(REQUEST_ID_HEADER, context.requestId);
+  response.setHeader('traceparent', context.traceparent);
+};
+
+/**
+ * Answers a call with what the service answered.
+ *
+ * @param response - the caller's response
+ * @param context - the call
+ * @param answer - the service's whole answer
+ * @param isReplay - whether it was stored for an earlier call under the same key
+ */
+export const respondAnswer = (
+  response: ServerResponse,
+  context: ServiceCallContext,
+  answer: ServiceAnswer,
+  isReplay: boolean,
+): void => {
+  setCommonHeaders(response, context);
+  if (answer.contentType !== undefined) response.setHeader('content-type', answer.contentType);
+  if (isReplay) response.setHeader('idempotency-replayed', 'true');
+  response.writeHead(answer.status);
+  response.end(answer.body);
+};
+
+/**
+ * Answers a call with an error as `application/problem+json`.
+ *
+ * @param response - the caller's response
+ * @param context - the call
+ * @param error - the error, which says whether the call was carried out
+ */
+export const respondProblem = (
+  response: ServerResponse,
+  context: ServiceCallContext,
+  error: SardinegradeError,
+): void => {
+  setCommonHeaders(response, context);
+  const status = error.httpStatus;
+  if (error.retryAfterMs !== undefined) {
+    response.setHeader('retry-after', String(Math.ceil(error.retryAfterMs / SECOND_MS)));
+  }
+  response.writeHead(status, { 'content-type': 'application/problem+json' });
+  const problem = {
+    type: 'about:blank',
+    title: STATUS_CODES[status] ?? 'Error',
+    status,
+    detail: error.message,
+    code: error.code,
+    run: error.run,
+    request_id: context.requestId,
+  };
+  response.end(JSON.stringify(problem));
+};
--- /dev/null
+++ b/packages/orders/src/errors.ts
@@ -0,0 +1,143 @@
+import { ResultCode, RunState, SardinegradeError } from '@sardinegrade/common';
+
+import {
+  IN_PROGRESS_RETRY_AFTER_MS,
+  PLATFORM_RETRY_AFTER_MS,
+  UNKNOWN_RETRY_AFTER_MS,
+} from './constants.js';
+
+const createError = (
+  code: ResultCode,
+  run: RunState,
+  message: string,
+  retryAfterMs?: number,
+  cause?: unknown,
+): SardinegradeError =>
+  new SardinegradeError(code, message, {
+    run,
+    cause,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  });
+
+/** @returns the error for an order that is being carried out */
+export const createInProgressError = (): SardinegradeError =>
+  createError(
+    ResultCode.OrderInProgress,
+    RunState.Unknown,
+    'The order is in progress; ask again with the same key.',
+    IN_PROGRESS_RETRY_AFTER_MS,
+  );
+
+/** @returns the error for an order of which nobody knows whether it was carried out */
+export const createUnknownError = (): SardinegradeError =>
+  createError(
+    ResultCode.OrderUnknown,
+    RunState.Unknown,
+    'It is not known whether the order was carried out. It will not be run again before that is settled.',
+    UNKNOWN_RETRY_AFTER_MS,
+  );
+
+/** @returns the error for a key that already stands for another request */
+export const createMismatchError = (): SardinegradeError =>
+  createError(
+    ResultCode.OrderBodyMismatch,
+    RunState.NotRun,
+    'The key was used for another request.',
+  );
+
+/** @returns the error for a resend after the answer's retention */
+export const createExpiredError = (): SardinegradeError =>
+  createError(
+    ResultCode.OrderExpired,
+    RunState.Run,
+    'The order was carried out; its answer is past its retention.',
+  );
+
+/** @returns the error for a resend whose answer was not kept */
+export const createAnswerNotKeptError = (): SardinegradeError =>
+  createError(
+    ResultCode.AnswerNotKept,
+    RunState.Run,
+    'The order was carried out; its answer was not kept.',
+  );
+
+/**
+ * @param waitMs - until the budget has room again
+ * @returns the error for an order refused before its first write
+ */
+export const createWriteBudgetError = (waitMs: number): SardinegradeError =>
+  createError(
+    ResultCode.WriteBudgetSpent,
+    RunState.NotRun,
+    'Too many orders at this VM.',
+    Math.max(1, waitMs),
+  );
+
+/** @returns the error for an order refused because too many wait for the service */
+export const createQueueFullError = (): SardinegradeError =>
+  createError(
+    ResultCode.QueueFull,
+    RunState.NotRun,
+    'Too many orders wait for the service.',
+    IN_PROGRESS_RETRY_AFTER_MS,
+  );
+
+/**
+ * @param run - whether the order was carried out
+ * @param cause - what the platform's client reported
+ * @returns the error for an order that the platform could not record
+ */
+export const createPlatformError = (run: RunState, cause: unknown): SardinegradeError =>
+  createError(
+    ResultCode.PlatformUnavailable,
+    run,
+    'The order could not be recorded.',
+    PLATFORM_RETRY_AFTER_MS,
+    cause,
+  );
+
+/**
+ * @param cause - why no upstream was reached
+ * @returns the error for an order that was never sent to the service
+ */
+export const createNotStartedError = (cause: unknown): SardinegradeError =>
+  createError(
+    ResultCode.NoUpstream,
+    RunState.NotRun,
+    'The service could not be reached.',
+    PLATFORM_RETRY_AFTER_MS,
+    cause,
+  );
+
+/** @returns the error for an order whose deadline passed before it was sent to the service */
+export const createDeadlineError = (): SardinegradeError =>
+  createError(
+    ResultCode.DeadlineBeforeStart,
+    RunState.NotRun,
+    'The deadline passed before the order was sent to the service.',
+    IN_PROGRESS_RETRY_AFTER_MS,
+  );
+
+/** @returns the error for a daemon that is shutting down */
+export const createShutdownError = (): SardinegradeError =>
+  createError(
+    ResultCode.ShuttingDown,
+    RunState.NotRun,
+    'The VM is shutting down.',
+    IN_PROGRESS_RETRY_AFTER_MS,
+  );
+
+/** @returns the error for an order that no record names */
+export const createNotFoundError = (): SardinegradeError =>
+  createError(ResultCode.OrderNotFound, RunState.NotRun, 'No such order.');
+
+/**
+ * @param message - why it cannot be settled now
+ * @param retryAfterMs - when it may be; absent where never
+ * @returns the error for a settlement that is refused
+ */
+export const createNotSettleableError = (
+  message: string,
+  retryAfterMs?: number,
+): SardinegradeError =>
+  createError(ResultCode.OrderNotSettleable, RunState.Unknown, message, retryAfterMs);
--- /dev/null
+++ b/packages/orders/src/recordSchema.ts
@@ -0,0 +1,62 @@
+import { z } from 'zod';
+
+import { OrderEvent, OrderState } from './enums.js';
+
+import type { PlatformObject } from '@sardinegrade/platform';
+import type { OrderRecord, StoredOrder } from './types.js';
+
+const bodySchema = z.object({ encoding: z.enum(['utf8', 'base64']), data: z.string() });
+
+const recordSchema = z.object({
+  state: z.enum(OrderState),
+  workspace: z.string(),
+  service: z.string(),
+  key: z.string(),
+  fingerprint: z.string(),
+  requestId: z.string(),
+  traceparent: z.string(),
+  owner: z.string(),
+  attemptId: z.string(),
+  acceptedAtMs: z.number(),
+  dispatchedAtMs: z.number().optional(),
+  settledAtMs: z.number().optional(),
+  retentionMs: z.number(),
+  request: z
+    .object({
+      method: z.string(),
+      path: z.string(),
+      contentType: z.string().optional(),
+      body: bodySchema.optional(),
+    })
+    .optional(),
+  answer: z
+    .object({
+      status: z.number(),
+      contentType: z.string().optional(),
+      bytes: z.number(),
+      body: bodySchema.optional(),
+    })
+    .optional(),
+  audit: z.array(
+    z.object({
+      atMs: z.number(),
+      by: z.string(),
+      event: z.enum(OrderEvent),
+      to: z.enum(OrderState),
+      reason: z.string(),
+    }),
+  ),
+});
+
+/**
+ * Reads an order's record out of the platform's object.
+ *
+ * @param object - the object as the platform returned it
+ * @returns the checked record with its name and version
+ * @throws ZodError where the object is no order record
+ */
+export const parseStoredOrder = (object: PlatformObject): StoredOrder => ({
+  name: object.name,
+  version: object.version,
+  record: recordSchema.parse(object.value) as unknown as OrderRecord,
+});
