--- a/packages/fleet/src/membership/index.ts
+++ b/packages/fleet/src/membership/index.ts
@@ -1,2 +1,7 @@
 /** Membership: who is in the fleet, alive, leaving or dead. */
+export * from './constants.js';
+export * from './createMembership.js';
 export * from './enums.js';
+export * from './members.js';
+export * from './reduceMembership.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/peer/src/fleet/credentials.ts
@@ -0,0 +1,42 @@
+import { ServerCredentials, credentials, experimental } from '@grpc/grpc-js';
+
+import { CERTIFICATE_REFRESH_MS } from './constants.js';
+
+import type { ChannelCredentials } from '@grpc/grpc-js';
+
+/** Paths of the files for mutual TLS between daemons. */
+export interface PeerTlsFiles {
+  readonly certificate: string;
+  readonly key: string;
+  /** Certificate of the authority that signs every daemon's certificate. */
+  readonly authority: string;
+}
+
+/** Both ends' credentials of one daemon. */
+export interface PeerCredentials {
+  readonly server: ServerCredentials;
+  readonly channel: ChannelCredentials;
+}
+
+/**
+ * Makes the credentials for connections between daemons. The files are read again while the daemon
+ * runs, so that a certificate is replaced without a restart; running connections keep the old one.
+ *
+ * @param files - the files for mutual TLS, or undefined for plain connections
+ * @returns credentials for the peer port and for channels to others
+ */
+export const createPeerCredentials = (files: PeerTlsFiles | undefined): PeerCredentials => {
+  if (files === undefined) {
+    return { server: ServerCredentials.createInsecure(), channel: credentials.createInsecure() };
+  }
+  const provider = new experimental.FileWatcherCertificateProvider({
+    certificateFile: files.certificate,
+    privateKeyFile: files.key,
+    caCertificateFile: files.authority,
+    refreshIntervalMs: CERTIFICATE_REFRESH_MS,
+  });
+  return {
+    server: experimental.createCertificateProviderServerCredentials(provider, provider, true),
+    channel: experimental.createCertificateProviderChannelCredentials(provider, provider),
+  };
+};
