--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -6,12 +6,14 @@
 import { createPlatformClient } from '@sardinegrade/platform';
 import { EngineClient } from '@sardinegrade/upstream';
 
+import { createRequestJournal } from '../administration/index.js';
 import { CallerServer } from '../callers/index.js';
 import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
 import { DependencyCheck, UpstreamProber } from '../health/index.js';
 import { createModelRoutes, RetryAllowance } from '../models/index.js';
 import { listenOn } from './addresses.js';
 import { FleetFacts } from './FleetFacts.js';
+import { OrderDesk } from './OrderDesk.js';
 import { createOpenPaths } from './openPaths.js';
 import { PeerServer } from './PeerServer.js';
 
@@ -21,12 +23,13 @@
   DataCentreName,
   Logger,
   Metrics,
+  ServiceConfiguration,
   Tracing,
   VmId,
 } from '@sardinegrade/common';
 import type { FleetAgent } from '@sardinegrade/fleet';
 import type { PlatformClient } from '@sardinegrade/platform';
-import type { CallerRoute } from '../callers/index.js';
+import type { CallerRequest, CallerRoute } from '../callers/index.js';
 import type { DispatchMember } from '../grants/index.js';
 import type { EntrySettings } from '../settings/index.js';
 
@@ -48,6 +51,7 @@
   readonly #dataCentre: DataCentreName;
   readonly #clock: Clock = SYSTEM_CLOCK;
   readonly #metrics: Metrics = createMetrics();
+  readonly #journal = createRequestJournal(SYSTEM_CLOCK);
   readonly #platform: PlatformClient;
   readonly #fleet: FleetAgent;
   readonly #engines = new EngineClient(SYSTEM_CLOCK);
@@ -56,6 +60,7 @@
   readonly #facts: FleetFacts;
   readonly #dependencies: DependencyCheck;
   readonly #prober: UpstreamProber;
+  readonly #desk: OrderDesk;
   readonly #callers: CallerServer;
   readonly #peers: PeerServer;
   #isLeaving = false;
@@ -78,6 +83,7 @@
     this.#facts = new FleetFacts(this.#fleet, this.#host, this.#clock);
     this.#dependencies = new DependencyCheck(this.#facts.downUpstreams, this.#clock);
     this.#prober = this.#createProber();
+    this.#desk = this.#createDesk();
     this.#callers = this.#createCallers();
     this.#peers = new PeerServer(
       this.#fleet.handlers,
@@ -97,6 +103,7 @@
     const peerAddress = await this.#peers.listen(peer.listen, ServerCredentials.createInsecure());
     this.#fleet.start(peer.advertise ?? peerAddress);
     this.#prober.start();
+    this.#desk.start();
     const callersAddress = await listenOn(this.#callers.server, callers.listen);
     return { callers: callersAddress, administration: '', peer: peerAddress };
   };
@@ -113,6 +120,7 @@
     this.#callers.server.close();
     this.#callers.server.closeIdleConnections();
     while (this.#callers.countOpen() > 0) await sleepMs(SHUTDOWN_POLL_MS);
+    await this.#desk.drain();
     await this.#stop();
   };
 
@@ -190,7 +198,7 @@
       clock: this.#clock,
       tracing: this.tracing,
       logger: this.logger,
-      routes: this.#createRoutes(),
+      routes: [...this.#createModelRoutes(), ...this.#desk.routes],
       serveOpenPath: createOpenPaths({
         isReady: this.isReady,
         renderMetrics: this.#metrics.renderPrometheus,
@@ -198,22 +206,40 @@
       getConfiguration: this.#fleet.getConfiguration,
     });
 
-  readonly #createRoutes = (): readonly CallerRoute[] =>
+  readonly #createModelRoutes = (): readonly CallerRoute[] =>
     createModelRoutes({
       clock: this.#clock,
       broker: this.#broker,
       engines: this.#engines,
       tracing: this.tracing,
       metrics: this.#metrics,
+      journal: this.#journal,
       retries: new RetryAllowance(),
       bodyLimitBytes: this.#settings.callers.body_limit,
-      checkDependencies: ({ configuration }, service) =>
-        this.#dependencies.requireDependencies(configuration, service),
+      checkDependencies: this.#checkDependencies,
       isSuspect: (fingerprint) => this.#facts.isSuspect(fingerprint),
       onUpstreamDied: (_upstream, fingerprint) => this.#facts.spreadSuspect(fingerprint),
       createAttemptId: () => randomUUID() as AttemptId,
     });
 
+  readonly #createDesk = (): OrderDesk =>
+    new OrderDesk({
+      vm: this.#vm,
+      clock: this.#clock,
+      logger: this.logger,
+      platform: this.#platform,
+      bodyLimitBytes: this.#settings.callers.body_limit,
+      writesPerSecond: this.#settings.orders.writes_per_second,
+      getConfiguration: this.#fleet.getConfiguration,
+      isUpstreamDown: (upstream) => this.#facts.isDown(upstream),
+      isVmGone: (vm) => this.#fleet.getMembers().every((member) => member.vm !== vm),
+      listVms: () => this.#listDispatchMembers().map(({ vm }) => vm),
+      checkDependencies: this.#checkDependencies,
+    });
+
+  readonly #checkDependencies = (caller: CallerRequest, service: ServiceConfiguration): void =>
+    this.#dependencies.requireDependencies(caller.configuration, service);
+
   readonly #followFleet = (): void => {
     void this.#fleet.configurations.observe((configuration) => {
       this.#broker.applyConfiguration(configuration);
--- a/packages/entry/src/daemon/FleetFacts.ts
+++ b/packages/entry/src/daemon/FleetFacts.ts
@@ -45,6 +45,9 @@
   readonly isSuspect = (fingerprint: Fingerprint): boolean =>
     this.suspects.has(fingerprint, this.#clock.getNowMs());
 
+  readonly isDown = (upstream: UpstreamId): boolean =>
+    this.downUpstreams.has(upstream, this.#clock.getNowMs());
+
   /** An upstream died while it ran the request. */
   readonly spreadSuspect = (fingerprint: Fingerprint): void =>
     this.#spread(NewsKind.Suspect, fingerprint, SUSPECT_TTL_MS);
--- /dev/null
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -0,0 +1,160 @@
+import { randomUUID } from 'node:crypto';
+
+import { rankByRendezvous, ResultCode, SardinegradeError, ServiceKind } from '@sardinegrade/common';
+import { createOrderService, createWriteBudget, DEFAULT_ORDER_TIMINGS } from '@sardinegrade/orders';
+
+import { ErrorFormat } from '../callers/index.js';
+import { findClass } from '../models/index.js';
+import { createServiceCaller, createServiceHandler } from '../services/index.js';
+
+import type {
+  Clock,
+  Configuration,
+  Logger,
+  ServiceConfiguration,
+  ServiceName,
+  UpstreamConfiguration,
+  UpstreamId,
+  VmId,
+} from '@sardinegrade/common';
+import type { OrderService } from '@sardinegrade/orders';
+import type { PlatformClient } from '@sardinegrade/platform';
+import type { CallerRequest, CallerRoute } from '../callers/index.js';
+import type { HandleServiceCall } from '../services/index.js';
+
+const SWEEP_INTERVAL_MS = 5_000;
+const SWEEP_PAGE_PAUSE_MS = 100;
+const SWEEP_KEY = 'order-sweep';
+const BURST_SECONDS = 2;
+const SERVICE_PATH = /^\/services\/([^/]+)(\/.*)?$/;
+
+/** What the order desk needs of its daemon. */
+export interface OrderDeskOptions {
+  readonly vm: VmId;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly platform: PlatformClient;
+  readonly bodyLimitBytes: number;
+  readonly writesPerSecond: number;
+  readonly getConfiguration: () => Configuration | undefined;
+  readonly isUpstreamDown: (upstream: UpstreamId) => boolean;
+  readonly isVmGone: (vm: VmId) => boolean;
+  readonly listVms: () => readonly VmId[];
+  /** Throws where something that the service depends on cannot serve. */
+  readonly checkDependencies: (caller: CallerRequest, service: ServiceConfiguration) => void;
+}
+
+const sleepMs = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, durationMs));
+
+const getClassHeader = ({ request }: CallerRequest): string | undefined => {
+  const value = request.headers['sardinegrade-class'];
+  return typeof value === 'string' ? value : undefined;
+};
+
+/** Serves calls to plain services and looks after the orders among them. */
+export class OrderDesk {
+  readonly orders: OrderService;
+  readonly routes: readonly CallerRoute[];
+  readonly #options: OrderDeskOptions;
+  readonly #handle: HandleServiceCall;
+  #isActive = false;
+
+  constructor(options: OrderDeskOptions) {
+    this.#options = options;
+    const { clock, logger, platform, vm, writesPerSecond } = options;
+    const caller = createServiceCaller(this.#findUpstreams);
+    const shared = { clock, caller, sleep: sleepMs, newId: randomUUID };
+    const burst = writesPerSecond * BURST_SECONDS;
+    this.orders = createOrderService({
+      ...shared,
+      platform,
+      vm,
+      getMonotonicMs: () => performance.now(),
+      writeBudget: createWriteBudget({ clock, writesPerSecond, burst }),
+      timings: DEFAULT_ORDER_TIMINGS,
+      findService: (name) => options.getConfiguration()?.services.get(name),
+      isVmGone: options.isVmGone,
+      onIncident: (message, name) => logger.error(message, { error: name }),
+    });
+    this.#handle = createServiceHandler({
+      ...shared,
+      orders: this.orders,
+      findUpstreams: this.#findUpstreams,
+      getRandom: Math.random,
+    });
+    const errorFormat = ErrorFormat.Problem;
+    this.routes = [{ pattern: SERVICE_PATH, methods: undefined, errorFormat, serve: this.#serve }];
+  }
+
+  /** Begins to sweep up what other daemons left behind, whenever it is this daemon's turn. */
+  readonly start = (): void => {
+    this.#isActive = true;
+    void this.#sweepForEver();
+  };
+
+  /** Refuses new orders and finishes those under way. */
+  readonly drain = async (): Promise<void> => {
+    this.#isActive = false;
+    await this.orders.drain();
+  };
+
+  readonly #serve = async (caller: CallerRequest): Promise<void> => {
+    const [, name, path] = SERVICE_PATH.exec(caller.url.pathname) ?? [];
+    const service = caller.configuration.services.get(decodeName(name) as ServiceName);
+    if (service?.kind !== ServiceKind.Plain) {
+      throw new SardinegradeError(ResultCode.UnknownService, `No plain service '${name ?? ''}'.`);
+    }
+    const serviceClass = findClass(service, caller.workspace, getClassHeader(caller));
+    this.#options.checkDependencies(caller, service);
+    const gone = new AbortController();
+    caller.response.once('close', () => gone.abort());
+    await this.#handle(
+      {
+        workspace: caller.workspace.name,
+        service,
+        class: serviceClass,
+        path: `${path ?? '/'}${caller.url.search}`,
+        requestId: caller.requestId,
+        traceparent: caller.span.traceparent,
+        deadlineAtMs: caller.arrivedAtMs + serviceClass.deadlineMs,
+        bodyLimitBytes: this.#options.bodyLimitBytes,
+        signal: gone.signal,
+      },
+      caller.request,
+      caller.response,
+    );
+  };
+
+  readonly #findUpstreams = (service: ServiceConfiguration): readonly UpstreamConfiguration[] => {
+    const configuration = this.#options.getConfiguration();
+    if (configuration === undefined) return [];
+    return [...configuration.upstreams.values()].filter(
+      ({ id, pool, draining }) =>
+        pool === service.pool && !draining && !this.#options.isUpstreamDown(id),
+    );
+  };
+
+  readonly #sweepForEver = async (): Promise<void> => {
+    while (this.#isActive) {
+      await sleepMs(SWEEP_INTERVAL_MS);
+      if (!this.#isOnDuty()) continue;
+      try {
+        await this.orders.sweepOrders(SWEEP_PAGE_PAUSE_MS, this.#isOnDuty);
+      } catch (error) {
+        this.#options.logger.warn('The orders could not be swept.', { error });
+      }
+    }
+  };
+
+  readonly #isOnDuty = (): boolean =>
+    this.#isActive && rankByRendezvous(SWEEP_KEY, this.#options.listVms())[0] === this.#options.vm;
+}
+
+const decodeName = (name: string | undefined): string => {
+  try {
+    return decodeURIComponent(name ?? '');
+  } catch {
+    return '';
+  }
+};
--- a/packages/entry/src/models/ChatCall.ts
+++ b/packages/entry/src/models/ChatCall.ts
@@ -1,7 +1,8 @@
-import { Hop, ResultCode, RunState, SardinegradeError, WasteCause } from '@sardinegrade/common';
+import { ResultCode, RunState, SardinegradeError, WasteCause } from '@sardinegrade/common';
 import { PreemptionMode, ReleaseReason } from '@sardinegrade/dispatch';
 import { AttemptCommand, AttemptEnd } from '@sardinegrade/upstream';
 
+import { ChatObserver } from './ChatObserver.js';
 import {
   FIRST_SILENCE_TARGETS,
   MAX_FIRST_SILENCE_MS,
@@ -11,36 +12,33 @@
   PROGRESS_INTERVAL_TOKENS,
   SILENCE_INTERVALS,
 } from './constants.js';
+import { describeRefusal, getRunState } from './refusals.js';
+import { RunningAttempt } from './RunningAttempt.js';
 
 import type {
   AttemptId,
-  Clock,
   Fingerprint,
-  HopSpan,
-  Metrics,
   UpstreamConfiguration,
   UpstreamId,
 } from '@sardinegrade/common';
+import type { GrantRelease } from '@sardinegrade/dispatch';
 import type {
-  AttemptHandle,
   AttemptOutcome,
+  EngineAttempt,
   EngineClient,
   TokenEvent,
 } from '@sardinegrade/upstream';
-import type { Tracing } from '@sardinegrade/common';
 import type { CallerRequest } from '../callers/index.js';
 import type { GrantBroker, GrantTicket } from '../grants/index.js';
 import type { AnswerSink } from './AnswerSink.js';
+import type { ChatObserverServices } from './ChatObserver.js';
 import type { RetryAllowance } from './RetryAllowance.js';
 import type { ChatRequest, ChatTarget } from './types.js';
 
 /** What all calls of a daemon share. */
-export interface ChatCallServices {
-  readonly clock: Clock;
+export interface ChatCallServices extends ChatObserverServices {
   readonly broker: GrantBroker;
   readonly engines: EngineClient;
-  readonly tracing: Tracing;
-  readonly metrics: Metrics;
   readonly retries: RetryAllowance;
   /** Whether the request was running on an engine when it died, here or on another daemon. */
   readonly isSuspect: (fingerprint: Fingerprint) => boolean;
@@ -74,34 +72,24 @@
 const clampMs = (valueMs: number, minimumMs: number, maximumMs: number): number =>
   Math.min(maximumMs, Math.max(minimumMs, valueMs));
 
-interface RunningAttempt {
-  readonly id: AttemptId;
-  readonly upstream: UpstreamConfiguration;
-  readonly handle: AttemptHandle;
-  readonly span: HopSpan;
-  readonly startedAtMs: number;
-  tokens: number;
-  firstTokenAtMs: number | undefined;
-  lastTokenAtMs: number;
-}
+const ENDS_NOT_RUN: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Refused, AttemptEnd.NotSent]);
 
 /** Carries one completion request from its first ask to its last byte. */
 export class ChatCall {
   readonly #services: ChatCallServices;
   readonly #input: ChatCallInput;
   readonly #sink: AnswerSink;
+  readonly #observer: ChatObserver;
   readonly #excluded = new Set<UpstreamId>();
   readonly #deadlineTimer: NodeJS.Timeout;
   #ticket: GrantTicket | undefined;
-  #askSpan: HopSpan | undefined;
-  #askedAtMs = 0;
   #running: RunningAttempt | undefined;
   #attempts = 0;
   #failures = 0;
   #tokens = 0;
+  /** Whether an engine may have begun to run the request. */
+  #wasSent = false;
   #wasSuspect = false;
-  #firstTokenAtMs: number | undefined;
-  #lastTokenAtMs = 0;
   #isEnded = false;
   #resolve: (() => void) | undefined;
 
@@ -109,6 +97,7 @@
     this.#services = services;
     this.#input = input;
     this.#sink = sink;
+    this.#observer = new ChatObserver(services, input.caller, input.target);
     const remainingMs = Math.max(0, input.deadlineAtMs - services.clock.getNowMs());
     this.#deadlineTimer = setTimeout(this.#handleDeadline, remainingMs);
     const { response } = input.caller;
@@ -132,14 +121,8 @@
 
   readonly #ask = (): void => {
     const { caller, target, fingerprint, promptTokens, chat, prefixBlocks } = this.#input;
-    const { broker, tracing, clock } = this.#services;
     this.#attempts += 1;
-    this.#askedAtMs = clock.getNowMs();
-    this.#askSpan = tracing.startSpan(Hop.GrantWait, {
-      parent: caller.span.context,
-      requestId: caller.requestId,
-      attributes: { attempt: this.#attempts },
-    });
+    this.#observer.recordAsk(this.#attempts);
     const attemptId = this.#services.createAttemptId();
     const details = {
       askId: attemptId,
@@ -158,7 +141,7 @@
       attempt: this.#attempts,
       isSuspect: this.#wasSuspect || this.#services.isSuspect(fingerprint),
     };
-    this.#ticket = broker.ask(target.service.pool, details, {
+    this.#ticket = this.#services.broker.ask(target.service.pool, details, {
       onGrant: (upstream, priority) => this.#handleGrant(attemptId, upstream, priority),
       onRefuse: this.#handleRefusal,
       onPreempt: this.#handlePreemption,
@@ -167,53 +150,46 @@
   };
 
   readonly #handleGrant = (id: AttemptId, upstreamId: UpstreamId, priority: number): void => {
-    const { caller, target, chat } = this.#input;
-    const { clock, metrics } = this.#services;
-    this.#askSpan?.finish({ attributes: { upstream: upstreamId } });
-    const startedAtMs = clock.getNowMs();
-    const { service, serviceClass } = target;
-    metrics.recordQueueWait(service.name, serviceClass.name, startedAtMs - this.#askedAtMs);
-    const upstream = caller.configuration.upstreams.get(upstreamId);
+    const traceparent = this.#observer.recordGrant(upstreamId, priority, this.#tokens);
+    const upstream = this.#input.caller.configuration.upstreams.get(upstreamId);
     if (upstream === undefined) {
       this.#release(ReleaseReason.UpstreamRefused, undefined);
-      this.#retry(ResultCode.NoUpstream, 'The upstream granted is not configured here.');
+      this.#retry(ResultCode.NoUpstream, 'The engine granted is not configured here.');
       return;
     }
-    const span = this.#services.tracing.startSpan(Hop.UpstreamAttempt, {
-      parent: caller.span.context,
-      requestId: caller.requestId,
-      attributes: { upstream: upstreamId, resume_at: this.#tokens, priority },
+    const attempt = this.#buildAttempt(id, upstream, priority, traceparent);
+    const handle = this.#services.engines.startAttempt(attempt, {
+      onToken: this.#handleToken,
+      onEnd: this.#handleEnd,
     });
-    const handle = this.#services.engines.startAttempt(
-      {
-        attemptId: id,
-        upstream,
-        body: chat.engineBody,
-        priority,
-        resumeAt: this.#tokens,
-        traceparent: span.traceparent,
-        firstTokenTimeoutMs: clampMs(
-          serviceClass.firstTokenTargetMs * FIRST_SILENCE_TARGETS,
-          MIN_FIRST_SILENCE_MS,
-          MAX_FIRST_SILENCE_MS,
-        ),
-        tokenTimeoutMs: clampMs(
-          serviceClass.tokenIntervalTargetMs * SILENCE_INTERVALS,
-          MIN_SILENCE_MS,
-          MAX_SILENCE_MS,
-        ),
-      },
-      { onToken: this.#handleToken, onEnd: this.#handleEnd },
-    );
-    this.#running = {
-      id,
+    const startedAtMs = this.#services.clock.getNowMs();
+    this.#running = new RunningAttempt(id, upstream, handle, startedAtMs);
+  };
+
+  readonly #buildAttempt = (
+    attemptId: AttemptId,
+    upstream: UpstreamConfiguration,
+    priority: number,
+    traceparent: string,
+  ): EngineAttempt => {
+    const { firstTokenTargetMs, tokenIntervalTargetMs } = this.#input.target.serviceClass;
+    return {
+      attemptId,
       upstream,
-      handle,
-      span,
-      startedAtMs,
-      tokens: 0,
-      firstTokenAtMs: undefined,
-      lastTokenAtMs: 0,
+      body: this.#input.chat.engineBody,
+      priority,
+      resumeAt: this.#tokens,
+      traceparent,
+      firstTokenTimeoutMs: clampMs(
+        firstTokenTargetMs * FIRST_SILENCE_TARGETS,
+        MIN_FIRST_SILENCE_MS,
+        MAX_FIRST_SILENCE_MS,
+      ),
+      tokenTimeoutMs: clampMs(
+        tokenIntervalTargetMs * SILENCE_INTERVALS,
+        MIN_SILENCE_MS,
+        MAX_SILENCE_MS,
+      ),
     };
   };
 
@@ -221,14 +197,8 @@
     const running = this.#running;
     if (running === undefined) return;
     const nowMs = this.#services.clock.getNowMs();
-    if (running.firstTokenAtMs === undefined) {
-      running.firstTokenAtMs = nowMs;
-      running.span.addEvent('first_token');
-    }
-    this.#firstTokenAtMs ??= nowMs;
-    running.lastTokenAtMs = nowMs;
-    this.#lastTokenAtMs = nowMs;
-    running.tokens += 1;
+    running.addToken(nowMs);
+    this.#observer.recordToken(nowMs);
     this.#tokens += 1;
     if (running.tokens % PROGRESS_INTERVAL_TOKENS === 0) {
       this.#ticket?.reportProgress(running.tokens);
@@ -240,7 +210,7 @@
     const running = this.#running;
     this.#running = undefined;
     if (running === undefined || this.#isEnded) return;
-    running.span.finish({ attributes: { end: outcome.end, tokens: running.tokens } });
+    if (!ENDS_NOT_RUN.has(outcome.end)) this.#wasSent = true;
     this.#release(RELEASE_REASONS[outcome.end], running);
     END_HANDLERS[outcome.end](this, outcome, running);
   };
@@ -249,31 +219,24 @@
   readonly complete = (finishReason: string): void => {
     const { promptTokens } = this.#input;
     this.#sink.finish(finishReason, { promptTokens, completionTokens: this.#tokens });
-    this.#recordAnswer();
+    this.#observer.recordAnswer(this.#tokens);
     this.#end();
   };
 
-  /** The engine did not run the attempt. */
-  readonly handleUpstreamRefusal = (running: RunningAttempt): void => {
-    this.#excluded.add(running.upstream.id);
-    this.#retry(ResultCode.NoUpstream, 'The engine refused the request.');
-  };
-
   /** The engine finds the request itself at fault. */
   readonly reject = (message: string): void =>
     this.#fail(ResultCode.InvalidField, `The engine rejected the request: ${message}`);
 
-  /** The attempt broke off. */
+  /** The attempt broke off, or the engine did not take it. */
   readonly handleBreak = (outcome: AttemptOutcome, running: RunningAttempt): void => {
     const { fingerprint } = this.#input;
+    this.#observer.recordAttemptEnd(running.upstream.id, outcome, running.tokens);
     this.#excluded.add(running.upstream.id);
     if (outcome.end === AttemptEnd.Died) {
       this.#wasSuspect = true;
       this.#services.onUpstreamDied(running.upstream.id, fingerprint);
     }
-    const code =
-      outcome.end === AttemptEnd.Silent ? ResultCode.UpstreamTimeout : ResultCode.UpstreamFailed;
-    this.#retry(code, outcome.message);
+    this.#retry(BREAK_CODES.get(outcome.end) ?? ResultCode.UpstreamFailed, outcome.message);
   };
 
   /** Asks again where attempts, deadline and budget allow, at the next token that the caller lacks. */
@@ -289,25 +252,26 @@
       this.#fail(code, message);
       return;
     }
+    this.#observer.recordRetry(this.#failures, this.#tokens);
     this.#ask();
   };
 
   readonly #handleRefusal = (code: ResultCode, retryAfterMs: number | undefined): void => {
-    this.#askSpan?.finish({ code });
     this.#ticket = undefined;
-    this.#fail(code, REFUSAL_MESSAGES[code] ?? 'The request cannot be served now.', retryAfterMs);
+    this.#observer.recordRefusal(code);
+    this.#fail(code, describeRefusal(code), retryAfterMs);
   };
 
   readonly #handlePreemption = (mode: PreemptionMode): void => {
     const running = this.#running;
     if (running === undefined) return;
+    this.#observer.recordPreemption(running.upstream.id, mode);
     if (mode === PreemptionMode.Cancel) {
-      this.#yield(running);
+      this.#yieldEngine(running);
       return;
     }
-    const command = mode === PreemptionMode.Pause ? AttemptCommand.Pause : AttemptCommand.Resume;
     running.handle.setHeld(mode === PreemptionMode.Pause);
-    void this.#commandEngine(running, command);
+    void this.#commandEngine(running, ENGINE_COMMANDS[mode]);
   };
 
   readonly #commandEngine = async (
@@ -316,100 +280,63 @@
   ): Promise<void> => {
     const { engines } = this.#services;
     const isDone = await engines.sendCommand(running.upstream, running.id, command);
-    if (!isDone && this.#running === running) this.#yield(running);
+    if (!isDone && this.#running === running) this.#yieldEngine(running);
   };
 
   /** Gives up the running attempt for a higher tier and queues again, to resume where it stopped. */
-  readonly #yield = (running: RunningAttempt): void => {
+  readonly #yieldEngine = (running: RunningAttempt): void => {
     this.#running = undefined;
+    this.#wasSent = true;
     running.handle.abort();
-    running.span.finish({ code: ResultCode.Preempted, attributes: { tokens: running.tokens } });
+    const outcome = { end: AttemptEnd.Aborted, message: 'Preempted.' };
+    this.#observer.recordAttemptEnd(running.upstream.id, outcome, running.tokens);
     this.#release(ReleaseReason.Preempted, running);
     if (!this.#isEnded) this.#ask();
   };
 
   readonly #handleDeadline = (): void => {
-    const hasStarted = this.#running !== undefined || this.#tokens > 0;
-    this.#stopRunning(WasteCause.Deadline);
-    if (hasStarted) this.#fail(ResultCode.UpstreamTimeout, 'The deadline passed.');
+    const wasRunning = this.#running !== undefined;
+    this.#stopRunning();
+    this.#observer.recordWaste(WasteCause.Deadline, this.#tokens);
+    if (wasRunning) this.#fail(ResultCode.UpstreamTimeout, 'The deadline passed.');
     else this.#fail(ResultCode.DeadlineBeforeStart, 'The deadline passed before a start.');
   };
 
   readonly #handleCallerGone = (): void => {
     if (this.#isEnded) return;
-    this.#stopRunning(WasteCause.CallerGone);
-    this.#recordFailure(ResultCode.CallerGone);
+    this.#stopRunning();
+    this.#observer.recordWaste(WasteCause.CallerGone, this.#tokens);
+    this.#observer.recordFailure(ResultCode.CallerGone);
     this.#end();
   };
 
-  readonly #stopRunning = (cause: WasteCause): void => {
+  readonly #stopRunning = (): void => {
     const running = this.#running;
     this.#running = undefined;
     running?.handle.abort();
-    running?.span.finish({ code: ResultCode.CallerGone, attributes: { tokens: running.tokens } });
     this.#release(ReleaseReason.CallerGone, running);
-    this.#services.metrics.recordWaste(this.#input.target.service.name, cause, this.#tokens);
   };
 
   readonly #release = (reason: ReleaseReason, running: RunningAttempt | undefined): void => {
     const ticket = this.#ticket;
     this.#ticket = undefined;
-    ticket?.release({
-      reason,
-      tokens: running?.tokens ?? 0,
-      firstTokenMs:
-        running?.firstTokenAtMs === undefined
-          ? undefined
-          : running.firstTokenAtMs - running.startedAtMs,
-      tokenIntervalMs: running === undefined ? undefined : getIntervalMs(running),
-    });
+    ticket?.release(running?.buildRelease(reason) ?? buildEmptyRelease(reason));
   };
 
   readonly #fail = (code: ResultCode, message: string, retryAfterMs?: number): void => {
     if (this.#isEnded) return;
-    const hasText = this.#tokens > 0;
-    const failure = hasText ? ResultCode.AnswerCut : code;
-    const run = hasText ? RunState.Run : getRunState(code);
+    const isCut = this.#tokens > 0;
+    const failure = isCut ? ResultCode.AnswerCut : code;
+    const run = isCut ? RunState.Run : getRunState(code, this.#wasSent);
     const options = retryAfterMs === undefined ? { run } : { run, retryAfterMs };
     this.#sink.fail(new SardinegradeError(failure, message, options));
-    if (hasText) {
-      const { name } = this.#input.target.service;
-      this.#services.metrics.recordWaste(name, WasteCause.UpstreamLost, this.#tokens);
+    if (code !== ResultCode.UpstreamTimeout) {
+      this.#observer.recordWaste(WasteCause.UpstreamLost, this.#tokens);
     }
-    this.#recordFailure(failure);
+    this.#observer.recordFailure(failure);
     this.#end();
   };
 
-  readonly #recordFailure = (code: ResultCode): void =>
-    this.#services.metrics.recordFailure({ ...this.#getLabels(), code });
-
-  readonly #recordAnswer = (): void => {
-    const { caller, target } = this.#input;
-    const { firstTokenTargetMs, tokenIntervalTargetMs } = target.serviceClass;
-    const firstTokenMs =
-      this.#firstTokenAtMs === undefined ? undefined : this.#firstTokenAtMs - caller.arrivedAtMs;
-    const tokenIntervalMs =
-      this.#firstTokenAtMs === undefined || this.#tokens < 2
-        ? undefined
-        : (this.#lastTokenAtMs - this.#firstTokenAtMs) / (this.#tokens - 1);
-    this.#services.metrics.recordAnswer({
-      ...this.#getLabels(),
-      firstTokenMs,
-      tokenIntervalMs,
-      durationMs: this.#services.clock.getNowMs() - caller.arrivedAtMs,
-      tokens: this.#tokens,
-      isAttained:
-        (firstTokenMs ?? 0) <= firstTokenTargetMs &&
-        (tokenIntervalMs ?? 0) <= tokenIntervalTargetMs,
-    });
-  };
-
-  readonly #getLabels = () => ({
-    service: this.#input.target.service.name,
-    className: this.#input.target.serviceClass.name,
-    workspace: this.#input.caller.workspace.name,
-  });
-
   readonly #end = (): void => {
     this.#isEnded = true;
     clearTimeout(this.#deadlineTimer);
@@ -417,34 +344,30 @@
   };
 }
 
-const getIntervalMs = (running: RunningAttempt): number | undefined =>
-  running.firstTokenAtMs === undefined || running.tokens < 2
-    ? undefined
-    : (running.lastTokenAtMs - running.firstTokenAtMs) / (running.tokens - 1);
-
-const RUN_STATES: ReadonlyMap<ResultCode, RunState> = new Map([
-  [ResultCode.UpstreamFailed, RunState.Unknown],
-  [ResultCode.UpstreamTimeout, RunState.Unknown],
-  [ResultCode.SuspectFailed, RunState.Unknown],
+const buildEmptyRelease = (reason: ReleaseReason): Omit<GrantRelease, 'askId'> => ({
+  reason,
+  tokens: 0,
+  firstTokenMs: undefined,
+  tokenIntervalMs: undefined,
+});
+
+const ENGINE_COMMANDS = {
+  [PreemptionMode.Pause]: AttemptCommand.Pause,
+  [PreemptionMode.Resume]: AttemptCommand.Resume,
+} as const;
+
+const BREAK_CODES: ReadonlyMap<AttemptEnd, ResultCode> = new Map([
+  [AttemptEnd.Refused, ResultCode.NoUpstream],
+  [AttemptEnd.Silent, ResultCode.UpstreamTimeout],
 ]);
 
-const getRunState = (code: ResultCode): RunState => RUN_STATES.get(code) ?? RunState.NotRun;
-
-const REFUSAL_MESSAGES: Partial<Readonly<Record<ResultCode, string>>> = {
-  [ResultCode.Overloaded]: 'The service is overloaded; higher tiers are served first.',
-  [ResultCode.QueueFull]: 'The queue of this class is full.',
-  [ResultCode.NoUpstream]: 'No engine of this service can be reached.',
-  [ResultCode.Quarantined]: 'This request has crashed engines and is quarantined.',
-  [ResultCode.DeadlineBeforeStart]: 'The request cannot start before its deadline.',
-};
-
 type EndHandler = (call: ChatCall, outcome: AttemptOutcome, running: RunningAttempt) => void;
 
 const handleBreak: EndHandler = (call, outcome, running) => call.handleBreak(outcome, running);
 
 const END_HANDLERS: Readonly<Record<AttemptEnd, EndHandler>> = {
   [AttemptEnd.Finished]: (call, outcome) => call.complete(outcome.finishReason ?? 'stop'),
-  [AttemptEnd.Refused]: (call, _outcome, running) => call.handleUpstreamRefusal(running),
+  [AttemptEnd.Refused]: handleBreak,
   [AttemptEnd.Rejected]: (call, outcome) => call.reject(outcome.message),
   [AttemptEnd.NotSent]: handleBreak,
   [AttemptEnd.Died]: handleBreak,
--- /dev/null
+++ b/packages/entry/src/models/ChatObserver.ts
@@ -0,0 +1,167 @@
+import { Hop, ResultCode } from '@sardinegrade/common';
+
+import { DecisionKind } from '../administration/index.js';
+
+import type {
+  Clock,
+  HopSpan,
+  Metrics,
+  Tracing,
+  UpstreamId,
+  WasteCause,
+} from '@sardinegrade/common';
+import type { PreemptionMode } from '@sardinegrade/dispatch';
+import type { AttemptOutcome } from '@sardinegrade/upstream';
+import type { RequestJournal, RequestTrail } from '../administration/index.js';
+import type { CallerRequest } from '../callers/index.js';
+import type { ChatTarget } from './types.js';
+
+/** Where a call's observations go. */
+export interface ChatObserverServices {
+  readonly clock: Clock;
+  readonly tracing: Tracing;
+  readonly metrics: Metrics;
+  readonly journal: RequestJournal;
+}
+
+/** Writes down what becomes of one completion request: spans, metrics and the journal. */
+export class ChatObserver {
+  readonly #services: ChatObserverServices;
+  readonly #caller: CallerRequest;
+  readonly #target: ChatTarget;
+  readonly #trail: RequestTrail;
+  #waitSpan: HopSpan | undefined;
+  #attemptSpan: HopSpan | undefined;
+  #askedAtMs = 0;
+  #firstTokenAtMs: number | undefined;
+  #lastTokenAtMs = 0;
+
+  constructor(services: ChatObserverServices, caller: CallerRequest, target: ChatTarget) {
+    this.#services = services;
+    this.#caller = caller;
+    this.#target = target;
+    this.#trail = services.journal.start({
+      requestId: caller.requestId,
+      service: target.service.name,
+      className: target.serviceClass.name,
+      tier: target.serviceClass.tier,
+      workspace: caller.workspace.name,
+      traceId: caller.span.context.traceId,
+    });
+  }
+
+  readonly recordAsk = (attempt: number): void => {
+    this.#askedAtMs = this.#services.clock.getNowMs();
+    this.#waitSpan = this.#startSpan(Hop.GrantWait, { attempt });
+    this.#trail.record(DecisionKind.Queued, `Asked for an engine, attempt ${attempt}.`);
+  };
+
+  readonly recordRefusal = (code: ResultCode): void => {
+    this.#waitSpan?.finish({ code });
+    this.#trail.record(DecisionKind.Refused, 'The dispatcher refused the request.', { code });
+  };
+
+  /**
+   * Records a grant and the start of its attempt.
+   *
+   * @param upstream - the engine granted
+   * @param priority - the priority given to the engine
+   * @param resumeAt - number of the first token wanted
+   * @returns the trace header for the engine
+   */
+  readonly recordGrant = (upstream: UpstreamId, priority: number, resumeAt: number): string => {
+    const { service, serviceClass } = this.#target;
+    const waitMs = this.#services.clock.getNowMs() - this.#askedAtMs;
+    this.#services.metrics.recordQueueWait(service.name, serviceClass.name, waitMs);
+    this.#waitSpan?.finish({ attributes: { upstream } });
+    const detail = `Granted after ${waitMs} ms, priority ${priority}, from token ${resumeAt}.`;
+    this.#trail.record(DecisionKind.Granted, detail, { upstream });
+    this.#attemptSpan = this.#startSpan(Hop.UpstreamAttempt, {
+      upstream,
+      priority,
+      resume_at: resumeAt,
+    });
+    return this.#attemptSpan.traceparent;
+  };
+
+  readonly recordToken = (nowMs: number): void => {
+    if (this.#firstTokenAtMs === undefined) {
+      this.#firstTokenAtMs = nowMs;
+      this.#attemptSpan?.addEvent('first_token');
+      const sinceArrivalMs = nowMs - this.#caller.arrivedAtMs;
+      this.#trail.record(DecisionKind.FirstToken, `First token after ${sinceArrivalMs} ms.`);
+    }
+    this.#lastTokenAtMs = nowMs;
+  };
+
+  readonly recordAttemptEnd = (
+    upstream: UpstreamId,
+    { end, message }: Pick<AttemptOutcome, 'end' | 'message'>,
+    tokens: number,
+  ): void => {
+    this.#attemptSpan?.finish({ attributes: { end, tokens } });
+    const detail = `The attempt ended as ${end} after ${tokens} tokens. ${message}`.trim();
+    this.#trail.record(DecisionKind.AttemptFailed, detail, { upstream });
+  };
+
+  readonly recordPreemption = (upstream: UpstreamId, mode: PreemptionMode): void =>
+    this.#trail.record(DecisionKind.Preempted, `Preempted: ${mode}.`, { upstream });
+
+  readonly recordRetry = (failures: number, resumeAt: number): void =>
+    this.#trail.record(
+      resumeAt > 0 ? DecisionKind.Resumed : DecisionKind.Retried,
+      `Asks again after ${failures} failures, from token ${resumeAt}.`,
+    );
+
+  readonly recordWaste = (cause: WasteCause, tokens: number): void => {
+    if (tokens > 0) this.#services.metrics.recordWaste(this.#target.service.name, cause, tokens);
+  };
+
+  readonly recordAnswer = (tokens: number): void => {
+    const { firstTokenTargetMs, tokenIntervalTargetMs } = this.#target.serviceClass;
+    const firstTokenMs =
+      this.#firstTokenAtMs === undefined
+        ? undefined
+        : this.#firstTokenAtMs - this.#caller.arrivedAtMs;
+    const tokenIntervalMs = this.#getIntervalMs(tokens);
+    this.#attemptSpan?.finish({ attributes: { tokens } });
+    this.#services.metrics.recordAnswer({
+      ...this.#getLabels(),
+      firstTokenMs,
+      tokenIntervalMs,
+      durationMs: this.#services.clock.getNowMs() - this.#caller.arrivedAtMs,
+      tokens,
+      isAttained:
+        (firstTokenMs ?? 0) <= firstTokenTargetMs &&
+        (tokenIntervalMs ?? 0) <= tokenIntervalTargetMs,
+    });
+    this.#trail.record(DecisionKind.Answered, `Answered whole with ${tokens} tokens.`);
+    this.#trail.finish();
+  };
+
+  readonly recordFailure = (code: ResultCode): void => {
+    this.#waitSpan?.finish({ code });
+    this.#attemptSpan?.finish({ code });
+    this.#services.metrics.recordFailure({ ...this.#getLabels(), code });
+    this.#trail.record(DecisionKind.Failed, `Ended with ${ResultCode[code]}.`, { code });
+    this.#trail.finish(code);
+  };
+
+  readonly #startSpan = (hop: Hop, attributes: Record<string, string | number>): HopSpan =>
+    this.#services.tracing.startSpan(hop, {
+      parent: this.#caller.span.context,
+      requestId: this.#caller.requestId,
+      attributes,
+    });
+
+  readonly #getIntervalMs = (tokens: number): number | undefined =>
+    this.#firstTokenAtMs === undefined || tokens < 2
+      ? undefined
+      : (this.#lastTokenAtMs - this.#firstTokenAtMs) / (tokens - 1);
+
+  readonly #getLabels = () => ({
+    service: this.#target.service.name,
+    className: this.#target.serviceClass.name,
+    workspace: this.#caller.workspace.name,
+  });
+}
--- a/packages/entry/src/settings/entrySettings.ts
+++ b/packages/entry/src/settings/entrySettings.ts
@@ -61,6 +61,9 @@
       shard_size: createIntegerSchema(1, 64).default(8),
     })
     .default({ policy: DispatchPolicy.Tiered, shard_size: 8 }),
+  orders: z
+    .strictObject({ writes_per_second: createIntegerSchema(1, 1_000).default(40) })
+    .default({ writes_per_second: 40 }),
   traces: z.strictObject({ otlp_address: z.url().optional() }).default({}),
   log: z
     .strictObject({
