feat(fleet): fleet agent with membership, configuration and news

The configuration is one object with a growing generation; each write is conditional, keeps the record it replaces in a ring of 1000 slots, and is recognised by its change id when its answer is lost. Drain marks are part of that record, so that they come into force the same way. Two watchers per data centre; generations ride on pings, texts come from peers.

--- /dev/null
+++ b/packages/fleet/src/configuration/store/index.ts
@@ -0,0 +1,6 @@
+/** The configuration's generations in the platform. */
+export * from './ConfigurationConflictError.js';
+export * from './ConfigurationStore.js';
+export * from './constants.js';
+export * from './describeDifference.js';
+export * from './recordCodec.js';
--- /dev/null
+++ b/packages/fleet/src/createFleetAgent.ts
@@ -0,0 +1,118 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import {
+  createFleetConnections,
+  createFleetHandlers,
+  createPeerCredentials,
+} from '@sardinegrade/peer';
+import { periodic } from 'most';
+
+import { ConfigurationStore } from './configuration/index.js';
+import { createDistributionAgent } from './configuration/distribution/createDistributionAgent.js';
+import { WATCHER_COUNT } from './configuration/distribution/constants.js';
+import { LEAVE_TIMEOUT_MS, TICK_INTERVAL_MS } from './constants.js';
+import { createChannel } from './createChannel.js';
+import { createMembershipAgent } from './membership/createMembershipAgent.js';
+
+import type { FleetConfiguration } from './configuration/index.js';
+import type {
+  ConfigurationRecord,
+  FleetAgent,
+  FleetAgentOptions,
+  MembershipChange,
+  News,
+} from './types.js';
+
+const WATCH_TASK = 'configuration';
+
+/**
+ * Makes a daemon's part in the fleet.
+ *
+ * @param options - settings, platform, and sources of time and chance
+ * @returns the agent; it takes part once started
+ */
+export const createFleetAgent = (options: FleetAgentOptions): FleetAgent => {
+  const { settings, platform, clock, random } = options;
+  const credentials = options.credentials ?? createPeerCredentials(settings.tls);
+  const connections = createFleetConnections(credentials.channel);
+  const changes = createChannel<MembershipChange>();
+  const news = createChannel<News>();
+  const stopped = createChannel<boolean>();
+  const configurations = createChannel<FleetConfiguration>(() => distribution.getConfiguration());
+
+  const membership = createMembershipAgent({
+    settings,
+    connections,
+    platform,
+    clock,
+    random,
+    observer: {
+      onChange: changes.push,
+      onNews: news.push,
+      onGeneration: (from, generation) => distribution.addHeard(from, generation),
+    },
+  });
+  const distribution = createDistributionAgent({
+    connections,
+    platform,
+    clock,
+    random,
+    getAddress: (vm) => membership.getMember(vm)?.address,
+    onInstall: (configuration) => {
+      membership.setGeneration(configuration.generation);
+      configurations.push(configuration);
+    },
+  });
+  const store = new ConfigurationStore({
+    platform,
+    clock,
+    getHighest: () => distribution.getStatus().highestHeard,
+  });
+
+  const keepStored = async (storing: Promise<ConfigurationRecord>) => {
+    const record = await storing;
+    distribution.addStored(record);
+    return record;
+  };
+  const tick = (): void => {
+    membership.tick();
+    const watchers = membership.pickForTask(WATCH_TASK, WATCHER_COUNT);
+    // A daemon that has not heard from its peers yet would take itself for a watcher.
+    distribution.setWatcher(membership.isJoined() && watchers.includes(settings.vm));
+    distribution.tick();
+  };
+
+  return {
+    handlers: createFleetHandlers({
+      ...membership.responders,
+      fetchConfiguration: distribution.responder,
+    }),
+    start: (address) => {
+      membership.start(address);
+      void periodic(TICK_INTERVAL_MS).until(stopped.stream).observe(tick);
+    },
+    leave: async () => {
+      await Promise.race([membership.leave(), sleep(LEAVE_TIMEOUT_MS, undefined, { ref: false })]);
+    },
+    stop: () => {
+      stopped.push(true);
+      distribution.stop();
+      connections.close();
+      for (const channel of [changes, news, configurations, stopped]) channel.end();
+    },
+    getMembers: membership.getMembers,
+    isReachable: membership.isReachable,
+    memberChanges: changes.stream,
+    getConfiguration: distribution.getConfiguration,
+    getConfigurationStatus: distribution.getStatus,
+    configurations: configurations.stream,
+    applyConfiguration: (change) => keepStored(store.apply(change)),
+    restoreConfiguration: (generation, change) =>
+      keepStored(store.applyGeneration(generation, change)),
+    listHistory: (before, limit) => store.listHistory(before, limit),
+    setDrain: (change) => keepStored(store.setDrain(change)),
+    spreadNews: membership.addNews,
+    getNews: membership.getNews,
+    news: news.stream,
+  };
+};
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,7 @@
 /** The fleet: membership, configuration, leases and access. */
 export * from './configuration/index.js';
+export * from './createChannel.js';
+export * from './createFleetAgent.js';
 export * from './enums.js';
 export * from './membership/index.js';
 export type * from './types.js';
--- a/packages/fleet/src/membership/constants.ts
+++ b/packages/fleet/src/membership/constants.ts
@@ -1,6 +1,7 @@
 export const PING_INTERVAL_MS = 1_000;
 export const PING_TIMEOUT_MS = 500;
 export const INDIRECT_TIMEOUT_MS = 1_000;
+export const SYNC_TIMEOUT_MS = 3_000;
 /** Members that are asked to ping one that did not answer. */
 export const INDIRECT_HELPERS = 3;
 
--- a/packages/fleet/src/membership/index.ts
+++ b/packages/fleet/src/membership/index.ts
@@ -1,6 +1,8 @@
 /** Membership: who is in the fleet, alive, leaving or dead. */
+export * from './codec.js';
 export * from './constants.js';
 export * from './createMembership.js';
+export * from './createMembershipAgent.js';
 export * from './enums.js';
 export * from './members.js';
 export * from './reduceMembership.js';
--- /dev/null
+++ b/packages/fleet/src/membership/reduceMembership.test.ts
@@ -0,0 +1,262 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { toBranded } from '@sardinegrade/common';
+import fc from 'fast-check';
+
+import { NewsKind } from '../enums.js';
+import { compareMembers } from './compareMembers.js';
+import {
+  GOSSIP_MEMBER_LIMIT,
+  GOSSIP_NEWS_LIMIT,
+  NEWS_LIMIT,
+  PING_INTERVAL_MS,
+  SUSPICION_MINIMUM_MS,
+} from './constants.js';
+import { createMembership } from './createMembership.js';
+import { MemberState, MembershipActionKind, MembershipEventKind } from './enums.js';
+import { hashMembership } from './members.js';
+import { reduceMembership } from './reduceMembership.js';
+
+import type { DataCentreName, VmId } from '@sardinegrade/common';
+import type { Member } from '../types.js';
+import type { Gossip, MembershipAction, MembershipEvent, MembershipState } from './types.js';
+
+const SEED = 20261204;
+const HOME = toBranded<DataCentreName>('dc-a');
+const SELF = toBranded<VmId>('vm-self');
+const EMPTY: Gossip = { members: [], news: [], generation: 0, contacts: [] };
+
+const createContext = (nowMs: number) => ({ nowMs, random: () => 0.5 });
+
+const createState = (): MembershipState =>
+  createMembership({ vm: SELF, dataCentre: HOME, seeds: [] }, '127.0.0.1:1', createContext(5_000));
+
+const createMember = (name: string, changes: Partial<Member> = {}): Member => ({
+  vm: toBranded<VmId>(name),
+  dataCentre: HOME,
+  address: `127.0.0.1:${name}`,
+  incarnation: 1,
+  state: MemberState.Alive,
+  ...changes,
+});
+
+interface Run {
+  state: MembershipState;
+  nowMs: number;
+  actions: readonly MembershipAction[];
+}
+
+const applyEvent = (run: Run, event: MembershipEvent): void => {
+  const step = reduceMembership(run.state, event, createContext(run.nowMs));
+  run.state = step.state;
+  run.actions = step.actions;
+};
+
+const applyMembers = (run: Run, members: readonly Member[]): void => {
+  const gossip = { ...EMPTY, members };
+  applyEvent(run, { kind: MembershipEventKind.Ping, from: toBranded<VmId>('p'), gossip });
+};
+
+const createRun = (members: readonly Member[] = []): Run => {
+  const run: Run = { state: createState(), nowMs: 5_000, actions: [] };
+  applyMembers(run, members);
+  return run;
+};
+
+const getState = (run: Run, name: string): MemberState | undefined =>
+  run.state.records.get(toBranded<VmId>(name))?.member.state;
+
+const findPing = (run: Run) => {
+  const ping = run.actions.find((action) => action.kind === MembershipActionKind.Ping);
+  assert.ok(ping?.kind === MembershipActionKind.Ping);
+  return ping;
+};
+
+const applyFailures = (run: Run, probeId: number, attempts: number): void => {
+  for (let attempt = 0; attempt < attempts; attempt += 1) {
+    applyEvent(run, { kind: MembershipEventKind.PingFailed, probeId });
+  }
+};
+
+const tickUntilPing = (run: Run): number => {
+  run.nowMs += PING_INTERVAL_MS * 2;
+  applyEvent(run, { kind: MembershipEventKind.Tick });
+  return findPing(run).probeId;
+};
+
+const MEMBER = fc.record({
+  name: fc.constantFrom('a', 'b', 'c'),
+  incarnation: fc.integer({ min: 0, max: 3 }),
+  state: fc.constantFrom(...Object.values(MemberState)),
+});
+const MEMBERS = fc
+  .array(MEMBER, { maxLength: 20 })
+  .map((items) => items.map(({ name, ...changes }) => createMember(name, changes)));
+
+test('daemons that hear the same in another order end with the same membership', () => {
+  const property = fc.property(MEMBERS, fc.nat(), (members, rotation) => {
+    const cut = rotation % (members.length + 1);
+    const left = createRun(members);
+    const right = createRun([...members.slice(cut), ...members.slice(0, cut)].reverse());
+    assert.equal(hashMembership(left.state), hashMembership(right.state));
+  });
+  fc.assert(property, { seed: SEED, numRuns: 500 });
+});
+
+test('an account of a member is only ever replaced by one that overrides it', () => {
+  const property = fc.property(MEMBERS, (members) => {
+    const run = createRun();
+    for (const member of members) {
+      const before = run.state.records.get(member.vm)?.member;
+      applyMembers(run, [member]);
+      const after = run.state.records.get(member.vm)?.member;
+      assert.ok(after !== undefined);
+      if (before !== undefined) assert.ok(compareMembers(after, before) >= 0);
+    }
+  });
+  fc.assert(property, { seed: SEED, numRuns: 500 });
+});
+
+test('whatever is said of this daemon, it ends alive and above what was said', () => {
+  const account = fc.record({
+    incarnation: fc.integer({ min: 0, max: 100 }),
+    state: fc.constantFrom(...Object.values(MemberState)),
+    address: fc.constantFrom('127.0.0.1:1', '127.0.0.1:2'),
+  });
+  const property = fc.property(fc.array(account, { maxLength: 10 }), (accounts) => {
+    const run = createRun();
+    for (const changes of accounts) {
+      const heard = createMember(SELF, changes);
+      applyMembers(run, [heard]);
+      assert.equal(run.state.self.state, MemberState.Alive);
+      const isSame = heard.state === MemberState.Alive && heard.address === run.state.self.address;
+      const difference = compareMembers(run.state.self, heard);
+      assert.ok(isSame ? difference >= 0 : difference > 0);
+    }
+  });
+  fc.assert(property, { seed: SEED, numRuns: 500 });
+});
+
+test('a message stays within its bounds however much there is to tell', () => {
+  const members = Array.from({ length: 400 }, (_, index) => createMember(`m${index}`));
+  const run = createRun(members);
+  for (let index = 0; index < NEWS_LIMIT + 100; index += 1) {
+    const news = {
+      kind: NewsKind.Quarantined,
+      subject: `f${index}`,
+      expiresAtMs: run.nowMs + 10_000 + index,
+      count: 1,
+    };
+    applyEvent(run, { kind: MembershipEventKind.NewsFound, news });
+  }
+  assert.equal(run.state.news.size, NEWS_LIMIT);
+  tickUntilPing(run);
+  const { gossip } = findPing(run);
+  // The daemon itself, and one who is doubted, may come on top.
+  assert.ok(gossip.members.length <= GOSSIP_MEMBER_LIMIT + 2);
+  assert.equal(gossip.news.length, GOSSIP_NEWS_LIMIT);
+});
+
+test('a silent member is tried over a fresh connection and through others, then suspected, then dead', () => {
+  const run = createRun([createMember('a')]);
+  const probeId = tickUntilPing(run);
+  applyFailures(run, probeId, 1);
+  assert.deepEqual(
+    run.actions.map((action) => action.kind),
+    [MembershipActionKind.PingFresh],
+  );
+  assert.equal(getState(run, 'a'), MemberState.Alive);
+  applyFailures(run, probeId, 1);
+  assert.equal(getState(run, 'a'), MemberState.Suspect);
+  run.nowMs += SUSPICION_MINIMUM_MS * 2;
+  applyEvent(run, { kind: MembershipEventKind.Tick });
+  assert.equal(getState(run, 'a'), MemberState.Dead);
+});
+
+test('an answer over a fresh connection or through another keeps a member alive', () => {
+  const run = createRun([createMember('a'), createMember('b')]);
+  const probeId = tickUntilPing(run);
+  const { target } = findPing(run);
+  applyFailures(run, probeId, 1);
+  assert.deepEqual(
+    run.actions.map((action) => action.kind),
+    [MembershipActionKind.PingFresh, MembershipActionKind.PingIndirect],
+  );
+  applyFailures(run, probeId, 1);
+  applyEvent(run, {
+    kind: MembershipEventKind.PingAnswered,
+    probeId,
+    from: target.vm,
+    gossip: EMPTY,
+    isUnknown: false,
+  });
+  applyFailures(run, probeId, 1);
+  assert.equal(getState(run, target.vm), MemberState.Alive);
+});
+
+test('a suspect that refutes lives, and is told of the suspicion when pinged', () => {
+  const told = createRun([createMember('a', { state: MemberState.Suspect })]);
+  // Others have heard of it as often as an update is told.
+  for (let round = 0; round < 30; round += 1) applyMembers(told, []);
+  applyEvent(told, { kind: MembershipEventKind.Ping, from: toBranded<VmId>('a'), gossip: EMPTY });
+  const reply = told.actions.find((action) => action.kind === MembershipActionKind.ReplyPing);
+  assert.equal(reply?.gossip.members.find((m) => m.vm === 'a')?.state, MemberState.Suspect);
+  applyMembers(told, [createMember('a', { incarnation: 2 })]);
+  told.nowMs += SUSPICION_MINIMUM_MS * 2;
+  applyEvent(told, { kind: MembershipEventKind.Tick });
+  assert.equal(getState(told, 'a'), MemberState.Alive);
+});
+
+test('a member whose address belongs to another VM now is dead', () => {
+  const run = createRun([createMember('a')]);
+  const probeId = tickUntilPing(run);
+  const newcomer = createMember('b', { address: '127.0.0.1:a' });
+  applyEvent(run, {
+    kind: MembershipEventKind.PingAnswered,
+    probeId,
+    from: newcomer.vm,
+    gossip: { ...EMPTY, members: [newcomer] },
+    isUnknown: false,
+  });
+  assert.equal(getState(run, 'a'), MemberState.Dead);
+  assert.equal(getState(run, 'b'), MemberState.Alive);
+});
+
+test('a leaving member that stops answering is dead at once', () => {
+  const run = createRun([createMember('a', { state: MemberState.Leaving })]);
+  const probeId = tickUntilPing(run);
+  applyFailures(run, probeId, 2);
+  assert.equal(getState(run, 'a'), MemberState.Dead);
+});
+
+test('daemons of another data centre are not condemned from here', () => {
+  const remote = createMember('r', { dataCentre: toBranded<DataCentreName>('dc-b') });
+  const run = createRun([remote]);
+  const probeId = tickUntilPing(run);
+  applyFailures(run, probeId, 10);
+  run.nowMs += 3_600_000;
+  applyEvent(run, { kind: MembershipEventKind.Tick });
+  assert.equal(getState(run, 'r'), MemberState.Alive);
+});
+
+test('the platform list, which lags, brings no member back', () => {
+  const run = createRun([createMember('a', { state: MemberState.Dead })]);
+  applyEvent(run, { kind: MembershipEventKind.VmsListed, addresses: ['127.0.0.1:a'] });
+  assert.equal(getState(run, 'a'), MemberState.Dead);
+});
+
+test('news expires, and the higher count holds', () => {
+  const run = createRun();
+  const find = (count: number, lifetimeMs: number): void => {
+    const expiresAtMs = run.nowMs + lifetimeMs;
+    const news = { kind: NewsKind.Suspect, subject: 'f', expiresAtMs, count };
+    applyEvent(run, { kind: MembershipEventKind.NewsFound, news });
+  };
+  find(2, 1_000);
+  find(1, 9_000);
+  assert.equal(run.state.news.get('suspect:f')?.news.count, 2);
+  run.nowMs += 2_000;
+  applyEvent(run, { kind: MembershipEventKind.Tick });
+  assert.equal(run.state.news.size, 0);
+});
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -1,5 +1,5 @@
 import type { Clock, DataCentreName, VmId } from '@sardinegrade/common';
-import type { FleetProtocol } from '@sardinegrade/peer';
+import type { FleetProtocol, PeerCredentials } from '@sardinegrade/peer';
 import type { PlatformClient } from '@sardinegrade/platform';
 import type { Stream } from 'most';
 import type { Drain, FleetConfiguration } from './configuration/types.js';
@@ -60,9 +60,11 @@
   readonly clock: Clock;
   /** Uniform numbers from 0 up to but without 1. */
   readonly random: () => number;
+  /** Credentials shared with the daemon's gRPC server; made from the settings where left out. */
+  readonly credentials?: PeerCredentials | undefined;
 }
 
-/** What an operator wants to change; exactly one of text and drains is given. */
+/** A text that an operator wants in force. */
 export interface ConfigurationChange {
   /** The generation that the operator started from. */
   readonly baseGeneration: number;
