perf(dispatch): count places once an event, and skip urgent asks where no victim is left

Change: places are summed once an event; classes count their guaranteed requests, so that a search for victims is begun only where there is one.

--- a/packages/dispatch/src/charts/tables.ts
+++ b/packages/dispatch/src/charts/tables.ts
@@ -15,12 +15,11 @@
 
 const loadChart = (file: string): Chart => createRequire(import.meta.url)(file) as Chart;
 
+/** The chart of an ask at its dispatcher. */
+export const REQUEST_CHART = loadChart('./request.json');
+
 /** Transitions of an ask at its dispatcher. */
-export const findNextRequestState = buildChartTable(
-  loadChart('./request.json'),
-  RequestState,
-  RequestEvent,
-);
+export const findNextRequestState = buildChartTable(REQUEST_CHART, RequestState, RequestEvent);
 
 /** Transitions of an engine's health. */
 export const findNextEngineHealth = buildChartTable(
--- a/packages/dispatch/src/testing/index.ts
+++ b/packages/dispatch/src/testing/index.ts
@@ -4,4 +4,10 @@
 export * from './InvariantObserver.js';
 export * from './ModelEngine.js';
 export * from './ModelShard.js';
+export {
+  findNextRequestState,
+  REQUEST_CHART,
+  RequestEvent,
+  RequestState,
+} from '../charts/index.js';
 export type * from './types.js';
--- a/packages/dispatch/src/tiered/classes.ts
+++ b/packages/dispatch/src/tiered/classes.ts
@@ -55,6 +55,7 @@
   constrained: new Set(),
   running: new Set(),
   paused: new Set(),
+  guaranteed: 0,
   credit: 0,
   holdMs: createAverage(),
   outputTokens: createAverage(),
--- a/packages/dispatch/src/tiered/createTieredDispatcher.ts
+++ b/packages/dispatch/src/tiered/createTieredDispatcher.ts
@@ -43,6 +43,7 @@
   engines: [],
   engineById: new Map(),
   soundPools: new Set(),
+  placesByPool: new Map(),
   records: new Map(),
   deadlines: new IndexedHeap((record) => record.latestStartMs),
   settled: new Map(),
@@ -138,6 +139,7 @@
   const state = createState(options);
   return {
     handle: (event, nowMs) => {
+      state.placesByPool.clear();
       applyEvent(state, event, nowMs);
       grantRoom(state, nowMs);
       expireWaiting(state, nowMs);
--- a/packages/dispatch/src/tiered/overload.ts
+++ b/packages/dispatch/src/tiered/overload.ts
@@ -29,10 +29,13 @@
  * @returns the sum of the usable engines' limits
  */
 export const countPlaces = (state: TieredState, owner: ClassState): number => {
+  const known = state.placesByPool.get(owner.pool);
+  if (known !== undefined) return known;
   let places = 0;
   for (const engine of state.engines) {
     if (engine.pool === owner.pool && isUsable(state, engine)) places += computeLimit(engine);
   }
+  state.placesByPool.set(owner.pool, places);
   return places;
 };
 
--- a/packages/dispatch/src/tiered/place.ts
+++ b/packages/dispatch/src/tiered/place.ts
@@ -30,6 +30,7 @@
     if (isSound(engine)) pools.add(engine.pool);
   }
   state.soundPools = pools;
+  state.placesByPool.clear();
 };
 
 const hasSuspect = (engine: EngineState): boolean => {
--- a/packages/dispatch/src/tiered/preempt.ts
+++ b/packages/dispatch/src/tiered/preempt.ts
@@ -146,11 +146,22 @@
 
 const hasVictims = (state: TieredState): boolean => {
   for (const owner of state.classByKey.values()) {
-    if (!owner.isPaying && owner.running.size > 0) return true;
+    if (!owner.isPaying && owner.running.size > owner.guaranteed) return true;
   }
   return false;
 };
 
+const admitUrgent = (state: TieredState, owner: ClassState, nowMs: number): void => {
+  for (const record of [...owner.constrained]) {
+    if (isUrgent(state, owner, record, nowMs)) takePlace(state, record, NEED, nowMs);
+  }
+  for (let count = 0; count < URGENT_LIMIT && hasVictims(state); count += 1) {
+    const record = findNext(state, owner, nowMs);
+    if (record === undefined || !isUrgent(state, owner, record, nowMs)) return;
+    if (!takePlace(state, record, NEED, nowMs)) return;
+  }
+};
+
 /**
  * Lets paying asks in that would miss their first-token target, in place of requests that do not pay and that no
  * guaranteed share protects.
@@ -161,15 +172,7 @@
 export const preemptForUrgent = (state: TieredState, nowMs: number): void => {
   if (state.tuning.preemption === undefined) return;
   for (const owner of state.classes) {
-    if (!owner.isPaying || countWaiting(owner) === 0) continue;
-    for (const record of [...owner.constrained]) {
-      if (!hasVictims(state)) return;
-      if (isUrgent(state, owner, record, nowMs)) takePlace(state, record, NEED, nowMs);
-    }
-    for (let count = 0; count < URGENT_LIMIT && hasVictims(state); count += 1) {
-      const record = findNext(state, owner, nowMs);
-      if (record === undefined || !isUrgent(state, owner, record, nowMs)) break;
-      if (!takePlace(state, record, NEED, nowMs)) break;
-    }
+    if (!hasVictims(state)) return;
+    if (owner.isPaying && countWaiting(owner) > 0) admitUrgent(state, owner, nowMs);
   }
 };
--- a/packages/dispatch/src/tiered/records.ts
+++ b/packages/dispatch/src/tiered/records.ts
@@ -70,9 +70,22 @@
   if (!engine.running.delete(record)) return;
   engine.ownCounts.record(engine.running.size, nowMs);
   record.owner.running.delete(record);
+  if (record.isGuaranteed) record.owner.guaranteed -= 1;
+  record.isGuaranteed = false;
   releaseExpected(state, record);
 };
 
+/**
+ * Marks the place of a running request as earned by its class's guaranteed share.
+ *
+ * @param record - the request
+ */
+export const markGuaranteed = (record: AskRecord): void => {
+  if (record.isGuaranteed) return;
+  record.isGuaranteed = true;
+  record.owner.guaranteed += 1;
+};
+
 /**
  * Accounts for a place that a request holds, newly granted or since before this dispatcher.
  *
@@ -195,7 +208,6 @@
 ): void => {
   const { engine, owner } = record;
   if (engine === undefined || !applyRequestEvent(record, PREEMPTION_EVENTS[mode])) return;
-  record.isGuaranteed = false;
   owner.paused.delete(record);
   engine.paused.delete(record);
   if (record.state === RequestState.Granted) acquirePlace(state, record, engine, nowMs);
--- a/packages/dispatch/src/tiered/serve.ts
+++ b/packages/dispatch/src/tiered/serve.ts
@@ -6,7 +6,13 @@
 import { estimateRetryAfterMs } from './overload.js';
 import { isHeldBack, isUsable, pickEngine } from './place.js';
 import { findMostOwed } from './shares.js';
-import { grantRecord, isUnderSuspicion, preemptRecord, refuseRecord } from './records.js';
+import {
+  grantRecord,
+  isUnderSuspicion,
+  markGuaranteed,
+  preemptRecord,
+  refuseRecord,
+} from './records.js';
 
 import type { AskRecord, ClassState, TieredState } from './types.js';
 
@@ -105,7 +111,7 @@
   if (mostOwed !== undefined) {
     const record = serveClass(state, mostOwed, nowMs);
     if (record !== undefined) {
-      record.isGuaranteed = true;
+      markGuaranteed(record);
       return true;
     }
   }
--- a/packages/dispatch/src/tiered/types.ts
+++ b/packages/dispatch/src/tiered/types.ts
@@ -28,6 +28,8 @@
   readonly constrained: Set<AskRecord>;
   readonly running: Set<AskRecord>;
   readonly paused: Set<AskRecord>;
+  /** Running requests whose place the guaranteed share protects. */
+  guaranteed: number;
   /** Tokens that its guaranteed share has earned and it has not used; below 0 it had more. */
   credit: number;
   /** How long its requests hold a place. */
@@ -80,6 +82,8 @@
   readonly engineById: Map<UpstreamId, EngineState>;
   /** Pools that have at least one sound engine. */
   soundPools: ReadonlySet<PoolName>;
+  /** Places of each pool, computed once for each event. */
+  readonly placesByPool: Map<PoolName, number>;
   readonly records: Map<string, AskRecord>;
   readonly deadlines: IndexedHeap<AskRecord>;
   readonly settled: Map<string, SettledAsk>;
