--- /dev/null
+++ b/packages/entry/src/grants/GrantBroker.test.ts
@@ -0,0 +1,253 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  FencingSupport,
+  parseDurationMs,
+  rankByRendezvous,
+  ResultCode,
+  ServiceKind,
+} from '@sardinegrade/common';
+import { DispatchActionKind, DispatchPolicy, ReleaseReason } from '@sardinegrade/dispatch';
+
+import { DispatchHost } from './DispatchHost.js';
+import { GrantBroker } from './GrantBroker.js';
+
+import type { TestContext } from 'node:test';
+import type {
+  ClassName,
+  Configuration,
+  DataCentreName,
+  Fingerprint,
+  PoolName,
+  RequestId,
+  ServiceName,
+  UpstreamConfiguration,
+  UpstreamId,
+  VmId,
+  WorkspaceName,
+} from '@sardinegrade/common';
+import type { DispatchAction, GrantAsk } from '@sardinegrade/dispatch';
+import type { EngineClient } from '@sardinegrade/upstream';
+import type { AskDetails, DispatchPortListener } from './types.js';
+
+// The last in the order for the shard below, so that all others stand before it.
+const SELF = 'vm-2' as VmId;
+const DATA_CENTRE = 'dc-a' as DataCentreName;
+const POOL = 'drill' as PoolName;
+const ENGINE = 'engine-1' as UpstreamId;
+const VMS = ['vm-0', 'vm-1', 'vm-2', 'vm-3'] as VmId[];
+const NOW_MS = 1_000_000;
+
+const buildConfiguration = (): Configuration => {
+  const upstream: UpstreamConfiguration = {
+    id: ENGINE,
+    pool: POOL,
+    dataCentre: DATA_CENTRE,
+    address: 'http://127.0.0.1:1',
+    slots: 4,
+    fencing: FencingSupport.Checked,
+    draining: false,
+  };
+  return {
+    generation: 1,
+    text: '',
+    services: new Map(),
+    workspaces: new Map(),
+    upstreams: new Map([[ENGINE, upstream]]),
+  };
+};
+
+const buildDetails = (askId: string): AskDetails => ({
+  askId,
+  requestId: 'r-1' as RequestId,
+  service: ServiceKind.Model as string as ServiceName,
+  className: 'query' as ClassName,
+  workspace: 'desk' as WorkspaceName,
+  arrivedAtMs: NOW_MS,
+  deadlineAtMs: NOW_MS + (parseDurationMs('1m') ?? 0),
+  promptTokens: 10,
+  maxTokens: 10,
+  prefixBlocks: [],
+  fingerprint: 'f' as Fingerprint,
+  resumeAt: 0,
+  excludedUpstreams: [],
+  attempt: 1,
+  isSuspect: false,
+});
+
+interface FakeSession {
+  readonly asks: GrantAsk[];
+  readonly withdrawn: string[];
+  readonly released: string[];
+  readonly listener: DispatchPortListener;
+}
+
+const getZero = (): number => 0;
+
+/** A broker whose sessions with other daemons are fakes, the dispatchers in their order, and the members. */
+const buildBroker = (t: TestContext) => {
+  const sessions = new Map<VmId, FakeSession>();
+  const engines = {
+    readLoad: () => Promise.reject(new Error('no engine')),
+    readCacheEvents: () => Promise.reject(new Error('no engine')),
+  } as unknown as EngineClient;
+  const clock = { getNowMs: () => NOW_MS };
+  const host = new DispatchHost({
+    policy: DispatchPolicy.Naive,
+    clock,
+    random: getZero,
+    engines,
+    onQuarantine: () => undefined,
+    onProbe: () => undefined,
+  });
+  const broker = new GrantBroker({
+    vm: SELF,
+    dataCentre: DATA_CENTRE,
+    shardSize: 8,
+    clock,
+    random: getZero,
+    host,
+    openSession: ({ vm }, listener) => {
+      const session: FakeSession = { asks: [], withdrawn: [], released: [], listener };
+      sessions.set(vm, session);
+      return {
+        ask: (_shard, ask) => session.asks.push(ask),
+        withdraw: (askId) => session.withdrawn.push(askId),
+        release: ({ askId }) => session.released.push(askId),
+        reportProgress: () => undefined,
+        close: () => undefined,
+      };
+    },
+  });
+  t.after(host.stop);
+  const members = VMS.map((vm) => ({ vm, dataCentre: DATA_CENTRE, address: `${vm}:1` }));
+  broker.updateMembers(members);
+  broker.applyConfiguration(buildConfiguration());
+  const order = rankByRendezvous(`${POOL}/${DATA_CENTRE}/0`, VMS);
+  return { broker, sessions, members, order };
+};
+
+const grant = (askId: string): DispatchAction => ({
+  kind: DispatchActionKind.Grant,
+  askId,
+  upstream: ENGINE,
+  priority: 0,
+});
+
+const startAsk = (broker: GrantBroker, askId: string) => {
+  const granted: UpstreamId[] = [];
+  const refused: ResultCode[] = [];
+  const ticket = broker.ask(POOL, buildDetails(askId), {
+    onGrant: (upstream) => granted.push(upstream),
+    onRefuse: (code) => refused.push(code),
+    onPreempt: () => undefined,
+  });
+  return { ticket, granted, refused };
+};
+
+const getSession = (sessions: Map<VmId, FakeSession>, vm: VmId | undefined): FakeSession => {
+  const session = vm === undefined ? undefined : sessions.get(vm);
+  assert.ok(session, `no session with ${vm ?? 'nobody'}`);
+  return session;
+};
+
+const listOthers = (order: readonly VmId[]): readonly [VmId, VmId, VmId] => {
+  const [first, second, third] = order;
+  assert.ok(first !== undefined && second !== undefined && third !== undefined);
+  assert.equal(order[3], SELF);
+  return [first, second, third];
+};
+
+test('a queued ask moves to the next dispatcher when the first is lost', (t) => {
+  const { broker, sessions, order } = buildBroker(t);
+  const [first, second] = listOthers(order);
+  const { granted } = startAsk(broker, 'a');
+  getSession(sessions, first).listener.onLost(first);
+  const next = getSession(sessions, second);
+  assert.equal(next.asks[0]?.askId, 'a');
+  assert.equal(next.asks[0].arrivedAtMs, NOW_MS);
+  next.listener.onActions(second, [grant('a')]);
+  assert.deepEqual(granted, [ENGINE]);
+});
+
+test('a grant that a lost dispatcher gives late is not used', (t) => {
+  const { broker, sessions, order } = buildBroker(t);
+  const [first, second] = listOthers(order);
+  const { granted } = startAsk(broker, 'a');
+  const lost = getSession(sessions, first);
+  lost.listener.onLost(first);
+  lost.listener.onActions(first, [grant('a')]);
+  assert.deepEqual(granted, []);
+  getSession(sessions, second).listener.onActions(second, [grant('a')]);
+  assert.deepEqual(granted, [ENGINE]);
+});
+
+test('a running grant is registered with the next dispatcher, which may not grant it again', (t) => {
+  const { broker, sessions, order } = buildBroker(t);
+  const [first, second] = listOthers(order);
+  const { granted, ticket } = startAsk(broker, 'a');
+  const lost = getSession(sessions, first);
+  lost.listener.onActions(first, [grant('a')]);
+  lost.listener.onLost(first);
+  const next = getSession(sessions, second);
+  assert.equal(next.asks[0]?.heldUpstream, ENGINE);
+  next.listener.onActions(second, [grant('a')]);
+  assert.deepEqual(granted, [ENGINE]);
+  ticket?.release({
+    reason: ReleaseReason.Finished,
+    tokens: 1,
+    firstTokenMs: 1,
+    tokenIntervalMs: undefined,
+  });
+  assert.deepEqual(next.released, ['a']);
+  assert.equal(broker.countOpen(), 0);
+});
+
+test('an ask that is given up before its grant is withdrawn', (t) => {
+  const { broker, sessions, order } = buildBroker(t);
+  const { ticket } = startAsk(broker, 'a');
+  ticket?.release({
+    reason: ReleaseReason.CallerGone,
+    tokens: 0,
+    firstTokenMs: undefined,
+    tokenIntervalMs: undefined,
+  });
+  assert.deepEqual(getSession(sessions, order[0]).withdrawn, ['a']);
+});
+
+test('a dispatcher that does not know the shard yet is passed over', (t) => {
+  const { broker, sessions, order } = buildBroker(t);
+  const [first, second] = listOthers(order);
+  const { refused } = startAsk(broker, 'a');
+  const code = ResultCode.NotReady;
+  const action = { kind: DispatchActionKind.Refuse, askId: 'a', code, retryAfterMs: 50 } as const;
+  getSession(sessions, first).listener.onActions(first, [action]);
+  assert.deepEqual(refused, []);
+  assert.equal(getSession(sessions, second).asks.length, 1);
+});
+
+test('with every other dispatcher lost the daemon decides itself', async (t) => {
+  const { broker, sessions, order } = buildBroker(t);
+  const { granted } = startAsk(broker, 'a');
+  for (const vm of listOthers(order)) getSession(sessions, vm).listener.onLost(vm);
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.deepEqual(granted, [ENGINE]);
+});
+
+test('a change of members moves asks and running grants to the new dispatcher', (t) => {
+  const { broker, sessions, members, order } = buildBroker(t);
+  const [first, second] = listOthers(order);
+  startAsk(broker, 'a');
+  startAsk(broker, 'b');
+  getSession(sessions, first).listener.onActions(first, [grant('b')]);
+  broker.updateMembers(members.filter(({ vm }) => vm !== first));
+  const moved = getSession(sessions, second).asks;
+  assert.deepEqual(
+    moved.map(({ askId, heldUpstream }) => [askId, heldUpstream]),
+    [
+      ['a', undefined],
+      ['b', ENGINE],
+    ],
+  );
+});
