fix(fleet): accept lists of several values

Cause: the ini library strips [] from a repeated key also where bracketed arrays are off, so that every list of two values was refused as written twice. Change: keys are counted line by line. Found by the property test of orders; a test of its own now stands beside the parser.

--- a/packages/fleet/src/configuration/findDuplicates.ts
+++ b/packages/fleet/src/configuration/findDuplicates.ts
@@ -1,5 +1,3 @@
-import { parse } from 'ini';
-
 import type { SettingFault } from '@sardinegrade/common';
 
 const HEADING = /^\s*\[([^\]]+)\]/;
@@ -25,20 +23,26 @@
   return sections;
 };
 
-const findLastLine = (section: SectionText, key: string): number => {
-  const offset = section.lines.findLastIndex((line) => line.split('=')[0]?.trim() === key);
-  return section.line + offset + 1;
-};
+const COMMENT = /^\s*[;#]/;
 
-const findRepeatedKeys = (section: SectionText): readonly SettingFault[] =>
-  // The library numbers duplicates over the whole text, so that each section is read by itself.
-  Object.entries(parse(section.lines.join('\n'), { bracketedArray: false }))
-    .filter(([key, value]) => Array.isArray(value) && !key.endsWith(LIST_SUFFIX))
-    .map(([key]) => ({
-      line: findLastLine(section, key),
+const findRepeatedKeys = (section: SectionText): readonly SettingFault[] => {
+  const keys = new Set<string>();
+  const faults: SettingFault[] = [];
+  for (const [index, line] of section.lines.entries()) {
+    const key = line.split('=')[0]?.trim() ?? '';
+    if (key === '' || key.endsWith(LIST_SUFFIX) || COMMENT.test(line)) continue;
+    if (!keys.has(key)) {
+      keys.add(key);
+      continue;
+    }
+    faults.push({
+      line: section.line + index + 1,
       key: section.heading === '' ? key : `${section.heading}.${key}`,
       message: 'is written twice; keep one, or write a list with [] where the key accepts one',
-    }));
+    });
+  }
+  return faults;
+};
 
 const findRepeatedSections = (sections: readonly SectionText[]): readonly SettingFault[] => {
   const firstLines = new Map<string, number>();
--- a/packages/fleet/src/configuration/parseConfiguration.test.ts
+++ b/packages/fleet/src/configuration/parseConfiguration.test.ts
@@ -6,7 +6,7 @@
 import { ConfigurationError } from './errors.js';
 import { parseConfiguration } from './parseConfiguration.js';
 
-import type { PoolName, ServiceName } from '@sardinegrade/common';
+import type { PoolName, ServiceName, WorkspaceName } from '@sardinegrade/common';
 
 const SEED = 20261204;
 const HASH = 'a'.repeat(64);
@@ -177,6 +177,13 @@
   });
 }
 
+test('a list holds every value that is written, and comments do not count as keys', () => {
+  const text = `${VALID}[workspace.shop]\n; a = 1\n; a = 2\nkey_sha256[] = ${'b'.repeat(64)}\n`;
+  const listed = `${text}key_sha256[] = ${'c'.repeat(64)}\n`;
+  const workspace = parseConfiguration(listed, 1).workspaces.get('shop' as WorkspaceName);
+  assert.equal(workspace?.keyHashes.length, 2);
+});
+
 test('fault: two services with one model', () => {
   const second = '[service.twin]\nkind = model\nmodel = drill-7b\npool = engines\n';
   const text = `${VALID}${second}[service.twin.class.a]\ntier = free\n`;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,5 +3,6 @@
 export * from './createChannel.js';
 export * from './createFleetAgent.js';
 export * from './enums.js';
+export * from './lease/index.js';
 export * from './membership/index.js';
 export type * from './types.js';
