--- /dev/null
+++ b/packages/controller/src/orders/createEngineClient.ts
@@ -0,0 +1,71 @@
+import { request } from 'undici';
+import { z } from 'zod';
+
+import { OrderOutcome } from './enums.js';
+
+import type { EngineOrder, EngineState } from './types.js';
+
+const STALE_STATUS = 409;
+
+const STATE_SCHEMA = z.object({
+  models: z.array(z.string()).default([]),
+  adapters: z.array(z.string()).default([]),
+  versions: z.record(z.string(), z.string()).default({}),
+  role: z.string().optional(),
+  fencing: z.number().default(0),
+  loading: z.array(z.string()).default([]),
+});
+
+/** What an order is sent with. */
+export interface OrderSending {
+  readonly fencing: number;
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Calls to engines about what they hold. */
+export interface EngineClient {
+  /** @returns the engine's state; undefined where it could not be read in time */
+  readonly readState: (address: string, timeoutMs: number) => Promise<EngineState | undefined>;
+  readonly send: (order: EngineOrder, sending: OrderSending) => Promise<OrderOutcome>;
+}
+
+const readState: EngineClient['readState'] = async (address, timeoutMs) => {
+  try {
+    const signal = AbortSignal.timeout(timeoutMs);
+    const response = await request(`${address}/v1/orders`, { signal });
+    const body = await response.body.json();
+    if (response.statusCode !== 200) return undefined;
+    const { role, ...state } = STATE_SCHEMA.parse(body);
+    return { ...state, role };
+  } catch {
+    return undefined;
+  }
+};
+
+const send: EngineClient['send'] = async (order, { fencing, deadlineMs, signal }) => {
+  const { kind, model, version, adapter, role, upstream } = order;
+  const body = { fencing, order: kind, model, version, adapter, role, deadline_ms: deadlineMs };
+  try {
+    const response = await request(`${upstream.address}/v1/orders`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      headersTimeout: deadlineMs,
+      bodyTimeout: deadlineMs,
+      signal: AbortSignal.any([signal, AbortSignal.timeout(deadlineMs)]),
+    });
+    await response.body.dump();
+    if (response.statusCode === STALE_STATUS) return OrderOutcome.Stale;
+    return response.statusCode === 200 ? OrderOutcome.Done : OrderOutcome.Failed;
+  } catch {
+    return OrderOutcome.Failed;
+  }
+};
+
+/**
+ * Makes the client of the engines' order interface.
+ *
+ * @returns the client
+ */
+export const createEngineClient = (): EngineClient => ({ readState, send });
--- /dev/null
+++ b/packages/controller/src/settings/index.ts
@@ -0,0 +1,2 @@
+/** Settings of the controller. */
+export * from './controllerSettings.js';
