--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 /** The fleet: membership, configuration, leases and access. */
+export * from './access/index.js';
 export * from './configuration/index.js';
 export * from './createChannel.js';
 export * from './createFleetAgent.js';
--- a/packages/peer/src/fleet/credentials.ts
+++ b/packages/peer/src/fleet/credentials.ts
@@ -23,9 +23,13 @@
  * runs, so that a certificate is replaced without a restart; running connections keep the old one.
  *
  * @param files - the files for mutual TLS, or undefined for plain connections
+ * @param refreshMs - how often the files are read again
  * @returns credentials for the peer port and for channels to others
  */
-export const createPeerCredentials = (files: PeerTlsFiles | undefined): PeerCredentials => {
+export const createPeerCredentials = (
+  files: PeerTlsFiles | undefined,
+  refreshMs = CERTIFICATE_REFRESH_MS,
+): PeerCredentials => {
   if (files === undefined) {
     return { server: ServerCredentials.createInsecure(), channel: credentials.createInsecure() };
   }
@@ -33,7 +37,7 @@
     certificateFile: files.certificate,
     privateKeyFile: files.key,
     caCertificateFile: files.authority,
-    refreshIntervalMs: CERTIFICATE_REFRESH_MS,
+    refreshIntervalMs: refreshMs,
   });
   return {
     server: experimental.createCertificateProviderServerCredentials(provider, provider, true),
