--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,5 +5,6 @@
 export * from './createFleetAgent.js';
 export * from './enums.js';
 export * from './lease/index.js';
-export * from './membership/index.js';
+export * as Membership from './membership/index.js';
+export { MemberState } from './membership/enums.js';
 export type * from './types.js';
--- a/packages/fleet/src/membership/probing.ts
+++ b/packages/fleet/src/membership/probing.ts
@@ -20,16 +20,18 @@
  * @param state - the membership
  * @param target - whom to ping
  * @param context - time and random source
+ * @param isFinal - whether the target is a suspect whose time to refute is over
  * @returns the state that waits for the answer, and the ping
  */
 export const startProbe = (
   state: MembershipState,
   target: Member,
   context: MembershipContext,
+  isFinal = false,
 ): MembershipStep => {
   const { state: told, gossip } = takeGossip(state, target.vm, context);
   const probeId = state.nextProbeId;
-  const probe: Probe = { vm: target.vm, attempts: 1, isDirect: true };
+  const probe: Probe = { vm: target.vm, attempts: 1, isDirect: true, isFinal };
   return {
     state: {
       ...told,
@@ -64,11 +66,12 @@
   state: MembershipState,
   probeId: number,
   target: Member,
+  isFinal: boolean,
   context: MembershipContext,
 ): MembershipStep => {
   const { state: told, gossip } = takeGossip(state, target.vm, context);
   const helpers = pickHelpers(told, target, context);
-  const probe: Probe = { vm: target.vm, attempts: helpers.length + 1, isDirect: false };
+  const probe: Probe = { vm: target.vm, attempts: helpers.length + 1, isDirect: false, isFinal };
   const indirect = helpers.map((helper): MembershipAction => ({
     kind: MembershipActionKind.PingIndirect,
     probeId,
@@ -91,6 +94,7 @@
 const markSilent = (
   state: MembershipState,
   target: Member,
+  isFinal: boolean,
   context: MembershipContext,
 ): MembershipStep => {
   // Daemons of another data centre are judged by their own; here only the contact grows old.
@@ -98,7 +102,8 @@
   if (target.state === MemberState.Alive) {
     return markMember(state, target, MemberState.Suspect, context);
   }
-  if (target.state === MemberState.Leaving) {
+  const isOver = target.state === MemberState.Suspect && isFinal;
+  if (target.state === MemberState.Leaving || isOver) {
     return markMember(state, target, MemberState.Dead, context);
   }
   return { state, actions: [] };
@@ -122,7 +127,9 @@
   if (probe === undefined) return { state, actions: [] };
   const target = state.records.get(probe.vm)?.member;
   if (target === undefined) return { state: removeProbe(state, probeId), actions: [] };
-  if (probe.isDirect) return startSecondAttempts(state, probeId, target, context);
+  if (probe.isDirect) {
+    return startSecondAttempts(state, probeId, target, probe.isFinal, context);
+  }
   if (probe.attempts > 1) {
     const waiting = { ...probe, attempts: probe.attempts - 1 };
     return {
@@ -130,7 +137,7 @@
       actions: [],
     };
   }
-  return markSilent(removeProbe(state, probeId), target, context);
+  return markSilent(removeProbe(state, probeId), target, probe.isFinal, context);
 };
 
 /**
--- a/packages/fleet/src/membership/reduceMembership.test.ts
+++ b/packages/fleet/src/membership/reduceMembership.test.ts
@@ -171,6 +171,12 @@
   assert.equal(getState(run, 'a'), MemberState.Suspect);
   run.nowMs += SUSPICION_MINIMUM_MS * 2;
   applyEvent(run, { kind: MembershipEventKind.Tick });
+  // Asked once more, in case that its refutation has been missed.
+  const final = [...run.state.probes].find(([, probe]) => probe.isFinal);
+  assert.ok(final !== undefined);
+  applyFailures(run, final[0], 1);
+  assert.equal(getState(run, 'a'), MemberState.Suspect);
+  applyFailures(run, final[0], 1);
   assert.equal(getState(run, 'a'), MemberState.Dead);
 });
 
--- a/packages/fleet/src/membership/ticking.ts
+++ b/packages/fleet/src/membership/ticking.ts
@@ -18,7 +18,6 @@
   listOthers,
   listOthersIn,
 } from './members.js';
-import { markMember } from './mergeMembers.js';
 import { pickPartner, pickRandom, pickRemotePartner, pickSeveral } from './partners.js';
 import { startProbe } from './probing.js';
 import { runSteps } from './steps.js';
@@ -53,18 +52,22 @@
     targets.map((target) => (next) => startProbe(next, target, context)),
   );
 
+/** Probes suspects whose time is over once more: their refutation may have missed this daemon. */
 const expireSuspects = (state: MembershipState, context: MembershipContext): MembershipStep => {
   const deadline = context.nowMs - computeSuspicionMs(state);
+  const probes = [...state.probes.values()].filter((probe) => probe.isFinal);
+  const probed = new Set(probes.map((probe) => probe.vm));
   const expired = [...state.records.values()].filter(
     ({ member, changedAtMs }) =>
       member.state === MemberState.Suspect &&
       // Elsewhere a refutation may be on its way behind a cut connection.
       member.dataCentre === state.self.dataCentre &&
+      !probed.has(member.vm) &&
       changedAtMs <= deadline,
   );
   return runSteps(
     state,
-    expired.map((record) => (next) => markMember(next, record.member, MemberState.Dead, context)),
+    expired.map((record) => (next) => startProbe(next, record.member, context, true)),
   );
 };
 
--- a/packages/fleet/src/membership/types.ts
+++ b/packages/fleet/src/membership/types.ts
@@ -38,6 +38,8 @@
   /** Attempts under way: one at first, the indirect ones and the fresh one afterwards. */
   readonly attempts: number;
   readonly isDirect: boolean;
+  /** The time to refute is over: if this probe fails too, the suspect is dead. */
+  readonly isFinal: boolean;
 }
 
 /** When each periodic action is due. */
--- /dev/null
+++ b/packages/lab/src/bench/control/virtual/index.ts
@@ -0,0 +1,3 @@
+/** Membership machines on virtual time, for sizes that one machine cannot run as processes. */
+export * from './comparePartners.js';
+export * from './VirtualFleet.js';
