feat(entry): serve the administration API

Cause: operators read and change the fleet through each daemon's administration port. Change: a table of routes with roles and schemas, bearer keys compared by digest, conditional changes by If-Match, problem+json errors with a next step, docs/openapi.json built from the routes.

--- a/packages/common/src/administration/schemas.ts
+++ b/packages/common/src/administration/schemas.ts
@@ -235,6 +235,8 @@
   omitted: countSchema,
 });
 
+export const explanationsSchema = z.object({ requests: z.array(explanationSchema) });
+
 export const spanSchema = z.object({
   span_id: z.string(),
   parent_span_id: z.string().optional(),
--- /dev/null
+++ b/packages/entry/src/administration/createAdministrationHandler.ts
@@ -0,0 +1,112 @@
+import { ResultCode, toSardinegradeError } from '@sardinegrade/common';
+
+import { JSON_TYPE, PROBLEM_TYPE } from './constants.js';
+import { MethodError } from './errors.js';
+import { findAdministrator, requireRole } from './http/authenticate.js';
+import { createRouteMatcher } from './http/matchRoute.js';
+import { describeProblem, formatRetryAfter } from './http/problem.js';
+import { readText } from './http/readBody.js';
+import { ROUTES } from './routes/index.js';
+
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  RequestListener,
+  ServerResponse,
+} from 'node:http';
+import type { Route, RouteReply } from './http/types.js';
+import type { AdministrationContext, Administrator } from './types.js';
+
+const BASE_ADDRESS = 'http://administration';
+
+const BODY_METHODS: ReadonlySet<string> = new Set(['PUT', 'POST']);
+
+const checkAccess = (
+  context: AdministrationContext,
+  route: Route,
+  request: IncomingMessage,
+): Administrator | undefined => {
+  if (route.role === undefined) return undefined;
+  const administrator = findAdministrator(context.administrators, request.headers.authorization);
+  requireRole(administrator, route.role);
+  return administrator;
+};
+
+const parseTarget = (request: IncomingMessage): URL => {
+  // A target such as `//` or `*` is no path of this API, but must not throw here either.
+  const target = request.url ?? '/';
+  return new URL(`${BASE_ADDRESS}${target.startsWith('/') ? target : '/'}`);
+};
+
+const sendReply = (response: ServerResponse, reply: RouteReply): void => {
+  const { status = 200, body, headers = {} } = reply;
+  if (body === undefined) {
+    response.writeHead(status, headers).end();
+    return;
+  }
+  const isText = typeof body === 'string';
+  const type = isText ? 'text/plain; charset=utf-8' : JSON_TYPE;
+  const content = isText ? body : JSON.stringify(body);
+  response
+    .writeHead(status, { 'content-type': type, 'cache-control': 'no-store', ...headers })
+    .end(content);
+};
+
+const sendProblem = (
+  context: AdministrationContext,
+  response: ServerResponse,
+  thrown: unknown,
+): void => {
+  const { generation } = context.fleet.getConfigurationStatus();
+  const problem = describeProblem(thrown, { generation });
+  const headers: OutgoingHttpHeaders = { 'content-type': PROBLEM_TYPE };
+  if (problem.retry_after_ms !== undefined) {
+    headers['retry-after'] = formatRetryAfter(problem.retry_after_ms);
+  }
+  if (problem.status === 401) headers['www-authenticate'] = 'Bearer';
+  if (thrown instanceof MethodError) headers.allow = thrown.allowed.join(', ');
+  // What remains of the body is not read: the connection cannot serve another request.
+  if (toSardinegradeError(thrown).code === ResultCode.BodyTooLarge) headers.connection = 'close';
+  sendReply(response, { status: problem.status, headers, body: problem });
+};
+
+const logFailure = (context: AdministrationContext, thrown: unknown): void => {
+  const { code } = toSardinegradeError(thrown);
+  if (code === ResultCode.Internal) {
+    context.logger.error('administration request failed', { error: thrown });
+    return;
+  }
+  context.logger.debug('administration request refused', { code });
+};
+
+const respond = async (
+  context: AdministrationContext,
+  matchRoute: ReturnType<typeof createRouteMatcher>,
+  request: IncomingMessage,
+): Promise<RouteReply> => {
+  const target = parseTarget(request);
+  const { route, path } = matchRoute(request.method ?? '', target.pathname);
+  const administrator = checkAccess(context, route, request);
+  const text = BODY_METHODS.has(route.method) ? await readText(request) : '';
+  const { headers } = request;
+  return route.handle(context, { administrator, path, query: target.searchParams, headers, text });
+};
+
+/**
+ * Creates the handler of the administration API's port.
+ *
+ * @param context - the daemon that it shows and changes
+ * @returns a listener for Node's HTTP server; it answers every request and never throws
+ */
+export const createAdministrationHandler = (context: AdministrationContext): RequestListener => {
+  const matchRoute = createRouteMatcher(ROUTES);
+  return (request, response) => {
+    respond(context, matchRoute, request)
+      .then((reply) => sendReply(response, reply))
+      .catch((thrown: unknown) => {
+        logFailure(context, thrown);
+        if (response.headersSent) response.destroy();
+        else sendProblem(context, response, thrown);
+      });
+  };
+};
--- /dev/null
+++ b/packages/entry/src/administration/http/authenticate.ts
@@ -0,0 +1,57 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+import { ResultCode } from '@sardinegrade/common';
+
+import { ApiError } from '../errors.js';
+
+import type { AdministratorRole } from '@sardinegrade/common';
+import type { Administrator } from '../types.js';
+
+const BEARER = /^Bearer +([\x21-\x7e]+) *$/i;
+
+const matchHash = (digest: Buffer, keyHash: string): boolean => {
+  const expected = Buffer.from(keyHash, 'hex');
+  return expected.length === digest.length && timingSafeEqual(expected, digest);
+};
+
+/**
+ * Finds the administrator whose key a request carries.
+ *
+ * @param administrators - those who have keys
+ * @param authorization - the request's header
+ * @returns the administrator
+ * @throws ApiError where there is no key, or it names nobody
+ */
+export const findAdministrator = (
+  administrators: readonly Administrator[],
+  authorization: string | undefined,
+): Administrator => {
+  const key = BEARER.exec(authorization ?? '')?.[1];
+  if (key === undefined) {
+    throw new ApiError(ResultCode.MissingKey, 'The Authorization header carries no bearer key.');
+  }
+  const digest = createHash('sha256').update(key).digest();
+  let found: Administrator | undefined;
+  // Every hash is compared, so that the time taken tells nothing about which one matched.
+  for (const administrator of administrators) {
+    for (const keyHash of administrator.keyHashes) {
+      if (matchHash(digest, keyHash)) found = administrator;
+    }
+  }
+  if (found === undefined)
+    throw new ApiError(ResultCode.InvalidKey, 'The key names no administrator.');
+  return found;
+};
+
+/**
+ * Requires that an administrator has a role.
+ *
+ * @param administrator - who asks
+ * @param role - the role needed
+ * @throws ApiError where the administrator lacks it
+ */
+export const requireRole = (administrator: Administrator, role: AdministratorRole): void => {
+  if (administrator.roles.has(role)) return;
+  const message = `Administrator '${administrator.name}' lacks the role '${role}'.`;
+  throw new ApiError(ResultCode.RoleMissing, message);
+};
--- a/packages/entry/src/administration/index.ts
+++ b/packages/entry/src/administration/index.ts
@@ -1,3 +1,5 @@
 /** The administration API: an HTTP router on its own port, with keys and roles. */
+export * from './createAdministrationHandler.js';
 export * from './journal/index.js';
+export * from './openApi.js';
 export type * from './types.js';
--- /dev/null
+++ b/packages/entry/src/administration/views/describeOrder.ts
@@ -0,0 +1,29 @@
+import type { OrderView } from '@sardinegrade/common';
+import type { AdministeredOrder } from '../types.js';
+
+/**
+ * Describes an order's record without its bodies.
+ *
+ * @param order - the record
+ * @returns what operators see
+ */
+export const describeOrder = (order: AdministeredOrder): OrderView => ({
+  workspace: order.workspace,
+  service: order.service,
+  key: order.key,
+  state: order.state,
+  request_id: order.requestId,
+  owner: order.owner,
+  accepted_at_ms: order.acceptedAtMs,
+  dispatched_at_ms: order.dispatchedAtMs,
+  settled_at_ms: order.settledAtMs,
+  answer_status: order.answer?.status,
+  answer_bytes: order.answer?.bytes,
+  audit: order.audit.map(({ atMs, by, event, to, reason }) => ({
+    at_ms: atMs,
+    by,
+    event,
+    to,
+    reason,
+  })),
+});
