--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,57 @@
+import { explanationSchema } from '@sardinegrade/common';
+
+import { ProblemError } from '../client/index.js';
+import { ExitCode } from '../enums.js';
+import { CommandError } from '../errors.js';
+import { renderExplanation } from '../output/index.js';
+
+import type { ExplanationView } from '@sardinegrade/common';
+import type { DaemonReply } from '../client/index.js';
+import type { Command, CommandContext, CommandResult } from '../types.js';
+
+type Reply = DaemonReply<ExplanationView>;
+
+const isNotFound = (error: Error): boolean =>
+  error instanceof ProblemError && error.exitCode === ExitCode.NotFound;
+
+const createNotFoundError = (requestId: string, replies: readonly Reply[]): Error => {
+  const failed = replies.filter((reply) => 'error' in reply && !isNotFound(reply.error));
+  const silent = failed.map(({ address }) => address);
+  const asked = replies.length - silent.length;
+  const without = silent.length === 0 ? '' : ` No answer from ${silent.join(', ')}.`;
+  return new CommandError(
+    ExitCode.NotFound,
+    `None of the ${asked} VMs asked has an account of request '${requestId}'.${without}`,
+    'Ask every VM by giving all administration addresses. A VM keeps its latest requests only; for older ones look the id up in the logs or traces.',
+  );
+};
+
+const runExplain = async (
+  { getClient }: CommandContext,
+  [requestId = '']: readonly string[],
+): Promise<CommandResult> => {
+  const path = `/v1/requests/${encodeURIComponent(requestId)}`;
+  const replies = await getClient().readAll(explanationSchema, path);
+  const accounts = replies.flatMap((reply) => ('value' in reply ? [reply.value] : []));
+  if (accounts.length > 0) {
+    // A caller may have sent an id through several VMs: the accounts follow in time.
+    const ordered = accounts.sort((a, b) => a.arrived_at_ms - b.arrived_at_ms);
+    return { value: ordered, text: ordered.map(renderExplanation).join('\n\n') };
+  }
+  const errors = replies.flatMap((reply) => ('error' in reply ? [reply.error] : []));
+  const [first] = errors;
+  if (first !== undefined && !errors.some(isNotFound)) throw first;
+  throw createNotFoundError(requestId, replies);
+};
+
+/** Commands on single requests. */
+export const EXPLAIN_COMMANDS: readonly Command[] = [
+  {
+    usage: 'explain <request-id>',
+    description: 'Show the decisions on one request: queue, grant, engine, attempts, codes',
+    options: [],
+    examples: ['sardinegrade explain 0f8b6c52-6f0e-4d6e-9d57-5f4c3b1a2e90'],
+    isWatchable: true,
+    run: runExplain,
+  },
+];
--- /dev/null
+++ b/packages/cli/src/output/renderOrder.ts
@@ -0,0 +1,51 @@
+import { formatTime } from './format.js';
+import { renderTable } from './renderTable.js';
+
+import type { OrderView } from '@sardinegrade/common';
+
+/**
+ * Renders a list of orders.
+ *
+ * @param orders - the orders
+ * @returns a table
+ */
+export const renderOrders = (orders: readonly OrderView[]): string =>
+  renderTable(
+    ['WORKSPACE', 'SERVICE', 'KEY', 'STATE', 'OWNER', 'ACCEPTED'],
+    orders.map((order) => [
+      order.workspace,
+      order.service,
+      order.key,
+      order.state,
+      order.owner,
+      formatTime(order.accepted_at_ms),
+    ]),
+  );
+
+/**
+ * Renders one order.
+ *
+ * @param order - the order
+ * @returns its state and audit trail
+ */
+export const renderOrder = (order: OrderView): string => {
+  const answer =
+    order.answer_status === undefined
+      ? 'none on record'
+      : `status ${order.answer_status}, ${order.answer_bytes ?? 0} bytes`;
+  const head = [
+    `Order ${order.key} of ${order.workspace} for ${order.service}: ${order.state}`,
+    `Request ${order.request_id}, owner ${order.owner}, answer ${answer}`,
+    `Accepted ${formatTime(order.accepted_at_ms)}, settled ${formatTime(order.settled_at_ms) || 'not yet'}`,
+  ];
+  if (order.audit.length === 0) return head.join('\n');
+  const rows = order.audit.map(({ at_ms: atMs, by, event, to, reason }) => [
+    formatTime(atMs),
+    by,
+    event,
+    to,
+    reason,
+  ]);
+  const table = renderTable(['AT', 'BY', 'EVENT', 'TO', 'REASON'], rows);
+  return [...head, '', table].join('\n');
+};
--- /dev/null
+++ b/packages/cli/src/output/renderTable.ts
@@ -0,0 +1,25 @@
+const COLUMN_GAP = '  ';
+
+const EMPTY_CELL = '-';
+
+const toCell = (text: string): string => (text === '' ? EMPTY_CELL : text.replace(/\s/g, ' '));
+
+/**
+ * Renders rows as columns of equal width.
+ *
+ * @param headings - the columns' headings
+ * @param rows - cells by row, as many as there are headings; an empty one is shown as a dash
+ * @returns the table without a line break at its end
+ */
+export const renderTable = (
+  headings: readonly string[],
+  rows: readonly (readonly string[])[],
+): string => {
+  const lines = [headings, ...rows.map((row) => row.map(toCell))];
+  const widths = headings.map((_heading, column) =>
+    Math.max(...lines.map((line) => line[column]?.length ?? 0)),
+  );
+  const renderLine = (line: readonly string[]): string =>
+    line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join(COLUMN_GAP);
+  return lines.map((line) => renderLine(line).trimEnd()).join('\n');
+};
--- /dev/null
+++ b/packages/cli/src/testing/runForTest.ts
@@ -0,0 +1,64 @@
+import { UsageError } from '../errors.js';
+import { runProgram } from '../runProgram.js';
+
+import type { ExitCode } from '../enums.js';
+
+/** What a run of the program did. */
+export interface TestRun {
+  readonly exitCode: ExitCode;
+  readonly out: string;
+  readonly error: string;
+}
+
+/** How a run of the program is set up. */
+export interface TestRunOptions {
+  readonly files?: Readonly<Record<string, string>>;
+  readonly addresses?: readonly string[];
+  readonly variables?: Readonly<Record<string, string>>;
+  /** Sleeps after which the operator interrupts; time passes only while the program sleeps. */
+  readonly sleepLimit?: number;
+}
+
+const UNLIMITED_SLEEPS = 10_000;
+
+/**
+ * Runs the program in this process.
+ *
+ * @param args - the command line
+ * @param options - files, addresses and interruption
+ * @returns exit code and output
+ */
+export const runForTest = async (
+  args: readonly string[],
+  options: TestRunOptions = {},
+): Promise<TestRun> => {
+  const { files = {}, addresses = [], sleepLimit = UNLIMITED_SLEEPS, variables = {} } = options;
+  const interruption = new AbortController();
+  let [out, error, nowMs, sleeps] = ['', '', 0, 0];
+  const exitCode = await runProgram(args, {
+    variables: {
+      SARDINEGRADE_KEY: 'test-key',
+      SARDINEGRADE_ADDRESS: addresses.join(','),
+      ...variables,
+    },
+    terminal: {
+      writeOut: (text) => (out += text),
+      writeError: (text) => (error += text),
+      isInteractive: false,
+    },
+    readFile: (path) => {
+      const text = files[path];
+      if (text === undefined) return Promise.reject(new UsageError(`Cannot read ${path}.`));
+      return Promise.resolve(text);
+    },
+    getNowMs: () => nowMs,
+    sleep: (durationMs) => {
+      nowMs += durationMs;
+      sleeps += 1;
+      if (sleeps >= sleepLimit) interruption.abort();
+      return Promise.resolve();
+    },
+    signal: interruption.signal,
+  });
+  return { exitCode, out, error };
+};
