feat(entry): listen for administrators

Cause: the daemon had no administration port yet, and operators could not see which generation other VMs have.

--- /dev/null
+++ b/packages/entry/src/administration/context/context.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { ResultCode, toBranded } from '@sardinegrade/common';
+import { parseConfiguration } from '@sardinegrade/fleet';
+import { OrderState } from '@sardinegrade/orders';
+
+import { TEST_TEXT } from '../testing/createTestContext.js';
+import { listQueues, listUpstreamStates } from './dispatchStates.js';
+import { createOrderAdministration } from './orderAdministration.js';
+
+import type { UpstreamId } from '@sardinegrade/common';
+import type { OrderOperations, OrderRecord, StoredOrder } from '@sardinegrade/orders';
+
+const createOrder = (number: number): StoredOrder => {
+  const record: OrderRecord = {
+    state: OrderState.Unknown,
+    workspace: toBranded('rig-desk'),
+    service: toBranded('booking'),
+    key: `bit-${number}`,
+    fingerprint: 'f',
+    requestId: toBranded(`r${number}`),
+    traceparent: '',
+    owner: toBranded('vm-1'),
+    attemptId: toBranded('a'),
+    acceptedAtMs: 0,
+    retentionMs: 0,
+    audit: [],
+  };
+  return { name: `order-${number}`, version: number, record };
+};
+
+/** Serves pages of two records, of which a filter keeps two in four. */
+const createOperations = (count: number): OrderOperations => ({
+  listOrders: ({ after }) => {
+    const start = after === undefined ? 0 : Number(after.split('-')[1]);
+    const numbers = [start + 1, start + 2].filter((number) => number <= count);
+    const orders = numbers.filter((number) => [1, 2].includes(number % 4)).map(createOrder);
+    const last = start + 2;
+    return Promise.resolve({ orders, next: last < count ? `order-${last}` : undefined });
+  },
+  showOrder: () => Promise.reject(new Error('not used')),
+  settleOrder: () => Promise.reject(new Error('not used')),
+});
+
+const QUERY = {
+  workspace: undefined,
+  service: undefined,
+  state: undefined,
+  after: undefined,
+  limit: 3,
+};
+
+test('pages of the store are joined up to the limit, and the rest follows after `next`', async () => {
+  const orders = createOrderAdministration(createOperations(12));
+  const seen: string[] = [];
+  let after: string | undefined;
+  do {
+    const page = await orders.list({ ...QUERY, after });
+    assert.ok(page.orders.length <= 3);
+    seen.push(...page.orders.map(({ key }) => key));
+    after = page.next;
+  } while (after !== undefined);
+  assert.deepEqual(seen, ['bit-1', 'bit-2', 'bit-5', 'bit-6', 'bit-9', 'bit-10']);
+});
+
+test('one answer reads a bounded number of pages', async () => {
+  let calls = 0;
+  const orders = createOrderAdministration({
+    ...createOperations(0),
+    listOrders: () => {
+      calls += 1;
+      return Promise.resolve({ orders: [], next: `order-${calls}` });
+    },
+  });
+  const page = await orders.list(QUERY);
+  assert.deepEqual(page, { orders: [], next: 'order-10' });
+});
+
+test('an unknown state is refused with the known ones', async () => {
+  const orders = createOrderAdministration(createOperations(0));
+  await assert.rejects(() => orders.list({ ...QUERY, state: 'lost' }), {
+    code: ResultCode.InvalidField,
+    message: /accepted, dispatching, done, unknown, not_run/,
+  });
+});
+
+test('what the fleet knows to be down is out of use, whatever a dispatcher says', () => {
+  const snapshot = {
+    queuedByClass: { 'counter/query': 2 },
+    upstreams: ['e1', 'e2'].map((id) => ({
+      upstream: toBranded<UpstreamId>(id),
+      granted: 3,
+      limit: 8,
+      health: id === 'e1' ? 'reduced' : 'suspended',
+    })),
+  };
+  const configuration = parseConfiguration(TEST_TEXT, 1);
+  const states = listUpstreamStates([snapshot], configuration, (id) => id === 'd1');
+  assert.deepEqual(
+    states.map(({ upstream, health, isInUse }) => [upstream, health, isInUse]),
+    [
+      ['e1', 'reduced', true],
+      ['e2', 'suspended', false],
+      ['d1', 'down', false],
+    ],
+  );
+  assert.deepEqual(listQueues([snapshot, snapshot]), [
+    { service: 'counter', className: 'query', queued: 4 },
+  ]);
+});
--- /dev/null
+++ b/packages/entry/src/administration/context/index.ts
@@ -0,0 +1,2 @@
+/** The administration API's context, built from the parts of a daemon. */
+export * from './createAdministrationContext.js';
--- a/packages/entry/src/administration/testing/createTestContext.ts
+++ b/packages/entry/src/administration/testing/createTestContext.ts
@@ -96,6 +96,8 @@
 
   readonly getMembers: FleetAdministration['getMembers'] = () => MEMBERS;
 
+  readonly getMemberGeneration: FleetAdministration['getMemberGeneration'] = () => 1;
+
   readonly getConfiguration = (): FleetConfiguration => ({
     ...parseConfiguration(this.#latest.text, this.#latest.generation),
     drains: this.#drains,
@@ -232,7 +234,6 @@
       { upstream: toBranded('e2'), health: 'lost', isInUse: false, granted: 0, limit: 0 },
     ],
     listQueues: () => [{ service: toBranded('counter'), className: toBranded('query'), queued: 5 }],
-    getMemberGeneration: () => 1,
     isReady: () => true,
   };
 };
--- a/packages/entry/src/administration/types.ts
+++ b/packages/entry/src/administration/types.ts
@@ -106,6 +106,7 @@
 export type FleetAdministration = Pick<
   FleetAgent,
   | 'getMembers'
+  | 'getMemberGeneration'
   | 'getConfiguration'
   | 'getConfigurationStatus'
   | 'applyConfiguration'
@@ -129,8 +130,6 @@
   readonly journal: RequestJournal;
   readonly listUpstreamStates: () => readonly UpstreamState[];
   readonly listQueues: () => readonly QueueState[];
-  /** The generation that another daemon had in force when last heard of. */
-  readonly getMemberGeneration: (vm: VmId) => number | undefined;
   /** Whether the daemon takes callers' requests. */
   readonly isReady: () => boolean;
 }
--- a/packages/entry/src/administration/views/describeFleet.ts
+++ b/packages/entry/src/administration/views/describeFleet.ts
@@ -49,7 +49,8 @@
     data_centre: member.dataCentre,
     address: member.address,
     state: member.state,
-    generation: member.vm === context.vm ? ownGeneration : context.getMemberGeneration(member.vm),
+    generation:
+      member.vm === context.vm ? ownGeneration : context.fleet.getMemberGeneration(member.vm),
     draining: isVmDraining(member, drains),
   }));
 };
--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { createServer } from 'node:http';
 
 import { credentials, ServerCredentials } from '@grpc/grpc-js';
 import { createLogger, createMetrics, startTracing, SYSTEM_CLOCK } from '@sardinegrade/common';
@@ -6,7 +7,11 @@
 import { createPlatformClient } from '@sardinegrade/platform';
 import { EngineClient } from '@sardinegrade/upstream';
 
-import { createRequestJournal } from '../administration/index.js';
+import {
+  createAdministrationContext,
+  createAdministrationHandler,
+  createRequestJournal,
+} from '../administration/index.js';
 import { CallerServer } from '../callers/index.js';
 import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
 import { DependencyCheck, UpstreamProber } from '../health/index.js';
@@ -17,6 +22,8 @@
 import { createOpenPaths } from './openPaths.js';
 import { PeerServer } from './PeerServer.js';
 
+import type { Server } from 'node:http';
+
 import type {
   AttemptId,
   Clock,
@@ -63,6 +70,7 @@
   readonly #desk: OrderDesk;
   readonly #callers: CallerServer;
   readonly #peers: PeerServer;
+  readonly #administration: Server;
   #isLeaving = false;
 
   constructor(settings: EntrySettings) {
@@ -89,6 +97,7 @@
       this.#fleet.handlers,
       createDispatchService(this.#host, this.#clock),
     );
+    this.#administration = this.#createAdministration();
   }
 
   /**
@@ -105,7 +114,11 @@
     this.#prober.start();
     this.#desk.start();
     const callersAddress = await listenOn(this.#callers.server, callers.listen);
-    return { callers: callersAddress, administration: '', peer: peerAddress };
+    const administration = await listenOn(
+      this.#administration,
+      this.#settings.administration.listen,
+    );
+    return { callers: callersAddress, administration, peer: peerAddress };
   };
 
   /** Takes no new work, hands dispatch on, finishes all in progress, and stops. */
@@ -141,6 +154,8 @@
     this.#fleet.stop();
     this.#peers.stop();
     this.#callers.server.closeAllConnections();
+    this.#administration.close();
+    this.#administration.closeAllConnections();
     await this.#engines.close();
     await this.tracing.stop();
   };
@@ -237,6 +252,27 @@
       checkDependencies: this.#checkDependencies,
     });
 
+  readonly #createAdministration = (): Server =>
+    createServer(
+      createAdministrationHandler(
+        createAdministrationContext({
+          vm: this.#vm,
+          dataCentre: this.#dataCentre,
+          clock: this.#clock,
+          logger: this.logger,
+          administrators: this.#settings.administrator,
+          fleet: this.#fleet,
+          orders: this.#desk.orders,
+          metrics: this.#metrics,
+          traces: this.tracing.recent,
+          journal: this.#journal,
+          describeDispatchers: () => this.#host.describe().values(),
+          isUpstreamDown: this.#facts.isDown,
+          isReady: this.isReady,
+        }),
+      ),
+    );
+
   readonly #checkDependencies = (caller: CallerRequest, service: ServiceConfiguration): void =>
     this.#dependencies.requireDependencies(caller.configuration, service);
 
--- a/packages/fleet/src/createFleetAgent.ts
+++ b/packages/fleet/src/createFleetAgent.ts
@@ -13,7 +13,9 @@
 import { LEAVE_TIMEOUT_MS, TICK_INTERVAL_MS } from './constants.js';
 import { createChannel } from './createChannel.js';
 import { createMembershipAgent } from './membership/createMembershipAgent.js';
+import { MemberState } from './membership/enums.js';
 
+import type { VmId } from '@sardinegrade/common';
 import type { FleetConfiguration } from './configuration/index.js';
 import type {
   ConfigurationRecord,
@@ -40,6 +42,7 @@
   const stopped = createChannel<boolean>();
   const configurations = createChannel<FleetConfiguration>(() => distribution.getConfiguration());
 
+  const generations = new Map<VmId, number>();
   const membership = createMembershipAgent({
     settings,
     connections,
@@ -47,9 +50,15 @@
     clock,
     random,
     observer: {
-      onChange: changes.push,
+      onChange: (change) => {
+        if (change.member.state === MemberState.Dead) generations.delete(change.member.vm);
+        changes.push(change);
+      },
       onNews: news.push,
-      onGeneration: (from, generation) => distribution.addHeard(from, generation),
+      onGeneration: (from, generation) => {
+        generations.set(from, generation);
+        distribution.addHeard(from, generation);
+      },
     },
   });
   const distribution = createDistributionAgent({
@@ -101,6 +110,7 @@
       for (const channel of [changes, news, configurations, stopped]) channel.end();
     },
     getMembers: membership.getMembers,
+    getMemberGeneration: (vm) => generations.get(vm),
     isReachable: membership.isReachable,
     memberChanges: changes.stream,
     getConfiguration: distribution.getConfiguration,
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -123,6 +123,11 @@
 
   /** @returns all known members but the dead, this daemon among them */
   readonly getMembers: () => readonly Member[];
+  /**
+   * @param vm - another daemon
+   * @returns the generation that it had in force when last heard of; undefined where never
+   */
+  readonly getMemberGeneration: (vm: VmId) => number | undefined;
   /**
    * @param dataCentre - a data centre's name
    * @returns whether a daemon there has been heard of lately
