feat(entry): account for early refusals and for calls to plain services

Cause: tried as a new user, explain knew nothing of a request refused before its dispatch (wrong class, dependency down) nor of any call to a plain service, and the class of a plain service counted no requests.

--- a/packages/cli/src/commands/configuration.ts
+++ b/packages/cli/src/commands/configuration.ts
@@ -5,6 +5,7 @@
   generationSchema,
   historyEntrySchema,
   historySchema,
+  statusSchema,
 } from '@sardinegrade/common';
 import { ConfigurationError, parseConfiguration } from '@sardinegrade/fleet';
 
@@ -91,7 +92,8 @@
 ): Promise<number> => {
   const expected = readGeneration(options, 'expect');
   if (expected !== undefined) return expected;
-  return (await getClient().read(configurationSchema, '/v1/configuration')).generation;
+  // The status answers also before the first configuration, with generation 0.
+  return (await getClient().read(statusSchema, '/v1/status')).generation;
 };
 
 const runApply = async (
--- a/packages/cli/src/output/renderExplanation.ts
+++ b/packages/cli/src/output/renderExplanation.ts
@@ -3,10 +3,15 @@
 
 import type { ExplanationView } from '@sardinegrade/common';
 
+const renderTarget = ({ service, class: className, tier }: ExplanationView): string =>
+  service === undefined
+    ? 'Refused before its service and class were known'
+    : `Service ${service}, class ${className ?? ''} (${tier ?? ''})`;
+
 const renderHead = (view: ExplanationView): string =>
   [
     `Request ${view.request_id} at ${view.vm}, ${formatTime(view.arrived_at_ms)}`,
-    `Service ${view.service}, class ${view.class}${view.tier === undefined ? '' : ` (${view.tier})`}, workspace ${view.workspace}`,
+    `${renderTarget(view)}, workspace ${view.workspace}`,
     ...(view.trace_id === undefined ? [] : [`Trace ${view.trace_id}`]),
     view.summary,
   ].join('\n');
--- a/packages/cli/src/output/renderStatus.ts
+++ b/packages/cli/src/output/renderStatus.ts
@@ -10,6 +10,9 @@
   VmView,
 } from '@sardinegrade/common';
 
+const NO_CONFIGURATION =
+  'No configuration is in force yet; sardinegrade apply FILE makes the first one.';
+
 const formatLatency = (latency: LatencyView | undefined, targetMs: number): string => {
   const measured = latency === undefined ? '' : `${Math.round(latency.p95_ms)}`;
   return `${measured || '-'}/${Math.round(targetMs)} ms`;
@@ -66,6 +69,7 @@
   const lag = highest > generation ? `, ${highest} is on its way` : '';
   const drains = status.drains.map(({ scope, name, author }) => `${scope} ${name} (by ${author})`);
   const drainLine = drains.length === 0 ? [] : [`Draining: ${drains.join(', ')}`];
+  if (highest === 0) return [NO_CONFIGURATION, renderVms(status.vms)].join('\n\n');
   const head = [`Generation ${generation} in force${lag}.`, ...drainLine].join('\n');
   return [
     head,
--- a/packages/cli/src/runProgram.test.ts
+++ b/packages/cli/src/runProgram.test.ts
@@ -161,7 +161,7 @@
 
 test('apply without --expect starts from the generation in force', async () => {
   const answer = ({ method }: StubCall): StubReply =>
-    method === 'GET' ? { body: { generation: 7, text: TEXT } } : { body: RECORD };
+    method === 'GET' ? { body: createStatus('vm-1', 7, []) } : { body: RECORD };
   await withStubs([answer], async (addresses, [calls]) => {
     const run = await runForTest(['apply', 'fleet.ini', '--no-wait'], { files: FILES, addresses });
     assert.equal(run.out, 'Generation 8 accepted.\n');
@@ -169,6 +169,18 @@
   });
 });
 
+test('the first configuration is applied on generation 0', async () => {
+  const empty: StatusView = { ...createStatus('vm-1', 0, []), highest_generation: 0, services: [] };
+  const answer = ({ method }: StubCall): StubReply =>
+    method === 'GET' ? { body: empty } : { body: { ...RECORD, generation: 1 } };
+  await withStubs([answer], async (addresses, [calls]) => {
+    const status = await runForTest(['status'], { addresses });
+    assert.match(status.out, /No configuration is in force yet.*sardinegrade apply/);
+    await runForTest(['apply', 'fleet.ini', '--no-wait'], { files: FILES, addresses });
+    assert.equal(calls?.at(-1)?.headers['if-match'], '"0"');
+  });
+});
+
 test('a daemon out of reach makes the next one be asked, with the same change id', async () => {
   const answerBroken = (): StubReply => ({ status: 502, body: 'no gateway' });
   await withStubs([answerBroken, () => ({ body: RECORD })], async (addresses, [first, second]) => {
--- a/packages/common/src/administration/resultAdvice.ts
+++ b/packages/common/src/administration/resultAdvice.ts
@@ -99,7 +99,8 @@
   },
   [ResultCode.NotReady]: {
     meaning: 'The VM has no configuration yet.',
-    nextStep: 'Ask another VM, or wait until this one has found the configuration.',
+    nextStep:
+      'Ask another VM, or wait until this one has found it. A new fleet: sardinegrade apply FILE.',
   },
   [ResultCode.WriteBudgetSpent]: {
     meaning: 'The VM has used its part of the writes that the platform takes.',
--- a/packages/common/src/administration/schemas.ts
+++ b/packages/common/src/administration/schemas.ts
@@ -219,8 +219,9 @@
   request_id: z.string(),
   vm: z.string(),
   trace_id: z.string().optional(),
-  service: z.string(),
-  class: z.string(),
+  /** Absent where the request was refused before its service and class were known. */
+  service: z.string().optional(),
+  class: z.string().optional(),
   tier: z.string().optional(),
   workspace: z.string(),
   arrived_at_ms: z.number(),
--- a/packages/entry/src/administration/createAdministrationHandler.test.ts
+++ b/packages/entry/src/administration/createAdministrationHandler.test.ts
@@ -231,8 +231,11 @@
 
 test('a request is explained by its decisions', () =>
   withServer(async (call, context) => {
-    const subject = { service: 'counter', className: 'query', tier: 'paying', workspace: 'w' };
-    const trail = context.journal.start({ ...subject, requestId: 'r/1', traceId: undefined });
+    const trail = context.journal.start({
+      requestId: 'r/1',
+      workspace: 'w',
+      traceId: undefined,
+    });
     context.time.nowMs += 30;
     trail.record(DecisionKind.Refused, 'queue full', { code: ResultCode.QueueFull });
     trail.finish(ResultCode.QueueFull);
--- a/packages/entry/src/administration/journal/createRequestJournal.test.ts
+++ b/packages/entry/src/administration/journal/createRequestJournal.test.ts
@@ -10,15 +10,11 @@
 const createFixture = (limit: number) => {
   const time = { nowMs: 100 };
   const journal = createRequestJournal({ getNowMs: () => time.nowMs }, limit);
-  const start = (requestId: string) =>
-    journal.start({
-      requestId,
-      service: 'counter',
-      className: 'query',
-      tier: 'paying',
-      workspace: 'rig-desk',
-      traceId: undefined,
-    });
+  const start = (requestId: string) => {
+    const trail = journal.start({ requestId, workspace: 'rig-desk', traceId: undefined });
+    trail.setTarget({ service: 'counter', className: 'query', tier: 'paying' });
+    return trail;
+  };
   return { time, journal, start };
 };
 
@@ -56,6 +52,18 @@
   assert.deepEqual(journal.list(0), []);
 });
 
+test('a request without target or decision takes no room', () => {
+  const { journal, start } = createFixture(2);
+  start('r1');
+  for (let number = 0; number < 10; number += 1) {
+    journal.start({ requestId: `idle-${number}`, workspace: 'w', traceId: undefined }).finish();
+  }
+  assert.deepEqual(
+    journal.list(10).map(({ requestId }) => requestId),
+    ['r1'],
+  );
+});
+
 test('a request with many decisions keeps the first and the last ones', () => {
   const { journal, start } = createFixture(1);
   const trail = start('r1');
--- a/packages/entry/src/administration/journal/createRequestJournal.ts
+++ b/packages/entry/src/administration/journal/createRequestJournal.ts
@@ -11,12 +11,14 @@
   RequestAccount,
   RequestJournal,
   RequestSubject,
+  RequestTarget,
   RequestTrail,
 } from './types.js';
 
 interface Account {
   readonly subject: RequestSubject;
   readonly arrivedAtMs: number;
+  target: RequestTarget | undefined;
   readonly first: Decision[];
   readonly last: Decision[];
   omitted: number;
@@ -37,6 +39,7 @@
 
 const toRequestAccount = (account: Account): RequestAccount => ({
   ...account.subject,
+  target: account.target,
   arrivedAtMs: account.arrivedAtMs,
   endedAtMs: account.endedAtMs,
   code: account.code,
@@ -44,18 +47,28 @@
   omitted: account.omitted,
 });
 
-const createTrail = (account: Account, clock: Clock): RequestTrail => ({
-  record: (kind, detail, facts = {}) => {
-    if (account.endedAtMs !== undefined) return;
-    const atMs = clock.getNowMs();
-    addDecision(account, { ...facts, atMs, kind, detail: detail.slice(0, DETAIL_LIMIT) });
-  },
-  finish: (code) => {
-    if (account.endedAtMs !== undefined) return;
-    account.endedAtMs = clock.getNowMs();
-    account.code = code;
-  },
-});
+const createTrail = (account: Account, clock: Clock, keep: () => void): RequestTrail => {
+  const isFinished = (): boolean => account.endedAtMs !== undefined;
+  return {
+    setTarget: (target) => {
+      keep();
+      account.target = target;
+    },
+    getTarget: () => account.target,
+    record: (kind, detail, facts = {}) => {
+      if (isFinished()) return;
+      keep();
+      const atMs = clock.getNowMs();
+      addDecision(account, { ...facts, atMs, kind, detail: detail.slice(0, DETAIL_LIMIT) });
+    },
+    finish: (code) => {
+      if (isFinished()) return;
+      account.endedAtMs = clock.getNowMs();
+      account.code = code;
+    },
+    isFinished,
+  };
+};
 
 /**
  * Creates a journal; the oldest request makes room for a new one.
@@ -69,15 +82,19 @@
   limit: number = JOURNAL_REQUEST_LIMIT,
 ): RequestJournal => {
   const accounts = new Map<string, Account>();
-  const removeOldest = (): void => {
-    for (const requestId of accounts.keys()) {
-      if (accounts.size < limit) return;
-      accounts.delete(requestId);
+  const keepAccount = (requestId: string, account: Account): void => {
+    // A caller may send an id again: its latest request is the one that it asks about.
+    accounts.delete(requestId);
+    for (const oldest of accounts.keys()) {
+      if (accounts.size < limit) break;
+      accounts.delete(oldest);
     }
+    accounts.set(requestId, account);
   };
   const start = (subject: RequestSubject): RequestTrail => {
     const account: Account = {
       subject,
+      target: undefined,
       arrivedAtMs: clock.getNowMs(),
       first: [],
       last: [],
@@ -85,11 +102,12 @@
       endedAtMs: undefined,
       code: undefined,
     };
-    // A caller may send an id again: its latest request is the one that it asks about.
-    accounts.delete(subject.requestId);
-    removeOldest();
-    accounts.set(subject.requestId, account);
-    return createTrail(account, clock);
+    let isKept = false;
+    const keep = (): void => {
+      if (!isKept) keepAccount(subject.requestId, account);
+      isKept = true;
+    };
+    return createTrail(account, clock, keep);
   };
   return {
     start,
--- a/packages/entry/src/administration/openApi.test.ts
+++ b/packages/entry/src/administration/openApi.test.ts
@@ -47,8 +47,8 @@
   const span = tracing.startSpan(Hop.Entry, { requestId: 'r1' });
   span.finish();
   Object.assign(context, { traces: tracing.recent });
-  const subject = { service: 'counter', className: 'query', tier: 'paying', workspace: 'w' };
-  const trail = context.journal.start({ ...subject, requestId: 'r1', traceId: undefined });
+  const trail = context.journal.start({ requestId: 'r1', workspace: 'w', traceId: undefined });
+  trail.setTarget({ service: 'counter', className: 'query', tier: 'paying' });
   trail.record(DecisionKind.Granted, 'at once', { upstream: 'e1' });
   const server = await startTestServer(context);
   const key = route.role === AdministratorRole.Settle ? SETTLE_KEY : CHANGE_KEY;
--- a/packages/entry/src/callers/CallerServer.ts
+++ b/packages/entry/src/callers/CallerServer.ts
@@ -9,6 +9,7 @@
   toSardinegradeError,
 } from '@sardinegrade/common';
 
+import { DecisionKind } from '../administration/index.js';
 import { Authenticator } from './Authenticator.js';
 import {
   BODY_TIMEOUT_MS,
@@ -21,7 +22,15 @@
 import { ErrorFormat } from './types.js';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Clock, Configuration, Logger, RequestId, Tracing } from '@sardinegrade/common';
+import type {
+  Clock,
+  Configuration,
+  Logger,
+  Metrics,
+  RequestId,
+  Tracing,
+} from '@sardinegrade/common';
+import type { RequestJournal } from '../administration/index.js';
 import type { CallerRequest, CallerRoute } from './types.js';
 
 /** What the server needs of its daemon. */
@@ -29,12 +38,17 @@
   readonly clock: Clock;
   readonly tracing: Tracing;
   readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly journal: RequestJournal;
   readonly routes: readonly CallerRoute[];
   /** Serves the paths that need no key; answers whether it did. */
   readonly serveOpenPath: (path: string, response: ServerResponse) => boolean;
   readonly getConfiguration: () => Configuration | undefined;
 }
 
+/** Labels of requests that were refused before their service and class were known. */
+const UNKNOWN_TARGET = { service: 'unknown', className: 'unknown' };
+
 const REQUEST_ID = /^[\x21-\x7e]+$/;
 
 const getHeader = (request: IncomingMessage, name: string): string | undefined => {
@@ -104,13 +118,14 @@
     response.setHeader('x-request-id', requestId);
     response.setHeader('traceparent', span.traceparent);
     let format = ErrorFormat.OpenAi;
+    let caller: CallerRequest | undefined;
     try {
       const { route, url: checkedUrl } = this.#findRoute(request, url);
       format = route.errorFormat;
       const configuration = this.#requireConfiguration();
       const workspace = this.#authenticator.findWorkspace(request, configuration);
       const arrivedAtMs = this.#options.clock.getNowMs();
-      const call: CallerRequest = {
+      caller = {
         requestId,
         workspace,
         configuration,
@@ -119,12 +134,18 @@
         request,
         response,
         url: checkedUrl,
+        trail: this.#options.journal.start({
+          requestId,
+          workspace: workspace.name,
+          traceId: span.context.traceId,
+        }),
       };
-      await route.serve(call);
+      await route.serve(caller);
       span.finish();
     } catch (thrown) {
       const error = toSardinegradeError(thrown);
       this.#logError(error, requestId);
+      if (caller !== undefined) this.#recordRefusal(caller, error);
       sendError(response, format, error);
       span.finish({ code: error.code });
     }
@@ -158,6 +179,18 @@
     });
   };
 
+  readonly #recordRefusal = (
+    { trail, workspace }: CallerRequest,
+    error: SardinegradeError,
+  ): void => {
+    if (trail.isFinished()) return;
+    const { code, message } = error;
+    const { service, className } = trail.getTarget() ?? UNKNOWN_TARGET;
+    trail.record(DecisionKind.Refused, message, { code });
+    trail.finish(code);
+    this.#options.metrics.recordFailure({ service, className, workspace: workspace.name, code });
+  };
+
   readonly #logError = (error: SardinegradeError, requestId: RequestId): void => {
     const fields = { requestId, code: error.code, error };
     if (error.code === ResultCode.Internal) {
--- a/packages/entry/src/callers/types.ts
+++ b/packages/entry/src/callers/types.ts
@@ -6,6 +6,7 @@
   RequestId,
   WorkspaceConfiguration,
 } from '@sardinegrade/common';
+import type { RequestTrail } from '../administration/index.js';
 
 /** A caller's request whose key was accepted. */
 export interface CallerRequest {
@@ -15,6 +16,8 @@
   readonly configuration: Configuration;
   readonly arrivedAtMs: number;
   readonly span: HopSpan;
+  /** Takes the decisions on the request. */
+  readonly trail: RequestTrail;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly url: URL;
--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -16,6 +16,7 @@
 import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
 import { DependencyCheck, UpstreamProber } from '../health/index.js';
 import { createModelRoutes, RetryAllowance } from '../models/index.js';
+import { observePlatform, registerGauges } from '../observation/index.js';
 import { listenOn } from './addresses.js';
 import { FleetFacts } from './FleetFacts.js';
 import { OrderDesk } from './OrderDesk.js';
@@ -84,7 +85,10 @@
       otlpAddress: settings.traces.otlp_address,
       onExportError: (error) => this.logger.warn('Traces were not exported.', { error }),
     });
-    this.#platform = createPlatformClient({ address: settings.platform.address });
+    this.#platform = observePlatform(createPlatformClient({ address: settings.platform.address }), {
+      metrics: this.#metrics,
+      tracing: this.tracing,
+    });
     this.#fleet = this.#createFleet();
     this.#host = this.#createHost();
     this.#broker = this.#createBroker();
@@ -213,6 +217,8 @@
       clock: this.#clock,
       tracing: this.tracing,
       logger: this.logger,
+      metrics: this.#metrics,
+      journal: this.#journal,
       routes: [...this.#createModelRoutes(), ...this.#desk.routes],
       serveOpenPath: createOpenPaths({
         isReady: this.isReady,
@@ -228,7 +234,6 @@
       engines: this.#engines,
       tracing: this.tracing,
       metrics: this.#metrics,
-      journal: this.#journal,
       retries: new RetryAllowance(),
       bodyLimitBytes: this.#settings.callers.body_limit,
       checkDependencies: this.#checkDependencies,
@@ -242,6 +247,8 @@
       vm: this.#vm,
       clock: this.#clock,
       logger: this.logger,
+      metrics: this.#metrics,
+      tracing: this.tracing,
       platform: this.#platform,
       bodyLimitBytes: this.#settings.callers.body_limit,
       writesPerSecond: this.#settings.orders.writes_per_second,
@@ -252,26 +259,25 @@
       checkDependencies: this.#checkDependencies,
     });
 
-  readonly #createAdministration = (): Server =>
-    createServer(
-      createAdministrationHandler(
-        createAdministrationContext({
-          vm: this.#vm,
-          dataCentre: this.#dataCentre,
-          clock: this.#clock,
-          logger: this.logger,
-          administrators: this.#settings.administrator,
-          fleet: this.#fleet,
-          orders: this.#desk.orders,
-          metrics: this.#metrics,
-          traces: this.tracing.recent,
-          journal: this.#journal,
-          describeDispatchers: () => this.#host.describe().values(),
-          isUpstreamDown: this.#facts.isDown,
-          isReady: this.isReady,
-        }),
-      ),
-    );
+  readonly #createAdministration = (): Server => {
+    const context = createAdministrationContext({
+      vm: this.#vm,
+      dataCentre: this.#dataCentre,
+      clock: this.#clock,
+      logger: this.logger,
+      administrators: this.#settings.administrator,
+      fleet: this.#fleet,
+      orders: this.#desk.orders,
+      metrics: this.#metrics,
+      traces: this.tracing.recent,
+      journal: this.#journal,
+      describeDispatchers: () => this.#host.describe().values(),
+      isUpstreamDown: this.#facts.isDown,
+      isReady: this.isReady,
+    });
+    registerGauges(this.#metrics, context);
+    return createServer(createAdministrationHandler(context));
+  };
 
   readonly #checkDependencies = (caller: CallerRequest, service: ServiceConfiguration): void =>
     this.#dependencies.requireDependencies(caller.configuration, service);
--- a/packages/entry/src/daemon/OrderDesk.ts
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -5,14 +5,17 @@
 
 import { ErrorFormat } from '../callers/index.js';
 import { findClass } from '../models/index.js';
+import { observeServiceCaller, ServiceObserver } from '../observation/index.js';
 import { createServiceCaller, createServiceHandler } from '../services/index.js';
 
 import type {
   Clock,
   Configuration,
   Logger,
+  Metrics,
   ServiceConfiguration,
   ServiceName,
+  Tracing,
   UpstreamConfiguration,
   UpstreamId,
   VmId,
@@ -33,6 +36,8 @@
   readonly vm: VmId;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly tracing: Tracing;
   readonly platform: PlatformClient;
   readonly bodyLimitBytes: number;
   readonly writesPerSecond: number;
@@ -58,12 +63,14 @@
   readonly routes: readonly CallerRoute[];
   readonly #options: OrderDeskOptions;
   readonly #handle: HandleServiceCall;
+  readonly #observer: ServiceObserver;
   #isActive = false;
 
   constructor(options: OrderDeskOptions) {
     this.#options = options;
+    this.#observer = new ServiceObserver(options);
     const { clock, logger, platform, vm, writesPerSecond } = options;
-    const caller = createServiceCaller(this.#findUpstreams);
+    const caller = observeServiceCaller(createServiceCaller(this.#findUpstreams), options);
     const shared = { clock, caller, sleep: sleepMs, newId: randomUUID };
     const burst = writesPerSecond * BURST_SECONDS;
     this.orders = createOrderService({
@@ -82,6 +89,7 @@
       orders: this.orders,
       findUpstreams: this.#findUpstreams,
       getRandom: Math.random,
+      onEnd: this.#observer.finish,
     });
     const errorFormat = ErrorFormat.Problem;
     this.routes = [{ pattern: SERVICE_PATH, methods: undefined, errorFormat, serve: this.#serve }];
@@ -106,24 +114,27 @@
       throw new SardinegradeError(ResultCode.UnknownService, `No plain service '${name ?? ''}'.`);
     }
     const serviceClass = findClass(service, caller.workspace, getClassHeader(caller));
+    caller.trail.setTarget({
+      service: service.name,
+      className: serviceClass.name,
+      tier: serviceClass.tier,
+    });
     this.#options.checkDependencies(caller, service);
     const gone = new AbortController();
     caller.response.once('close', () => gone.abort());
-    await this.#handle(
-      {
-        workspace: caller.workspace.name,
-        service,
-        class: serviceClass,
-        path: `${path ?? '/'}${caller.url.search}`,
-        requestId: caller.requestId,
-        traceparent: caller.span.traceparent,
-        deadlineAtMs: caller.arrivedAtMs + serviceClass.deadlineMs,
-        bodyLimitBytes: this.#options.bodyLimitBytes,
-        signal: gone.signal,
-      },
-      caller.request,
-      caller.response,
-    );
+    const context = {
+      workspace: caller.workspace.name,
+      service,
+      class: serviceClass,
+      path: `${path ?? '/'}${caller.url.search}`,
+      requestId: caller.requestId,
+      traceparent: caller.span.traceparent,
+      deadlineAtMs: caller.arrivedAtMs + serviceClass.deadlineMs,
+      bodyLimitBytes: this.#options.bodyLimitBytes,
+      signal: gone.signal,
+    };
+    this.#observer.start(caller, context);
+    await this.#handle(context, caller.request, caller.response);
   };
 
   readonly #findUpstreams = (service: ServiceConfiguration): readonly UpstreamConfiguration[] => {
--- a/packages/entry/src/models/ChatObserver.ts
+++ b/packages/entry/src/models/ChatObserver.ts
@@ -12,16 +12,15 @@
 } from '@sardinegrade/common';
 import type { PreemptionMode } from '@sardinegrade/dispatch';
 import type { AttemptOutcome } from '@sardinegrade/upstream';
-import type { RequestJournal, RequestTrail } from '../administration/index.js';
+import type { RequestTrail } from '../administration/index.js';
 import type { CallerRequest } from '../callers/index.js';
 import type { ChatTarget } from './types.js';
 
-/** Where a call's observations go. */
+/** Where a call's observations go, besides the trail of its request. */
 export interface ChatObserverServices {
   readonly clock: Clock;
   readonly tracing: Tracing;
   readonly metrics: Metrics;
-  readonly journal: RequestJournal;
 }
 
 /** Writes down what becomes of one completion request: spans, metrics and the journal. */
@@ -40,14 +39,7 @@
     this.#services = services;
     this.#caller = caller;
     this.#target = target;
-    this.#trail = services.journal.start({
-      requestId: caller.requestId,
-      service: target.service.name,
-      className: target.serviceClass.name,
-      tier: target.serviceClass.tier,
-      workspace: caller.workspace.name,
-      traceId: caller.span.context.traceId,
-    });
+    this.#trail = caller.trail;
   }
 
   readonly recordAsk = (attempt: number): void => {
--- a/packages/entry/src/models/routes.ts
+++ b/packages/entry/src/models/routes.ts
@@ -42,6 +42,11 @@
   const chat = parseChatRequest(body);
   const { configuration, workspace } = caller;
   const target = findTarget(configuration, workspace, chat.model, getClassHeader(caller));
+  caller.trail.setTarget({
+    service: target.service.name,
+    className: target.serviceClass.name,
+    tier: target.serviceClass.tier,
+  });
   options.checkDependencies(caller, target.service);
   const heading = {
     id: caller.requestId,
--- a/packages/entry/src/services/handleServiceCall.ts
+++ b/packages/entry/src/services/handleServiceCall.ts
@@ -91,8 +91,13 @@
     // Refused before the body is read, which may be large.
     if (!context.service.repeatableMethods.has(request.method ?? 'GET')) requireKey(key);
     const result = await runCall(context, await readRequest(context, request), key);
-    if ('error' in result) respondProblem(response, context, result.error);
-    else respondAnswer(response, context, result.answer, result.isReplay);
+    if ('error' in result) {
+      options.onEnd?.(context, { error: result.error, isReplay: false });
+      respondProblem(response, context, result.error);
+      return;
+    }
+    options.onEnd?.(context, { error: undefined, isReplay: result.isReplay });
+    respondAnswer(response, context, result.answer, result.isReplay);
   };
 
   return async (context, request, response) => {
@@ -100,6 +105,7 @@
       await handle(context, request, response);
     } catch (thrown) {
       const error = toSardinegradeError(thrown, RunState.Unknown);
+      options.onEnd?.(context, { error, isReplay: false });
       if (response.headersSent) response.destroy();
       else respondProblem(response, context, error);
     }
--- a/packages/entry/src/services/types.ts
+++ b/packages/entry/src/services/types.ts
@@ -2,6 +2,7 @@
   ClassConfiguration,
   Clock,
   RequestId,
+  SardinegradeError,
   ServiceConfiguration,
   UpstreamConfiguration,
   WorkspaceName,
@@ -24,6 +25,14 @@
   readonly signal: AbortSignal;
 }
 
+/** How a call to a plain service ended. */
+export interface ServiceCallEnd {
+  /** Undefined where the caller got the service's answer. */
+  readonly error: SardinegradeError | undefined;
+  /** The answer was stored for an earlier call under the same key. */
+  readonly isReplay: boolean;
+}
+
 /** Finds the upstreams of a service that may be given work, best first. */
 export type FindUpstreams = (service: ServiceConfiguration) => readonly UpstreamConfiguration[];
 
@@ -37,4 +46,6 @@
   /** Between 0 and 1. */
   readonly getRandom: () => number;
   readonly newId: () => string;
+  /** Told how each call ended. */
+  readonly onEnd?: (context: ServiceCallContext, end: ServiceCallEnd) => void;
 }
