--- a/packages/orders/src/constants.ts
+++ b/packages/orders/src/constants.ts
@@ -15,6 +15,9 @@
 /** Newest lines of the audit trail that a record keeps. */
 export const AUDIT_LIMIT = 50;
 
+/** Longest reason in a line of the audit trail. */
+export const REASON_LENGTH_LIMIT = 500;
+
 /** Writes that an order needs from its first record to its last. */
 export const WRITES_PER_ORDER = 2;
 
--- a/packages/orders/src/errors.ts
+++ b/packages/orders/src/errors.ts
@@ -91,7 +91,7 @@
   createError(
     ResultCode.PlatformUnavailable,
     run,
-    'The order could not be recorded.',
+    'The order could not be recorded. What is known of earlier requests under the key stands.',
     PLATFORM_RETRY_AFTER_MS,
     cause,
   );
--- a/packages/orders/src/orderIntake.ts
+++ b/packages/orders/src/orderIntake.ts
@@ -1,4 +1,4 @@
-import { RunState, toSardinegradeError } from '@sardinegrade/common';
+import { ResultCode, RunState, toSardinegradeError } from '@sardinegrade/common';
 
 import { decodeAnswer } from './bodyCodec.js';
 import { WAITING_LIMIT, WRITES_PER_ORDER } from './constants.js';
@@ -63,6 +63,12 @@
 /** How often an order starts anew because others moved its record meanwhile. */
 const CONFLICT_LIMIT = 4;
 
+/** Whether an order was refused before it was run, other than for its body. */
+const isNotStarted = (result: OrderResult): boolean =>
+  'error' in result &&
+  result.error.run === RunState.NotRun &&
+  result.error.code !== ResultCode.OrderBodyMismatch;
+
 /** Creates the intake of one daemon. */
 export const createOrderIntake = (options: IntakeOptions): OrderIntake => {
   const { store, settler, runner, observations, tasks, clock, vm, timings, writeBudget } = options;
@@ -251,13 +257,21 @@
     return isSame ? existing.result : Promise.resolve({ error: createMismatchError() });
   };
 
+  const startSubmission = async (work: OrderWork): Promise<OrderResult> => {
+    const joined = await joinOpen(work);
+    // What was not run before this request arrived may have been run since, or can be now.
+    if (joined !== undefined && !isNotStarted(joined)) return joined;
+    // One opened meanwhile is later than this request.
+    const later = joinOpen(work);
+    if (later !== undefined) return later;
+    if (isClosed) return { error: createShutdownError() };
+    return openOrder(work, () => admitWork(work));
+  };
+
   const submitOrder = (submission: OrderSubmission): Promise<OrderResult> => {
     const { workspace, service, key, deadlineAtMs } = submission;
     const name = deriveOrderName(workspace, service.name, key);
-    const work: OrderWork = { name, submission, base: undefined };
-    const joined = joinOpen(work);
-    if (joined === undefined && isClosed) return Promise.resolve({ error: createShutdownError() });
-    const result = joined ?? openOrder(work, () => admitWork(work));
+    const result = startSubmission({ name, submission, base: undefined });
     const late = waitUntil(deadlineAtMs).then(() => ({ error: createInProgressError() }));
     return Promise.race([result, late]);
   };
--- a/packages/orders/src/orderRecord.ts
+++ b/packages/orders/src/orderRecord.ts
@@ -1,5 +1,10 @@
 import { encodeRequest } from './bodyCodec.js';
-import { AUDIT_LIMIT, REMOVAL_RESERVE, RETENTION_PERIODS } from './constants.js';
+import {
+  AUDIT_LIMIT,
+  REASON_LENGTH_LIMIT,
+  REMOVAL_RESERVE,
+  RETENTION_PERIODS,
+} from './constants.js';
 import { OrderState } from './enums.js';
 import { hashRequest } from './orderName.js';
 import { findNextState } from './orderStates.js';
@@ -80,7 +85,13 @@
     state: to,
     request: to === OrderState.Accepted ? (patch.request ?? record.request) : undefined,
     settledAtMs: SETTLED.has(to) ? atMs : undefined,
-    audit: appendAudit(record, { atMs, by, event, to, reason }),
+    audit: appendAudit(record, {
+      atMs,
+      by,
+      event,
+      to,
+      reason: reason.slice(0, REASON_LENGTH_LIMIT),
+    }),
   };
 };
 
--- a/packages/orders/src/orderRunner.ts
+++ b/packages/orders/src/orderRunner.ts
@@ -6,6 +6,7 @@
 import { CallOutcome, OrderEvent, OrderState, SaveOutcome } from './enums.js';
 import {
   createAnswerNotKeptError,
+  createInProgressError,
   createNotStartedError,
   createPlatformError,
   createUnknownError,
@@ -88,14 +89,32 @@
   };
 
   /** Waits for the record of an outcome, but not for long: the platform may be down. */
-  const waitForRecord = async (task: Promise<unknown>): Promise<void> => {
+  const waitForRecord = async (
+    task: Promise<StoredOrder | undefined>,
+  ): Promise<StoredOrder | undefined> => {
     keepTask(task);
-    await Promise.race([task, options.sleep(timings.recordWaitMs)]);
+    const timeout = options.sleep(timings.recordWaitMs).then(() => undefined);
+    return Promise.race([task, timeout]);
   };
 
-  const recordNotStarted = (stored: StoredOrder, reason: string): Promise<void> =>
+  const recordNotStarted = (
+    stored: StoredOrder,
+    reason: string,
+  ): Promise<StoredOrder | undefined> =>
     waitForRecord(settler.settleAttempt(stored, { event: OrderEvent.NotStarted, reason }));
 
+  /** Says "not run" only where the record says so too: after a long pause it may tell of another attempt. */
+  const respondNotStarted = async (
+    stored: StoredOrder,
+    cause: unknown,
+  ): Promise<DispatchResult> => {
+    const settled = await recordNotStarted(stored, String(cause));
+    if (settled === undefined) return { error: createInProgressError() };
+    const isOwn = settled.record.attemptId === stored.record.attemptId;
+    if (!isOwn || settled.record.state !== OrderState.NotRun) return { conflict: settled };
+    return { error: createNotStartedError(cause) };
+  };
+
   /**
    * Closes an attempt that was not called and whose record may or may not stand: where it does not, a
    * record that says so takes its place, and a delayed write can no longer take effect.
@@ -117,7 +136,10 @@
     if (isOwn) await recordNotStarted(result.current, note.reason);
   };
 
-  const recordAnswer = (attempt: Attempt, answer: RecordedAnswer): Promise<void> => {
+  const recordAnswer = (
+    attempt: Attempt,
+    answer: RecordedAnswer,
+  ): Promise<StoredOrder | undefined> => {
     const settlement = { event: OrderEvent.Answered, reason: 'answer', patch: { answer } };
     return waitForRecord(settler.settleAttempt(attempt.stored, settlement));
   };
@@ -140,10 +162,7 @@
 
   const renewAttempt = async (attempt: Attempt, cause: unknown): Promise<DispatchResult> => {
     const { work, stored, window, renewalsLeft } = attempt;
-    if (renewalsLeft === 0 || window.canStart()) {
-      await recordNotStarted(stored, String(cause));
-      return { error: createNotStartedError(cause) };
-    }
+    if (renewalsLeft === 0 || window.canStart()) return respondNotStarted(stored, cause);
     const renewed = await startAttempt(
       { ...work, base: stored },
       OrderEvent.Renew,
@@ -152,8 +171,7 @@
     if (!('conflict' in renewed)) return renewed;
     // Someone has counted this daemon out; it knows that the service was not called.
     if (renewed.conflict?.record.attemptId !== stored.record.attemptId) return renewed;
-    await recordNotStarted(renewed.conflict, 'call window passed');
-    return { error: createNotStartedError(cause) };
+    return respondNotStarted(renewed.conflict, cause);
   };
 
   const handleCallResult = (attempt: Attempt, result: CallResult): Promise<DispatchResult> => {
@@ -207,8 +225,7 @@
     }
     if (result.outcome !== SaveOutcome.Conflict) return handleUnsaved(work, record, result);
     if (result.current?.record.attemptId !== record.attemptId) return { conflict: result.current };
-    await recordNotStarted(result.current, 'settled before it was called');
-    return { error: createNotStartedError('settled before it was called') };
+    return respondNotStarted(result.current, 'settled before it was called');
   };
 
   const dispatchOrder = (work: OrderWork): Promise<DispatchResult> =>
--- a/packages/orders/src/orderService.test.ts
+++ b/packages/orders/src/orderService.test.ts
@@ -218,13 +218,34 @@
     reason: 'not in the grinding queue',
   };
   await assert.rejects(daemon.settleOrder(settlement), { code: ResultCode.OrderNotSettleable });
+  const reference = { workspace: order.workspace, service: SERVICE.name, key: order.key };
+  assert.equal((await daemon.showOrder(reference)).settlementToken, undefined);
   bench.nowMs += 62_000;
-  const { record } = await daemon.settleOrder(settlement);
+  await assert.rejects(daemon.settleOrder(settlement), { code: ResultCode.OrderNotSettleable });
+  const { settlementToken } = await daemon.showOrder(reference);
+  assert.ok(settlementToken !== undefined);
+  const { record } = await daemon.settleOrder({ ...settlement, settlementToken });
   assert.equal(record.state, OrderState.NotRun);
   assert.equal(record.audit.at(-1)?.by, 'operator:alice');
   await assert.rejects(daemon.settleOrder(settlement), { code: ResultCode.OrderNotSettleable });
 });
 
+test('a look-up that was sent too early does not settle an order as not run', async () => {
+  const bench = createBench();
+  const lookupStatus = () => {
+    // The daemon is paused until long after the look-up was answered.
+    bench.nowMs += 100_000;
+    return Promise.resolve(bench.lookup);
+  };
+  const callService = () =>
+    Promise.resolve({ outcome: CallOutcome.Unknown as const, cause: 'cut' });
+  const daemon = createDaemon(bench, { caller: { callService, lookupStatus } });
+  const order = buildOrder(bench, { deadlineAtMs: Infinity });
+  await daemon.submitOrder(order);
+  bench.lookup = { outcome: LookupOutcome.Absent };
+  expectError(await daemon.submitOrder(order), ResultCode.OrderUnknown, RunState.Unknown);
+});
+
 test('a daemon that slept past its call window does not call on the old record', async () => {
   const bench = createBench();
   const daemon = createDaemon(bench);
--- a/packages/orders/src/orderSettler.ts
+++ b/packages/orders/src/orderSettler.ts
@@ -27,6 +27,8 @@
   ) => Promise<StoredOrder | undefined>;
   /** Settles a dispatched order whose daemon is gone, as far as that can be known now. */
   readonly settleOrphan: (stored: StoredOrder) => Promise<StoredOrder | undefined>;
+  /** Notes that an attempt stands, so that its age is known here from now on. */
+  readonly observeAttempt: (record: OrderRecord) => void;
   /** Until the order may be settled as not run; 0 once it may. */
   readonly estimateNotRunWaitMs: (record: OrderRecord) => number;
   /** Whether an attempt has stood for longer than its daemon would take to settle it. */
@@ -47,6 +49,10 @@
   const measureAttemptAgeMs = (record: OrderRecord): number =>
     observations.measureAgeMs(record.attemptId);
 
+  const observeAttempt = (record: OrderRecord) => {
+    if (record.settledAtMs === undefined) measureAttemptAgeMs(record);
+  };
+
   const estimateNotRunWaitMs = (record: OrderRecord): number => {
     const recordedAgeMs =
       clock.getNowMs() - (record.dispatchedAtMs ?? Infinity) - timings.clockMarginMs;
@@ -92,16 +98,14 @@
   const settleByLookup = async (
     stored: StoredOrder,
     result: LookupResult,
+    canBeNotRun: boolean,
   ): Promise<StoredOrder | undefined> => {
     if (result.outcome === LookupOutcome.Done) {
       const patch = { answer: encodeAnswer(result.answer) };
       const reason = 'status look-up: done';
       return settleAttempt(stored, { event: OrderEvent.Answered, reason, patch });
     }
-    if (
-      result.outcome === LookupOutcome.Absent &&
-      measureAttemptAgeMs(stored.record) >= notRunAfterMs
-    ) {
+    if (result.outcome === LookupOutcome.Absent && canBeNotRun) {
       const reason = 'status look-up: absent';
       return settleAttempt(stored, { event: OrderEvent.SettleNotRun, reason });
     }
@@ -112,8 +116,11 @@
     const { record } = stored;
     const service = options.findService(record.service);
     if (service?.statusLookupPath !== undefined) {
+      // Asked before the look-up is sent: the call must not arrive between its answer and now.
+      const canBeNotRun = measureAttemptAgeMs(record) >= notRunAfterMs;
       const key = deriveScopedKey(record.workspace, record.key);
-      const settled = await settleByLookup(stored, await caller.lookupStatus(service, key));
+      const result = await caller.lookupStatus(service, key);
+      const settled = await settleByLookup(stored, result, canBeNotRun);
       if (settled !== undefined) return settled;
     }
     if (record.state !== OrderState.Dispatching) return stored;
@@ -121,5 +128,5 @@
     return settleAttempt(stored, { event: OrderEvent.AnswerLost, reason });
   };
 
-  return { settleAttempt, settleOrphan, estimateNotRunWaitMs, isOrphaned };
+  return { settleAttempt, settleOrphan, observeAttempt, estimateNotRunWaitMs, isOrphaned };
 };
--- a/packages/orders/src/orderSweeper.ts
+++ b/packages/orders/src/orderSweeper.ts
@@ -63,8 +63,9 @@
   };
 
   const sweepDispatched = async (stored: StoredOrder): Promise<Finding> => {
-    const isUnknown = stored.record.state === OrderState.Unknown;
-    if (!isUnknown && !settler.isOrphaned(stored.record)) return undefined;
+    // Asked in either state, so that this daemon knows how long the attempt has stood.
+    const isOrphaned = settler.isOrphaned(stored.record);
+    if (stored.record.state === OrderState.Dispatching && !isOrphaned) return undefined;
     const settled = await settler.settleOrphan(stored);
     return settled?.record.state === OrderState.Unknown ? 'unknown' : 'settled';
   };
--- a/packages/orders/src/recordStore.ts
+++ b/packages/orders/src/recordStore.ts
@@ -41,6 +41,9 @@
 const isUncertain = (error: unknown): boolean =>
   !(error instanceof PlatformError) || error.failure === PlatformFailure.Uncertain;
 
+const isInvalid = (error: unknown): boolean =>
+  error instanceof PlatformError && error.failure === PlatformFailure.Invalid;
+
 const toStored = (object: PlatformObject | undefined): StoredOrder | undefined =>
   object === undefined ? undefined : parseStoredOrder(object);
 
@@ -63,7 +66,8 @@
     for (;;) {
       const { result, cause } = await this.step();
       if (result !== undefined) return result;
-      if (this.options.getMonotonicMs() + delayMs > this.change.giveUpAtMs) {
+      const isHopeless = isInvalid(cause);
+      if (isHopeless || this.options.getMonotonicMs() + delayMs > this.change.giveUpAtMs) {
         const outcome = this.mayTakeEffect ? SaveOutcome.Uncertain : SaveOutcome.NotSaved;
         return { outcome, cause };
       }
