feat(lab): bench of orders, with the layouts of records weighed

Change: runOrdersBench runs the fault model with 7 daemons, a 60 s outage and the layouts in virtual time; the write budget follows the platform's refusals; entry exports the handler of service calls.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,3 @@
 /** The entry daemon. */
 export * from './grants/index.js';
+export * from './services/index.js';
--- a/packages/entry/src/services/handleServiceCall.test.ts
+++ b/packages/entry/src/services/handleServiceCall.test.ts
@@ -18,7 +18,7 @@
 import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ServiceConfiguration, UpstreamConfiguration } from '@sardinegrade/common';
-import type { OrderService, OrderSubmission } from '@sardinegrade/orders';
+import type { OrderSubmission } from '@sardinegrade/orders';
 import type { ServiceCallContext } from './types.js';
 
 const servers: Server[] = [];
@@ -80,7 +80,7 @@
   };
   let ids = 0;
   const handle = createServiceHandler({
-    orders: { submitOrder } as unknown as OrderService,
+    orders: { submitOrder },
     caller: createServiceCaller(() => upstreams),
     findUpstreams: () => upstreams,
     clock: SYSTEM_CLOCK,
--- a/packages/entry/src/services/repeatableCall.ts
+++ b/packages/entry/src/services/repeatableCall.ts
@@ -5,7 +5,7 @@
 import { createRetryBudget } from './retryBudget.js';
 
 import type { CallResult, OrderResult, ServiceRequest } from '@sardinegrade/orders';
-import type { ServiceCallContext, ServiceHandlerOptions } from './types.js';
+import type { RepeatableOptions, ServiceCallContext } from './types.js';
 
 /** Carries out a call that may be repeated, or that its service de-duplicates by the key. */
 export type RunRepeatable = (
@@ -52,7 +52,7 @@
  * @param options - the way to the services, time and random source
  * @returns the runner
  */
-export const createRepeatableRunner = (options: ServiceHandlerOptions): RunRepeatable => {
+export const createRepeatableRunner = (options: RepeatableOptions): RunRepeatable => {
   const { caller, clock } = options;
   const budget = createRetryBudget();
 
--- a/packages/entry/src/services/types.ts
+++ b/packages/entry/src/services/types.ts
@@ -27,14 +27,18 @@
 /** Finds the upstreams of a service that may be given work, best first. */
 export type FindUpstreams = (service: ServiceConfiguration) => readonly UpstreamConfiguration[];
 
-/** What the handler of service calls works with. */
-export interface ServiceHandlerOptions {
-  readonly orders: OrderService;
+/** What calls that may be repeated work with. */
+export interface RepeatableOptions {
   readonly caller: ServiceCaller;
-  readonly findUpstreams: FindUpstreams;
   readonly clock: Clock;
   readonly sleep: (durationMs: number) => Promise<void>;
   /** Between 0 and 1. */
   readonly getRandom: () => number;
   readonly newId: () => string;
 }
+
+/** What the handler of service calls works with. */
+export interface ServiceHandlerOptions extends RepeatableOptions {
+  readonly orders: Pick<OrderService, 'submitOrder'>;
+  readonly findUpstreams: FindUpstreams;
+}
--- /dev/null
+++ b/packages/lab/src/bench/orders/index.ts
@@ -0,0 +1,3 @@
+/** Benchmark of orders that may not be repeated. */
+export * from './runOrdersBench.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/lab/src/bench/orders/runOrdersBench.ts
@@ -0,0 +1,129 @@
+import { runOrderSchedule } from '../../model/orders/index.js';
+import { VirtualWorld } from '../../model/orders/VirtualWorld.js';
+import { runLayout } from './runLayout.js';
+import { runOutage } from './runOutage.js';
+import { RecordLayout } from './types.js';
+
+import type { OrderSchedule, PlannedSubmission } from '../../model/orders/index.js';
+import type {
+  FaultFigures,
+  LayoutFigures,
+  OrdersBenchReport,
+  OrdersTarget,
+  OutageFigures,
+} from './types.js';
+
+/** What the benchmark takes. */
+export interface OrdersBenchOptions {
+  readonly seed: number;
+}
+
+const DAEMONS = 7;
+const KEYS = 200;
+const RESENDS = 3;
+const PERIOD_MS = 200_000;
+const CONCURRENCY = 8;
+const LAYOUT_MS = 10_000;
+const PLATFORM_WRITES_PER_SECOND = 500;
+/** From today's orders to a fifth of the requests in two years. */
+const ORDER_RATES = [20, 100, 185, 370, 740];
+const OUTAGE = { atMs: 60_000, durationMs: 60_000 };
+
+const buildSubmissions = (world: VirtualWorld): readonly PlannedSubmission[] => {
+  const submissions: PlannedSubmission[] = [];
+  for (let key = 0; key < KEYS; key += 1) {
+    const firstMs = world.pickBetween(0, PERIOD_MS);
+    const daemon = Math.floor(world.pickBetween(0, DAEMONS));
+    submissions.push({ atMs: firstMs, key, daemon, isBroadcast: world.hasLuck(0.2) });
+    for (let resend = 0; resend < RESENDS; resend += 1) {
+      const atMs = firstMs + world.pickBetween(0, 40_000);
+      submissions.push({ atMs, key, daemon: daemon + resend, isBroadcast: world.hasLuck(0.2) });
+    }
+  }
+  return submissions;
+};
+
+/** Seven VMs, an outage of 60 s, lost and late answers, paused and crashing daemons, resends over all VMs. */
+const buildSchedule = (seed: number): OrderSchedule => ({
+  seed,
+  daemons: DAEMONS,
+  concurrency: CONCURRENCY,
+  hasLookup: true,
+  chances: {
+    refused: 0.01,
+    lostAnswer: 0.03,
+    lostWrite: 0.02,
+    delayedWrite: 0.02,
+    duplicatedWrite: 0.02,
+    slow: 0.05,
+    pause: 0.002,
+    pauseBeforeCall: 0.02,
+    crash: 0.001,
+    notConnected: 0.03,
+    lostServiceAnswer: 0.03,
+    lostCall: 0.02,
+    slowCall: 0.03,
+  },
+  submissions: buildSubmissions(new VirtualWorld(seed)),
+  outages: [OUTAGE],
+  operatorAtMs: [50_000, 100_000, 150_000, 200_000],
+});
+
+const buildTarget = (name: string, figure: number, bound: number): OrdersTarget => ({
+  name,
+  bound,
+  figure,
+  met: figure <= bound,
+});
+
+const buildTargets = (product: FaultFigures, outage: OutageFigures): readonly OrdersTarget[] => [
+  buildTarget('run_twice', product.runTwice, 0),
+  buildTarget('lost', product.lost + product.unsettled, 0),
+  buildTarget('false_not_run', product.falseNotRun, 0),
+  buildTarget('differing_answers', product.differingAnswers, 0),
+  buildTarget('deduplicating_refused_in_outage', 1 - outage.deduplicating, 0),
+  buildTarget('recorded_not_refused_as_not_run', 1 - outage.recordedRefusedAsNotRun, 0),
+];
+
+const runLayouts = async (seed: number): Promise<readonly LayoutFigures[]> => {
+  const figures: LayoutFigures[] = [];
+  for (const ordersPerSecond of ORDER_RATES) {
+    for (const layout of Object.values(RecordLayout)) {
+      figures.push(
+        await runLayout({
+          seed,
+          layout,
+          daemons: DAEMONS,
+          ordersPerSecond,
+          durationMs: LAYOUT_MS,
+          writesPerSecond: PLATFORM_WRITES_PER_SECOND,
+        }),
+      );
+    }
+  }
+  return figures;
+};
+
+/**
+ * Runs the benchmark of orders: faults against the naive version, an outage, and the layouts of records.
+ * Time is virtual, so latencies count waits on the platform and the service, not processor time.
+ *
+ * @param options - the seed
+ * @returns targets and figures
+ */
+export const runOrdersBench = async ({ seed }: OrdersBenchOptions): Promise<OrdersBenchReport> => {
+  const schedule = buildSchedule(seed);
+  const product = await runOrderSchedule(schedule);
+  const naive = await runOrderSchedule(schedule, { isNaive: true });
+  const outageAvailability = await runOutage(seed);
+  const targets = buildTargets(product, outageAvailability);
+  return {
+    ok: targets.every(({ met }) => met),
+    targets,
+    seed,
+    product,
+    naive,
+    outageAvailability,
+    layouts: await runLayouts(seed),
+  };
+};
--- /dev/null
+++ b/packages/lab/src/bench/orders/runOutage.ts
@@ -0,0 +1,155 @@
+import { RunState, ServiceKind, Tier, toBranded } from '@sardinegrade/common';
+import { createRepeatableRunner } from '@sardinegrade/entry';
+import {
+  CallOutcome,
+  createOrderService,
+  createWriteBudget,
+  DEFAULT_ORDER_TIMINGS,
+  LookupOutcome,
+} from '@sardinegrade/orders';
+
+import { buildModelService } from '../../model/orders/modelFleet.js';
+import { createNaiveOrders } from '../../model/orders/naiveOrders.js';
+import { VirtualWorld } from '../../model/orders/VirtualWorld.js';
+import { createLimitedPlatform } from './limitedPlatform.js';
+
+import type { OrderResult, OrderSubmission, ServiceCaller } from '@sardinegrade/orders';
+import type { OutageFigures } from './types.js';
+
+type Submit = (submission: OrderSubmission) => Promise<OrderResult>;
+
+const OUTAGE_MS = 60_000;
+const ORDERS = 300;
+const DEADLINE_MS = 10_000;
+const WRITES_PER_SECOND = 500;
+const BODY_LIMIT_BYTES = 1_000;
+const SERVICE = buildModelService({ hasLookup: false });
+
+interface Tally {
+  answered: number;
+  notRun: number;
+}
+
+const createCaller = (world: VirtualWorld): ServiceCaller => ({
+  callService: async ({ attemptId }) => {
+    await world.sleep(world.pickBetween(5, 15));
+    const answer = { status: 201, contentType: undefined, body: Buffer.from(attemptId) };
+    return { outcome: CallOutcome.Answered, answer };
+  },
+  lookupStatus: () => Promise.resolve({ outcome: LookupOutcome.Unavailable }),
+});
+
+const createIds = (): (() => string) => {
+  let ids = 0;
+  return () => {
+    ids += 1;
+    return `id-${ids}`;
+  };
+};
+
+/** Orders of a service without de-duplication, while the platform is down. */
+const createRecorded = (world: VirtualWorld): Submit => {
+  const limits = { shortestMs: 2, longestMs: 8, writesPerSecond: WRITES_PER_SECOND };
+  const platform = createLimitedPlatform(world, limits);
+  platform.setOutage(true);
+  const { clock } = world;
+  const burst = WRITES_PER_SECOND;
+  return createOrderService({
+    platform,
+    caller: createCaller(world),
+    clock,
+    getMonotonicMs: clock.getNowMs,
+    sleep: (durationMs) => world.sleep(durationMs),
+    vm: toBranded('vm-1'),
+    newId: createIds(),
+    writeBudget: createWriteBudget({ clock, writesPerSecond: WRITES_PER_SECOND, burst }),
+    timings: DEFAULT_ORDER_TIMINGS,
+    findService: () => SERVICE,
+    isVmGone: () => false,
+    onIncident: () => undefined,
+  }).submitOrder;
+};
+
+/** Orders of a service that de-duplicates, which go on without records. */
+const createDeduplicating = (world: VirtualWorld): Submit => {
+  const run = createRepeatableRunner({
+    caller: createCaller(world),
+    clock: world.clock,
+    sleep: (durationMs) => world.sleep(durationMs),
+    getRandom: world.getRandom,
+    newId: createIds(),
+  });
+  return (submission) =>
+    run(
+      {
+        workspace: submission.workspace,
+        service: { ...SERVICE, kind: ServiceKind.Plain, upstreamDeduplicates: true },
+        class: {
+          name: SERVICE.defaultClass,
+          tier: Tier.Paying,
+          priority: 0,
+          firstTokenTargetMs: DEADLINE_MS,
+          tokenIntervalTargetMs: DEADLINE_MS,
+          deadlineMs: DEADLINE_MS,
+          minimumShare: 0,
+          queueLimit: ORDERS,
+          workspaces: [],
+        },
+        path: submission.request.path,
+        requestId: submission.requestId,
+        traceparent: submission.traceparent,
+        deadlineAtMs: submission.deadlineAtMs,
+        bodyLimitBytes: BODY_LIMIT_BYTES,
+        signal: new AbortController().signal,
+      },
+      submission.request,
+      submission.key,
+    );
+};
+
+const createNaive = (world: VirtualWorld): Submit =>
+  createNaiveOrders(createCaller(world), createIds()).submitOrder;
+
+const sendAll = async (seed: number, create: (world: VirtualWorld) => Submit): Promise<Tally> => {
+  const world = new VirtualWorld(seed);
+  const submit = create(world);
+  const tally: Tally = { answered: 0, notRun: 0 };
+  for (let order = 0; order < ORDERS; order += 1) {
+    world.schedule(world.pickBetween(0, OUTAGE_MS - DEADLINE_MS), () => {
+      const key = `key-${order}`;
+      void submit({
+        workspace: toBranded('rig-desk'),
+        service: SERVICE,
+        key,
+        request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.from(key) },
+        requestId: toBranded(key),
+        traceparent: '',
+        deadlineAtMs: world.nowMs + DEADLINE_MS,
+        concurrency: ORDERS,
+      }).then((result) => {
+        if ('answer' in result) tally.answered += 1;
+        else if (result.error.run === RunState.NotRun) tally.notRun += 1;
+      });
+    });
+  }
+  await world.run(world.nowMs + OUTAGE_MS);
+  return tally;
+};
+
+/**
+ * Sends orders through a 60 s outage of the platform, in virtual time.
+ *
+ * @param seed - seed of arrivals
+ * @returns the part of the orders answered by the end of the outage, by kind of service
+ */
+export const runOutage = async (seed: number): Promise<OutageFigures> => {
+  const recorded = await sendAll(seed, createRecorded);
+  const deduplicating = await sendAll(seed, createDeduplicating);
+  const naive = await sendAll(seed, createNaive);
+  return {
+    deduplicating: deduplicating.answered / ORDERS,
+    recorded: recorded.answered / ORDERS,
+    recordedRefusedAsNotRun: recorded.notRun / ORDERS,
+    naive: naive.answered / ORDERS,
+  };
+};
--- a/packages/lab/src/model/orders/modelFleet.ts
+++ b/packages/lab/src/model/orders/modelFleet.ts
@@ -41,7 +41,7 @@
   readonly onCrash: (daemon: ModelDaemon) => void;
 }
 
-const SWEEP_INTERVAL_MS = 25_000;
+const SWEEP_INTERVAL_MS = 30_000;
 const PAGE_PAUSE_MS = 100;
 const SHORT_PAUSE_MS = 3_000;
 const LONG_PAUSE_MS = 180_000;
@@ -52,7 +52,9 @@
 const DAY_MS = 86_400_000;
 
 /** The service of all models. */
-export const buildModelService = (schedule: OrderSchedule): ServiceConfiguration => ({
+export const buildModelService = (
+  schedule: Pick<OrderSchedule, 'hasLookup'>,
+): ServiceConfiguration => ({
   name: toBranded('booking'),
   kind: ServiceKind.Plain,
   model: undefined,
--- a/packages/lab/src/model/orders/runOrderSchedule.ts
+++ b/packages/lab/src/model/orders/runOrderSchedule.ts
@@ -24,9 +24,11 @@
 const WORKSPACE = toBranded<OrderSubmission['workspace']>('rig-desk');
 const DEADLINE_MS = 10_000;
 const FAULTY_PERIOD_MS = 240_000;
-const SETTLING_PERIOD_MS = 300_000;
-const FINAL_PERIOD_MS = 60_000;
+const SETTLING_PERIOD_MS = 180_000;
+const FINAL_PERIOD_MS = 20_000;
 const FINAL_VISITS = 3;
+/** Within the write budget of one daemon. */
+const FINAL_INTERVAL_MS = 100;
 
 const SETTLED: ReadonlySet<OrderState> = new Set([OrderState.Done, OrderState.NotRun]);
 const OPEN_STATES = [OrderState.Unknown, OrderState.Dispatching];
@@ -144,8 +146,23 @@
 
   /** The operator looks into the service, and settles each open order by what stands there. */
   private async settleAll(service: OrderService): Promise<void> {
-    const page = await service.listOrders({ states: OPEN_STATES });
-    for (const stored of page.orders) await this.settleOne(service, stored).catch(() => undefined);
+    for (const stored of await this.listOrders(service, OPEN_STATES)) {
+      await this.settleOne(service, stored).catch(() => undefined);
+    }
+  }
+
+  private async listOrders(
+    service: OrderService,
+    states: readonly OrderState[],
+  ): Promise<readonly StoredOrder[]> {
+    const listed: StoredOrder[] = [];
+    let after: string | undefined;
+    do {
+      const page = await service.listOrders({ states, ...(after === undefined ? {} : { after }) });
+      listed.push(...page.orders);
+      after = page.next;
+    } while (after !== undefined);
+    return listed;
   }
 
   private async settleOne(service: OrderService, { record }: StoredOrder): Promise<void> {
@@ -164,7 +181,7 @@
     const service = this.findService();
     if (service === undefined) return;
     const listed: StoredOrder[] = [];
-    void service.listOrders({}).then((page) => listed.push(...page.orders));
+    void this.listOrders(service, Object.values(OrderState)).then((all) => listed.push(...all));
     await this.world.run(this.world.nowMs + 1_000);
     for (const { record } of listed) {
       if (!SETTLED.has(record.state)) this.unsettled += 1;
@@ -181,6 +198,7 @@
       for (const scopedKey of this.oracle.listKeys()) {
         const daemon = this.fleet.findDaemon(index);
         if (daemon !== undefined) this.submit(daemon, scopedKey.slice(WORKSPACE.length + 1));
+        await this.world.run(this.world.nowMs + FINAL_INTERVAL_MS);
       }
       await this.world.run(this.world.nowMs + FINAL_PERIOD_MS);
     }
--- a/packages/orders/src/orderIntake.ts
+++ b/packages/orders/src/orderIntake.ts
@@ -236,7 +236,10 @@
   const admitWork = async (work: OrderWork): Promise<OrderResult> => {
     try {
       if (!writeBudget.acquire(WRITES_PER_ORDER)) return await respondWithoutWrites(work);
-      return await startWork(work, CONFLICT_LIMIT);
+      const result = await startWork(work, CONFLICT_LIMIT);
+      // A replay needs the first write only, which met the record.
+      if ('answer' in result && result.isReplay) writeBudget.release(WRITES_PER_ORDER - 1);
+      return result;
     } catch (error) {
       return { error: toSardinegradeError(error, RunState.Unknown) };
     }
--- a/packages/orders/src/recordStore.ts
+++ b/packages/orders/src/recordStore.ts
@@ -41,6 +41,9 @@
 const isUncertain = (error: unknown): boolean =>
   !(error instanceof PlatformError) || error.failure === PlatformFailure.Uncertain;
 
+const isLimited = (error: unknown): boolean =>
+  error instanceof PlatformError && error.failure === PlatformFailure.Limited;
+
 const isInvalid = (error: unknown): boolean =>
   error instanceof PlatformError && error.failure === PlatformFailure.Invalid;
 
@@ -92,10 +95,12 @@
     this.tries += 1;
     try {
       const result = await this.options.platform.write(this.write);
+      this.options.writeBudget.onWritten();
       if (result.outcome === WriteOutcome.Written) return this.buildSaved(result.version);
       return this.compareCurrent(result.current);
     } catch (error) {
       this.mayTakeEffect ||= isUncertain(error);
+      if (isLimited(error)) this.options.writeBudget.onLimited();
       throw error;
     }
   }
--- a/packages/orders/src/writeBudget.ts
+++ b/packages/orders/src/writeBudget.ts
@@ -23,14 +23,28 @@
   readonly use: (writes: number) => void;
   /** The part of the burst that is free, between 0 and 1. */
   readonly getFreeShare: () => number;
+  /** Lowers the rate: the platform has refused a write. */
+  readonly onLimited: () => void;
+  /** Raises the rate again, up to the one that was set. */
+  readonly onWritten: () => void;
   /** Until a number of writes is free. */
   readonly estimateWaitMs: (writes: number) => number;
 }
 
 const SECOND_MS = 1_000;
 
+/** Part of the rate that is left after the platform has refused a write. */
+const DECREASE = 0.7;
+
+/** Part of the full rate that each written record gives back. */
+const INCREASE = 0.02;
+
+/** Part of the full rate that is always left. */
+const LOWEST_SHARE = 0.05;
+
 /**
- * Creates a write budget, a token bucket that settlements may overdraw.
+ * Creates a write budget, a token bucket that settlements may overdraw and whose rate follows what
+ * the platform takes: it falls by a part on each refusal and rises by small steps.
  *
  * @param options - rate, burst and clock
  * @returns the budget
@@ -38,13 +52,14 @@
 export const createWriteBudget = (options: WriteBudgetOptions): WriteBudget => {
   const { clock, writesPerSecond, burst } = options;
   let free = burst;
+  let rate = writesPerSecond;
   let countedAtMs = clock.getNowMs();
 
   const update = () => {
     const nowMs = clock.getNowMs();
     const passedMs = Math.max(0, nowMs - countedAtMs);
     countedAtMs = nowMs;
-    free = Math.min(burst, free + (passedMs * writesPerSecond) / SECOND_MS);
+    free = Math.min(burst, free + (passedMs * rate) / SECOND_MS);
   };
 
   const acquire = (writes: number): boolean => {
@@ -68,10 +83,21 @@
     return Math.max(0, free / burst);
   };
 
+  const onLimited = () => {
+    update();
+    rate = Math.max(writesPerSecond * LOWEST_SHARE, rate * DECREASE);
+    // What was saved up would only meet the limit again.
+    free = Math.min(free, rate);
+  };
+
+  const onWritten = () => {
+    rate = Math.min(writesPerSecond, rate + writesPerSecond * INCREASE);
+  };
+
   const estimateWaitMs = (writes: number): number => {
     update();
-    return Math.max(0, ((writes - free) * SECOND_MS) / writesPerSecond);
+    return Math.max(0, ((writes - free) * SECOND_MS) / rate);
   };
 
-  return { acquire, release, use, getFreeShare, estimateWaitMs };
+  return { acquire, release, use, getFreeShare, onLimited, onWritten, estimateWaitMs };
 };
