--- a/packages/orders/src/recordStore.ts
+++ b/packages/orders/src/recordStore.ts
@@ -41,6 +41,12 @@
 const isUncertain = (error: unknown): boolean =>
   !(error instanceof PlatformError) || error.failure === PlatformFailure.Uncertain;
 
+const isLimited = (error: unknown): boolean =>
+  error instanceof PlatformError && error.failure === PlatformFailure.Limited;
+
+const isInvalid = (error: unknown): boolean =>
+  error instanceof PlatformError && error.failure === PlatformFailure.Invalid;
+
 const toStored = (object: PlatformObject | undefined): StoredOrder | undefined =>
   object === undefined ? undefined : parseStoredOrder(object);
 
@@ -63,7 +69,8 @@
     for (;;) {
       const { result, cause } = await this.step();
       if (result !== undefined) return result;
-      if (this.options.getMonotonicMs() + delayMs > this.change.giveUpAtMs) {
+      const isHopeless = isInvalid(cause);
+      if (isHopeless || this.options.getMonotonicMs() + delayMs > this.change.giveUpAtMs) {
         const outcome = this.mayTakeEffect ? SaveOutcome.Uncertain : SaveOutcome.NotSaved;
         return { outcome, cause };
       }
@@ -88,10 +95,12 @@
     this.tries += 1;
     try {
       const result = await this.options.platform.write(this.write);
+      this.options.writeBudget.onWritten();
       if (result.outcome === WriteOutcome.Written) return this.buildSaved(result.version);
       return this.compareCurrent(result.current);
     } catch (error) {
       this.mayTakeEffect ||= isUncertain(error);
+      if (isLimited(error)) this.options.writeBudget.onLimited();
       throw error;
     }
   }
