--- a/packages/entry/src/administration/types.ts
+++ b/packages/entry/src/administration/types.ts
@@ -60,6 +60,10 @@
   readonly settledAtMs?: number | undefined;
   readonly answer?: { readonly status: number; readonly bytes: number } | undefined;
   readonly audit: readonly OrderAuditEntry[];
+  /** Until the order may be settled as not run; absent where it is not open. */
+  readonly notRunWaitMs?: number | undefined;
+  /** Needed to settle the order as not run; given once no call can still be on its way. */
+  readonly settlementToken?: string | undefined;
 }
 
 /** Names one order. */
@@ -90,6 +94,8 @@
   readonly wasRun: boolean;
   readonly reason: string;
   readonly operator: string;
+  /** From the order as last shown; needed to settle it as not run. */
+  readonly settlementToken?: string | undefined;
 }
 
 /** Orders as operators handle them. Methods reject with SardinegradeError. */
@@ -106,6 +112,7 @@
 export type FleetAdministration = Pick<
   FleetAgent,
   | 'getMembers'
+  | 'getMemberGeneration'
   | 'getConfiguration'
   | 'getConfigurationStatus'
   | 'applyConfiguration'
@@ -129,8 +136,6 @@
   readonly journal: RequestJournal;
   readonly listUpstreamStates: () => readonly UpstreamState[];
   readonly listQueues: () => readonly QueueState[];
-  /** The generation that another daemon had in force when last heard of. */
-  readonly getMemberGeneration: (vm: VmId) => number | undefined;
   /** Whether the daemon takes callers' requests. */
   readonly isReady: () => boolean;
 }
--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { createServer } from 'node:http';
 
 import { credentials, ServerCredentials } from '@grpc/grpc-js';
 import { createLogger, createMetrics, startTracing, SYSTEM_CLOCK } from '@sardinegrade/common';
@@ -6,17 +7,24 @@
 import { createPlatformClient } from '@sardinegrade/platform';
 import { EngineClient } from '@sardinegrade/upstream';
 
-import { createRequestJournal } from '../administration/index.js';
+import {
+  createAdministrationContext,
+  createAdministrationHandler,
+  createRequestJournal,
+} from '../administration/index.js';
 import { CallerServer } from '../callers/index.js';
 import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
 import { DependencyCheck, UpstreamProber } from '../health/index.js';
 import { createModelRoutes, RetryAllowance } from '../models/index.js';
+import { observePlatform, registerGauges } from '../observation/index.js';
 import { listenOn } from './addresses.js';
 import { FleetFacts } from './FleetFacts.js';
 import { OrderDesk } from './OrderDesk.js';
 import { createOpenPaths } from './openPaths.js';
 import { PeerServer } from './PeerServer.js';
 
+import type { Server } from 'node:http';
+
 import type {
   AttemptId,
   Clock,
@@ -63,6 +71,7 @@
   readonly #desk: OrderDesk;
   readonly #callers: CallerServer;
   readonly #peers: PeerServer;
+  readonly #administration: Server;
   #isLeaving = false;
 
   constructor(settings: EntrySettings) {
@@ -76,7 +85,10 @@
       otlpAddress: settings.traces.otlp_address,
       onExportError: (error) => this.logger.warn('Traces were not exported.', { error }),
     });
-    this.#platform = createPlatformClient({ address: settings.platform.address });
+    this.#platform = observePlatform(createPlatformClient({ address: settings.platform.address }), {
+      metrics: this.#metrics,
+      tracing: this.tracing,
+    });
     this.#fleet = this.#createFleet();
     this.#host = this.#createHost();
     this.#broker = this.#createBroker();
@@ -89,6 +101,7 @@
       this.#fleet.handlers,
       createDispatchService(this.#host, this.#clock),
     );
+    this.#administration = this.#createAdministration();
   }
 
   /**
@@ -105,7 +118,11 @@
     this.#prober.start();
     this.#desk.start();
     const callersAddress = await listenOn(this.#callers.server, callers.listen);
-    return { callers: callersAddress, administration: '', peer: peerAddress };
+    const administration = await listenOn(
+      this.#administration,
+      this.#settings.administration.listen,
+    );
+    return { callers: callersAddress, administration, peer: peerAddress };
   };
 
   /** Takes no new work, hands dispatch on, finishes all in progress, and stops. */
@@ -141,6 +158,8 @@
     this.#fleet.stop();
     this.#peers.stop();
     this.#callers.server.closeAllConnections();
+    this.#administration.close();
+    this.#administration.closeAllConnections();
     await this.#engines.close();
     await this.tracing.stop();
   };
@@ -198,6 +217,8 @@
       clock: this.#clock,
       tracing: this.tracing,
       logger: this.logger,
+      metrics: this.#metrics,
+      journal: this.#journal,
       routes: [...this.#createModelRoutes(), ...this.#desk.routes],
       serveOpenPath: createOpenPaths({
         isReady: this.isReady,
@@ -213,7 +234,6 @@
       engines: this.#engines,
       tracing: this.tracing,
       metrics: this.#metrics,
-      journal: this.#journal,
       retries: new RetryAllowance(),
       bodyLimitBytes: this.#settings.callers.body_limit,
       checkDependencies: this.#checkDependencies,
@@ -227,6 +247,8 @@
       vm: this.#vm,
       clock: this.#clock,
       logger: this.logger,
+      metrics: this.#metrics,
+      tracing: this.tracing,
       platform: this.#platform,
       bodyLimitBytes: this.#settings.callers.body_limit,
       writesPerSecond: this.#settings.orders.writes_per_second,
@@ -237,6 +259,26 @@
       checkDependencies: this.#checkDependencies,
     });
 
+  readonly #createAdministration = (): Server => {
+    const context = createAdministrationContext({
+      vm: this.#vm,
+      dataCentre: this.#dataCentre,
+      clock: this.#clock,
+      logger: this.logger,
+      administrators: this.#settings.administrator,
+      fleet: this.#fleet,
+      orders: this.#desk.orders,
+      metrics: this.#metrics,
+      traces: this.tracing.recent,
+      journal: this.#journal,
+      describeDispatchers: () => this.#host.describe().values(),
+      isUpstreamDown: this.#facts.isDown,
+      isReady: this.isReady,
+    });
+    registerGauges(this.#metrics, context);
+    return createServer(createAdministrationHandler(context));
+  };
+
   readonly #checkDependencies = (caller: CallerRequest, service: ServiceConfiguration): void =>
     this.#dependencies.requireDependencies(caller.configuration, service);
 
