--- a/packages/entry/src/grants/GrantBroker.test.ts
+++ b/packages/entry/src/grants/GrantBroker.test.ts
@@ -1,14 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import {
-  FencingSupport,
-  parseDurationMs,
-  rankByRendezvous,
-  ResultCode,
-  ServiceKind,
-} from '@sardinegrade/common';
+import { parseDurationMs, rankByRendezvous, ResultCode } from '@sardinegrade/common';
 import { DispatchActionKind, DispatchPolicy, ReleaseReason } from '@sardinegrade/dispatch';
+import { parseConfiguration } from '@sardinegrade/fleet';
 
 import { DispatchHost } from './DispatchHost.js';
 import { GrantBroker } from './GrantBroker.js';
@@ -16,13 +11,11 @@
 import type { TestContext } from 'node:test';
 import type {
   ClassName,
-  Configuration,
   DataCentreName,
   Fingerprint,
   PoolName,
   RequestId,
   ServiceName,
-  UpstreamConfiguration,
   UpstreamId,
   VmId,
   WorkspaceName,
@@ -39,29 +32,27 @@
 const VMS = ['vm-0', 'vm-1', 'vm-2', 'vm-3'] as VmId[];
 const NOW_MS = 1_000_000;
 
-const buildConfiguration = (): Configuration => {
-  const upstream: UpstreamConfiguration = {
-    id: ENGINE,
-    pool: POOL,
-    dataCentre: DATA_CENTRE,
-    address: 'http://127.0.0.1:1',
-    slots: 4,
-    fencing: FencingSupport.Checked,
-    draining: false,
-  };
-  return {
-    generation: 1,
-    text: '',
-    services: new Map(),
-    workspaces: new Map(),
-    upstreams: new Map([[ENGINE, upstream]]),
-  };
-};
+const CONFIGURATION_TEXT = `
+[service.counter]
+kind = model
+model = drill-7b
+pool = ${POOL}
+default_class = query
+[service.counter.class.query]
+tier = paying
+[workspace.desk]
+key_sha256[] = ${'0'.repeat(64)}
+[upstream.${ENGINE}]
+pool = ${POOL}
+data_centre = ${DATA_CENTRE}
+address = http://127.0.0.1:1
+slots = 4
+`;
 
 const buildDetails = (askId: string): AskDetails => ({
   askId,
   requestId: 'r-1' as RequestId,
-  service: ServiceKind.Model as string as ServiceName,
+  service: 'counter' as ServiceName,
   className: 'query' as ClassName,
   workspace: 'desk' as WorkspaceName,
   arrivedAtMs: NOW_MS,
@@ -123,7 +114,7 @@
   t.after(host.stop);
   const members = VMS.map((vm) => ({ vm, dataCentre: DATA_CENTRE, address: `${vm}:1` }));
   broker.updateMembers(members);
-  broker.applyConfiguration(buildConfiguration());
+  broker.applyConfiguration(parseConfiguration(CONFIGURATION_TEXT, 1));
   const order = rankByRendezvous(`${POOL}/${DATA_CENTRE}/0`, VMS);
   return { broker, sessions, members, order };
 };
--- a/packages/lab/src/bin/commands/index.ts
+++ b/packages/lab/src/bin/commands/index.ts
@@ -1,4 +1,5 @@
 import { BENCH_COMMAND } from './bench.js';
+import { DEMO_COMMAND } from './demo.js';
 import { PROXY_COMMAND } from './proxy.js';
 import { STAND_IN_COMMANDS } from './standIns.js';
 
@@ -9,4 +10,5 @@
   ...STAND_IN_COMMANDS,
   PROXY_COMMAND,
   BENCH_COMMAND,
+  DEMO_COMMAND,
 ];
--- /dev/null
+++ b/packages/lab/src/demo/DemoSystem.ts
@@ -0,0 +1,126 @@
+import { AdministratorRole, parseIniDocument, validateIni } from '@sardinegrade/common';
+import { ENTRY_SETTINGS_SCHEMA, EntryDaemon } from '@sardinegrade/entry';
+
+import { formatIni, waitUntil } from '../harness/index.js';
+import { startEngine, startPlatform, startService } from '../standins/index.js';
+import { buildSampleText, hashKey, SAMPLE_KEYS } from './sample.js';
+
+import type { DaemonAddresses } from '@sardinegrade/entry';
+import type { EngineStandIn, PlatformStandIn, ServiceStandIn } from '../standins/index.js';
+
+const VMS = ['vm-1', 'vm-2'] as const;
+const ENGINES = 2;
+
+/** How the demonstration is started. */
+export interface DemoOptions {
+  /** Port of the first daemon's callers; 0 lets the system choose. */
+  readonly port: number;
+  readonly logLevel: string;
+}
+
+interface DemoVm {
+  readonly daemon: EntryDaemon;
+  readonly addresses: DaemonAddresses;
+}
+
+const buildSettings = (
+  vm: string,
+  platform: string,
+  seeds: readonly string[],
+  options: DemoOptions,
+) =>
+  formatIni({
+    vm: { id: vm, data_centre: 'hobart' },
+    callers: { listen: `127.0.0.1:${seeds.length === 0 ? options.port : 0}` },
+    administration: { listen: '127.0.0.1:0' },
+    'administrator.demo': {
+      roles: Object.values(AdministratorRole),
+      key_sha256: [hashKey(SAMPLE_KEYS.administrator)],
+    },
+    peer: { listen: '127.0.0.1:0', ...(seeds.length === 0 ? {} : { seeds }) },
+    platform: { address: platform },
+    log: { level: options.logLevel },
+  });
+
+/** A whole small system in one process: platform, engines, a plain service and two entry daemons. */
+export class DemoSystem {
+  readonly platform: PlatformStandIn;
+  readonly engines: readonly EngineStandIn[];
+  readonly service: ServiceStandIn;
+  readonly vms: readonly DemoVm[];
+
+  private constructor(
+    platform: PlatformStandIn,
+    engines: readonly EngineStandIn[],
+    service: ServiceStandIn,
+    vms: readonly DemoVm[],
+  ) {
+    this.platform = platform;
+    this.engines = engines;
+    this.service = service;
+    this.vms = vms;
+  }
+
+  /**
+   * Starts the system and brings the sample configuration into force through the administration API.
+   *
+   * @param options - port and log level
+   * @returns the running system, ready on every VM
+   */
+  static readonly start = async (options: DemoOptions): Promise<DemoSystem> => {
+    const platform = await startPlatform();
+    const engines = await Promise.all(
+      Array.from({ length: ENGINES }, () =>
+        startEngine({ models: ['drill-7b'], slots: 4, tokenIntervalMs: 10 }),
+      ),
+    );
+    const service = await startService();
+    const vms: DemoVm[] = [];
+    for (const vm of VMS) {
+      const seeds = vms.map(({ addresses }) => addresses.peer);
+      const text = buildSettings(vm, platform.address, seeds, options);
+      const settings = validateIni(parseIniDocument(text), ENTRY_SETTINGS_SCHEMA, `${vm}.ini`);
+      const daemon = new EntryDaemon(settings);
+      vms.push({ daemon, addresses: await daemon.start() });
+    }
+    const system = new DemoSystem(platform, engines, service, vms);
+    await system.#applySample();
+    await waitUntil('both VMs to be ready', () => vms.every(({ daemon }) => daemon.isReady()));
+    return system;
+  };
+
+  /** Ends everything, daemons first. */
+  readonly stop = async (): Promise<void> => {
+    await Promise.all(this.vms.map(({ daemon }) => daemon.shutDown()));
+    await Promise.all([...this.engines, this.service, this.platform].map((part) => part.stop()));
+  };
+
+  /**
+   * Gets the base address of a VM's callers' interface.
+   *
+   * @param index - which VM
+   * @returns `http://host:port`
+   */
+  readonly getCallersAddress = (index: number): string =>
+    `http://${this.vms[index]?.addresses.callers ?? ''}`;
+
+  readonly getAdministrationAddress = (index: number): string =>
+    `http://${this.vms[index]?.addresses.administration ?? ''}`;
+
+  readonly #applySample = async (): Promise<void> => {
+    const text = buildSampleText({
+      engines: this.engines.map(({ address }) => address),
+      service: this.service.address,
+    });
+    const response = await fetch(`${this.getAdministrationAddress(0)}/v1/configuration`, {
+      method: 'PUT',
+      headers: {
+        authorization: `Bearer ${SAMPLE_KEYS.administrator}`,
+        'if-match': '"0"',
+        'content-type': 'text/plain',
+      },
+      body: text,
+    });
+    if (!response.ok) throw new Error(`The sample was refused: ${await response.text()}`);
+  };
+}
