fix(dispatch): a pause is no token interval, and a paused dispatcher finds no stragglers

A dispatcher that was itself paused (no progress, then a tick) would have suspended every engine. Change: progress is timed anew after a resume; hold times leave pauses out, and so do intervals that daemons measured over a pause; one sample may raise an engine's mean fivefold at most; silence counts only while other engines' streams go on.

--- a/packages/dispatch/src/engines/stragglers.ts
+++ b/packages/dispatch/src/engines/stragglers.ts
@@ -40,17 +40,13 @@
   return last;
 };
 
-const computeSilenceRatio = (
-  engine: EngineState,
-  gaps: readonly number[],
-  nowMs: number,
-): number => {
+/** How long an engine's streams have been silent while those of others went on, in usual gaps. */
+const computeSilenceRatio = (engine: EngineState, shard: ShardPace): number => {
   const own = engine.progressGapMs.value;
-  if (own === undefined) return 0;
-  const usual = computeOthersMedian(gaps, own);
   const progressAtMs = findLastProgress(engine);
-  if (usual === undefined || progressAtMs === undefined) return 0;
-  return (nowMs - progressAtMs) / usual / SILENT_GAPS;
+  if (own === undefined || progressAtMs === undefined) return 0;
+  const usual = computeOthersMedian(shard.gaps, own);
+  return usual === undefined ? 0 : (shard.progressAtMs - progressAtMs) / usual / SILENT_GAPS;
 };
 
 const listSorted = (values: Iterable<number | undefined>): readonly number[] =>
@@ -62,6 +58,14 @@
   return ratio <= RECOVERY_RATIO ? EngineHealthEvent.Recover : undefined;
 };
 
+/** How fast the shard's engines go at present. */
+interface ShardPace {
+  readonly intervals: readonly number[];
+  readonly gaps: readonly number[];
+  /** The last progress of any stream. */
+  readonly progressAtMs: number;
+}
+
 /** Engines whose health changed, and the shard's usual token interval. */
 export interface StragglerReview {
   readonly changed: readonly EngineState[];
@@ -82,10 +86,12 @@
   const measured = engines.filter((engine) => isSound(engine) && isMeasured(engine, nowMs));
   const intervals = listSorted(measured.map((engine) => engine.tokenIntervalMs.value));
   const gaps = listSorted(measured.map((engine) => engine.progressGapMs.value));
+  const progressAtMs = Math.max(...engines.map((engine) => findLastProgress(engine) ?? -Infinity));
+  const pace = { intervals, gaps, progressAtMs };
   const changed: EngineState[] = [];
   for (const engine of engines) {
     if (!isSound(engine)) continue;
-    const event = checkEngine(engine, intervals, gaps, nowMs);
+    const event = checkEngine(engine, pace, nowMs);
     if (event !== undefined && applyHealthEvent(engine, event, nowMs)) changed.push(engine);
   }
   return { changed, medianIntervalMs: computeMedian(intervals) };
@@ -93,8 +99,7 @@
 
 const checkEngine = (
   engine: EngineState,
-  intervals: readonly number[],
-  gaps: readonly number[],
+  pace: ShardPace,
   nowMs: number,
 ): EngineHealthEvent | undefined => {
   const own = engine.tokenIntervalMs.value;
@@ -102,8 +107,8 @@
     const isOver = nowMs - engine.healthSinceMs > REDUCED_LIFETIME_MS;
     return isOver ? EngineHealthEvent.Recover : undefined;
   }
-  const usual = computeOthersMedian(intervals, own);
+  const usual = computeOthersMedian(pace.intervals, own);
   if (usual === undefined) return EngineHealthEvent.Recover;
-  const silence = computeSilenceRatio(engine, gaps, nowMs);
+  const silence = computeSilenceRatio(engine, pace);
   return pickHealthEvent(Math.max(own / usual, silence));
 };
--- a/packages/dispatch/src/engines/updateLimit.ts
+++ b/packages/dispatch/src/engines/updateLimit.ts
@@ -3,6 +3,8 @@
 import type { EngineState } from './types.js';
 
 const INTERVAL_WEIGHT = 0.1;
+const SAMPLES_BEFORE_CLAMP = 4;
+const SAMPLE_LIMIT_FACTOR = 5;
 const CUT_FACTOR = 0.85;
 const CUT_COOLDOWN_MS = 1_000;
 
@@ -33,6 +35,14 @@
   engine.limit = Math.max(floor, engine.limit * CUT_FACTOR);
 };
 
+/** A single stream's stall must not make an engine a straggler. */
+const updateInterval = (engine: EngineState, sampleMs: number, nowMs: number): void => {
+  const { value, samples } = engine.tokenIntervalMs;
+  const isKnown = value !== undefined && samples >= SAMPLES_BEFORE_CLAMP;
+  const clampedMs = isKnown ? Math.min(sampleMs, value * SAMPLE_LIMIT_FACTOR) : sampleMs;
+  updateAverage(engine.tokenIntervalMs, clampedMs, nowMs, INTERVAL_WEIGHT);
+};
+
 /**
  * Adapts an engine's concurrency limit to a measured latency: additive growth, multiplicative cuts.
  *
@@ -48,7 +58,7 @@
   nowMs: number,
 ): void => {
   if (sample.tokenIntervalMs !== undefined && sample.tokenIntervalMs > 0)
-    updateAverage(engine.tokenIntervalMs, sample.tokenIntervalMs, nowMs, INTERVAL_WEIGHT);
+    updateInterval(engine, sample.tokenIntervalMs, nowMs);
   const target = findStrictestTarget(engine, intervalTargetMs);
   const interval = engine.tokenIntervalMs.value ?? 0;
   const isFirstLate =
--- a/packages/dispatch/src/naive/createNaiveDispatcher.ts
+++ b/packages/dispatch/src/naive/createNaiveDispatcher.ts
@@ -6,7 +6,7 @@
 import type { DispatchAction, DispatchEvent, Dispatcher, GrantAsk } from '../types.js';
 
 interface GrantedAsk {
-  readonly vm: VmId;
+  readonly ask: GrantAsk;
   readonly upstream: UpstreamId;
 }
 
@@ -45,8 +45,8 @@
   return undefined;
 };
 
-const addGrant = (state: SlotState, { askId, vm }: GrantAsk, upstream: UpstreamId): void => {
-  state.granted.set(askId, { vm, upstream });
+const addGrant = (state: SlotState, ask: GrantAsk, upstream: UpstreamId): void => {
+  state.granted.set(ask.askId, { ask, upstream });
   state.counts.set(upstream, getCount(state, upstream) + 1);
 };
 
@@ -113,7 +113,7 @@
 const removeVm = (state: SlotState, vm: VmId): void => {
   state.waiting = state.waiting.filter((waiting) => waiting.vm !== vm);
   for (const [askId, grant] of [...state.granted]) {
-    if (grant.vm === vm) removeGrant(state, askId);
+    if (grant.ask.vm === vm) removeGrant(state, askId);
   }
 };
 
@@ -162,9 +162,14 @@
   }
 };
 
-const countByClass = (waiting: readonly GrantAsk[]): Readonly<Record<string, number>> => {
+const countByClass = (
+  asks: Iterable<Pick<GrantAsk, 'service' | 'className'>>,
+): Readonly<Record<string, number>> => {
   const counts: Record<string, number> = {};
-  for (const ask of waiting) counts[ask.className] = (counts[ask.className] ?? 0) + 1;
+  for (const { service, className } of asks) {
+    const key = `${service}/${className}`;
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
   return counts;
 };
 
@@ -190,6 +195,7 @@
     },
     describe: () => ({
       queuedByClass: countByClass(state.waiting),
+      grantedByClass: countByClass([...state.granted.values()].map(({ ask }) => ask)),
       upstreams: state.upstreams.map(({ id, slots }) => ({
         upstream: id,
         granted: getCount(state, id),
--- a/packages/dispatch/src/testing/ModelEngine.ts
+++ b/packages/dispatch/src/testing/ModelEngine.ts
@@ -23,9 +23,17 @@
   constructor(readonly shape: EngineShape) {}
 
   get runningCount(): number {
-    let count = 0;
-    for (const stream of this.streams.values()) if (!stream.isPaused) count += 1;
-    return count;
+    return this.listRunning().length;
+  }
+
+  /** Streams beyond the slots wait in the engine's own queue, in order of their start. */
+  listRunning(): readonly ModelStream[] {
+    const running: ModelStream[] = [];
+    for (const stream of this.streams.values()) {
+      if (running.length >= this.shape.slots) break;
+      if (!stream.isPaused) running.push(stream);
+    }
+    return running;
   }
 
   /** @returns the present interval between tokens of one stream */
@@ -61,8 +69,7 @@
    */
   advance(durationMs: number, nowMs: number): boolean {
     const intervalMs = this.computeIntervalMs();
-    for (const stream of this.streams.values()) {
-      if (stream.isPaused) continue;
+    for (const stream of this.listRunning()) {
       if (stream.isPoison) return true;
       this.advanceStream(stream, durationMs, intervalMs, nowMs);
     }
--- a/packages/dispatch/src/testing/index.ts
+++ b/packages/dispatch/src/testing/index.ts
@@ -1,5 +1,6 @@
 /** Builders of configurations, asks and events, and a model of a shard, for tests and benches. */
 export * from './builders.js';
+export * from './createTestShard.js';
 export * from './enums.js';
 export * from './InvariantObserver.js';
 export * from './ModelEngine.js';
--- a/packages/dispatch/src/tiered/admit.ts
+++ b/packages/dispatch/src/tiered/admit.ts
@@ -66,7 +66,9 @@
     tokens: 0,
     isGuaranteed: false,
     outstanding: 0,
-    grantedAtMs: nowMs,
+    placedAtMs: nowMs,
+    heldMs: 0,
+    wasPaused: false,
     progressAtMs: undefined,
   };
 };
--- a/packages/dispatch/src/tiered/classes.ts
+++ b/packages/dispatch/src/tiered/classes.ts
@@ -99,3 +99,16 @@
  */
 export const getGuaranteedShare = (owner: ClassState): number =>
   Math.max(SHARE_FLOOR, owner.definition.minimumShare);
+
+/**
+ * Counts something of each class.
+ *
+ * @param state - the dispatcher's state
+ * @param count - counts it in one class
+ * @returns counts by `service/class`
+ */
+export const countByClass = (
+  state: TieredState,
+  count: (owner: ClassState) => number,
+): Readonly<Record<string, number>> =>
+  Object.fromEntries(state.classes.map((owner) => [owner.key, count(owner)]));
--- a/packages/dispatch/src/tiered/configure.ts
+++ b/packages/dispatch/src/tiered/configure.ts
@@ -1,6 +1,5 @@
 import { ResultCode } from '@sardinegrade/common';
 
-import { RequestState } from '../charts/index.js';
 import { createEngine } from '../engines/index.js';
 import { buildClassKey, compareClasses, createClass, getWeight } from './classes.js';
 import { refuseStranded } from './health.js';
@@ -108,19 +107,3 @@
   updateClasses(state, configuration, nowMs);
   refuseStranded(state, nowMs);
 };
-
-/**
- * Counts the waiting asks of each class.
- *
- * @param state - the dispatcher's state
- * @returns counts by `service/class`
- */
-export const countQueuedByClass = (state: TieredState): Readonly<Record<string, number>> => {
-  const counts: Record<string, number> = {};
-  for (const owner of state.classes) counts[owner.key] = 0;
-  for (const record of state.records.values()) {
-    if (record.state !== RequestState.Waiting) continue;
-    counts[record.owner.key] = (counts[record.owner.key] ?? 0) + 1;
-  }
-  return counts;
-};
--- a/packages/dispatch/src/tiered/createTieredDispatcher.ts
+++ b/packages/dispatch/src/tiered/createTieredDispatcher.ts
@@ -3,7 +3,8 @@
 import { computeLimit } from '../engines/index.js';
 import { SuspicionTable } from '../quarantine/index.js';
 import { handleAsk } from './admit.js';
-import { countQueuedByClass, handleConfigured } from './configure.js';
+import { countByClass, countWaiting } from './classes.js';
+import { handleConfigured } from './configure.js';
 import { expireWaiting, refuseAllDoomed } from './deadlines.js';
 import { handleProgress, handleRelease, handleWithdraw } from './feedback.js';
 import {
@@ -147,7 +148,8 @@
       return takeActions(state);
     },
     describe: () => ({
-      queuedByClass: countQueuedByClass(state),
+      queuedByClass: countByClass(state, countWaiting),
+      grantedByClass: countByClass(state, ({ running }) => running.size),
       upstreams: state.engines.map((engine) => ({
         upstream: engine.id,
         granted: engine.running.size,
--- a/packages/dispatch/src/tiered/feedback.ts
+++ b/packages/dispatch/src/tiered/feedback.ts
@@ -85,12 +85,14 @@
   release: GrantRelease,
   nowMs: number,
 ): void => {
-  const { tokenIntervalMs, firstTokenMs } = release;
+  const { firstTokenMs } = release;
+  const tokenIntervalMs = record.wasPaused ? undefined : release.tokenIntervalMs;
   measureInterval(state, record, { tokenIntervalMs, firstTokenMs }, nowMs);
   if (firstTokenMs !== undefined)
     updateAverage(state.firstTokenMs, firstTokenMs, nowMs, AVERAGE_WEIGHT);
   if (release.reason !== ReleaseReason.Finished) return;
-  const holdMs = nowMs - record.grantedAtMs;
+  const isRunning = record.state === RequestState.Granted;
+  const holdMs = record.heldMs + (isRunning ? nowMs - record.placedAtMs : 0);
   updateAverage(record.owner.holdMs, holdMs, nowMs, AVERAGE_WEIGHT);
   updateAverage(state.holdMs, holdMs, nowMs, AVERAGE_WEIGHT);
   updateAverage(record.owner.outputTokens, release.tokens, nowMs, AVERAGE_WEIGHT);
--- a/packages/dispatch/src/tiered/records.ts
+++ b/packages/dispatch/src/tiered/records.ts
@@ -58,6 +58,9 @@
   engine.running.add(record);
   engine.ownCounts.record(engine.running.size, nowMs);
   record.owner.running.add(record);
+  record.placedAtMs = nowMs;
+  // The gap of a pause is no token interval.
+  record.progressAtMs = undefined;
   applyExpected(state, record);
 };
 
@@ -70,6 +73,7 @@
   if (!engine.running.delete(record)) return;
   engine.ownCounts.record(engine.running.size, nowMs);
   record.owner.running.delete(record);
+  record.heldMs += nowMs - record.placedAtMs;
   if (record.isGuaranteed) record.owner.guaranteed -= 1;
   record.isGuaranteed = false;
   releaseExpected(state, record);
@@ -102,7 +106,6 @@
 ): void => {
   const { ask, owner } = record;
   record.engine = engine;
-  record.grantedAtMs = nowMs;
   acquirePlace(state, record, engine, nowMs);
   applyUse(state, owner, computePromptCost(ask.promptTokens));
   owner.queue.applyCharge(ask.workspace, record.cost);
@@ -213,6 +216,7 @@
   if (record.state === RequestState.Granted) acquirePlace(state, record, engine, nowMs);
   else releasePlace(state, record, engine, nowMs);
   if (record.state === RequestState.Paused) {
+    record.wasPaused = true;
     owner.paused.add(record);
     engine.paused.add(record);
   }
--- a/packages/dispatch/src/tiered/types.ts
+++ b/packages/dispatch/src/tiered/types.ts
@@ -59,7 +59,11 @@
   isGuaranteed: boolean;
   /** Expected tokens that were charged to the class and have not come yet. */
   outstanding: number;
-  grantedAtMs: number;
+  /** When it got its present place, and how long it held places before. */
+  placedAtMs: number;
+  heldMs: number;
+  /** Whether it was ever paused, so that its daemon's measures include pauses. */
+  wasPaused: boolean;
   progressAtMs: number | undefined;
 }
 
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -136,7 +136,10 @@
 
 /** What a dispatcher knows, for the status view. */
 export interface DispatcherSnapshot {
+  /** Waiting asks by `service/class`. */
   readonly queuedByClass: Readonly<Record<string, number>>;
+  /** Places held, by `service/class`. */
+  readonly grantedByClass?: Readonly<Record<string, number>>;
   readonly upstreams: readonly {
     readonly upstream: UpstreamId;
     readonly granted: number;
