feat(lab): compare policies over one load in the bench decide

One shard, or four, against the model of engines at the dispatcher's interface, 120 s of model time at about twice the capacity: tiered against naive, adaptive limits, pause against cancel, one against two choices, grants against every daemon alone on reports that lag 5 s. Counted figures, the same on every run with a seed.

--- /dev/null
+++ b/packages/lab/src/bench/decide/comparisons/computeFigures.ts
@@ -0,0 +1,64 @@
+import { ModelOutcome } from '@sardinegrade/dispatch/testing';
+
+import { COMPARED_CLASSES } from './buildArrivals.js';
+import { DURATION_MS } from './constants.js';
+
+import type { ModelResult } from '@sardinegrade/dispatch/testing';
+import type { VariantFigures } from './types.js';
+
+const DEFAULT_FIRST_TOKEN_TARGET_MS = 1_200;
+const TOKEN_INTERVAL_TARGET_MS = 78;
+
+const getFirstTokenTarget = (className: string): number =>
+  COMPARED_CLASSES.find(({ name }) => String(name) === className)?.firstTokenTargetMs ??
+  DEFAULT_FIRST_TOKEN_TARGET_MS;
+
+const isAttained = ({ request, outcome, atMs, firstTokenAtMs }: ModelResult): boolean => {
+  if (outcome !== ModelOutcome.Finished || firstTokenAtMs === undefined) return false;
+  const { ask, outputTokens } = request;
+  if (firstTokenAtMs - ask.arrivedAtMs > getFirstTokenTarget(ask.className)) return false;
+  const intervalMs = (atMs - firstTokenAtMs) / Math.max(1, outputTokens);
+  return intervalMs <= TOKEN_INTERVAL_TARGET_MS;
+};
+
+const computeShare = <Item>(items: readonly Item[], matches: (item: Item) => boolean): number =>
+  items.length === 0 ? 0 : items.filter(matches).length / items.length;
+
+const isOfClass =
+  (className: string) =>
+  ({ request }: ModelResult): boolean =>
+    String(request.ask.className) === className;
+
+const countTokens = (results: readonly ModelResult[]): number =>
+  results.reduce((sum, { request }) => sum + request.outputTokens, 0);
+
+/**
+ * Sums up what a variant gave.
+ *
+ * @param name - the variant's name
+ * @param results - how each request ended
+ * @param requests - how many there were
+ * @returns the figures that are compared
+ */
+export const computeFigures = (
+  name: string,
+  results: readonly ModelResult[],
+  requests: number,
+): VariantFigures => {
+  const finished = results.filter(({ outcome }) => outcome === ModelOutcome.Finished);
+  const inTime = finished.filter(({ atMs }) => atMs <= DURATION_MS);
+  const tokens = countTokens(inTime);
+  const wasted = results.reduce((sum, { wastedTokens }) => sum + wastedTokens, 0);
+  const isRefusedPaying = (result: ModelResult): boolean =>
+    result.outcome === ModelOutcome.Refused && !isOfClass('history')(result);
+  return {
+    name,
+    queryAttainment: computeShare(results.filter(isOfClass('query')), isAttained),
+    reportAttainment: computeShare(results.filter(isOfClass('report')), isAttained),
+    finishedShare: finished.length / requests,
+    goodput: (tokens * 1_000) / DURATION_MS,
+    freeShare: countTokens(inTime.filter(isOfClass('history'))) / Math.max(1, tokens),
+    wastedShare: wasted / Math.max(1, tokens),
+    payingRefused: results.filter(isRefusedPaying).length,
+  };
+};
--- /dev/null
+++ b/packages/lab/src/bench/decide/comparisons/runAlone.ts
@@ -0,0 +1,148 @@
+import { createRandomSource, decideAlone } from '@sardinegrade/dispatch';
+import { ModelEngine, ModelOutcome } from '@sardinegrade/dispatch/testing';
+
+import { COMPARED_CLASSES } from './buildArrivals.js';
+import {
+  DAEMONS,
+  DURATION_MS,
+  ENGINES,
+  REPORT_LAG_MS,
+  SETTLE_MS,
+  STEP_MS,
+  VIEW_INTERVAL_MS,
+} from './constants.js';
+import { buildEngines } from './runDispatched.js';
+
+import type { Tier } from '@sardinegrade/common';
+import type { KnownEngine, RandomSource, SpreadPolicy } from '@sardinegrade/dispatch';
+import type { ModelRequest, ModelResult, ModelStream } from '@sardinegrade/dispatch/testing';
+import type { Arrival } from './types.js';
+
+interface LoneRun {
+  readonly engines: readonly ModelEngine[];
+  readonly random: RandomSource;
+  readonly spread: SpreadPolicy;
+  readonly open: Map<string, ModelRequest>;
+  readonly results: ModelResult[];
+  /** Loads of all engines as they were at each report, the oldest first. */
+  reports: { readonly atMs: number; readonly loads: readonly number[] }[];
+  /** Each daemon's own starts since the report that it knows: time and engine. */
+  readonly starts: { readonly atMs: number; readonly engine: number }[][];
+}
+
+const TIERS: ReadonlyMap<string, Tier> = new Map(
+  COMPARED_CLASSES.flatMap(({ name, tier }) =>
+    name === undefined || tier === undefined ? [] : [[String(name), tier] as const],
+  ),
+);
+
+const recordResult = (
+  run: LoneRun,
+  request: ModelRequest,
+  outcome: ModelOutcome,
+  nowMs: number,
+  stream?: ModelStream,
+): void => {
+  run.results.push({
+    request,
+    outcome,
+    atMs: nowMs,
+    firstTokenAtMs: stream?.firstTokenAtMs,
+    meanIntervalMs: undefined,
+    wastedTokens: outcome === ModelOutcome.Finished ? 0 : Math.floor(stream?.tokensMade ?? 0),
+  });
+};
+
+const listKnown = (run: LoneRun, daemon: number, nowMs: number): readonly KnownEngine[] => {
+  const report = run.reports.findLast(({ atMs }) => atMs <= nowMs - REPORT_LAG_MS);
+  const own = (run.starts[daemon] ?? []).filter(({ atMs }) => atMs > (report?.atMs ?? -1));
+  run.starts[daemon] = own;
+  return run.engines.map(({ shape }, index) => ({
+    upstream: shape.id,
+    slots: shape.slots,
+    reportedLoad: report?.loads[index] ?? 0,
+    ownSinceReport: own.filter(({ engine }) => engine === index).length,
+    isLeaving: false,
+    isLost: false,
+  }));
+};
+
+const startRequest = (run: LoneRun, request: ModelRequest, nowMs: number): void => {
+  const daemon = Math.floor(run.random() * DAEMONS);
+  const { ask } = request;
+  const tier = TIERS.get(ask.className);
+  if (tier === undefined) return;
+  const lone = { tier, excludedUpstreams: [], isQuarantined: false, spread: run.spread };
+  const decision = decideAlone(lone, listKnown(run, daemon, nowMs), run.random);
+  if (!('upstream' in decision)) {
+    recordResult(run, request, ModelOutcome.Refused, nowMs);
+    return;
+  }
+  const index = run.engines.findIndex(({ shape }) => shape.id === decision.upstream);
+  run.starts[daemon]?.push({ atMs: nowMs, engine: index });
+  run.open.set(ask.askId, request);
+  run.engines[index]?.start({
+    askId: ask.askId,
+    isPoison: false,
+    startedAtMs: nowMs,
+    promptTokens: ask.promptTokens,
+    tokensLeft: request.outputTokens,
+    tokensMade: 0,
+    firstTokenAtMs: undefined,
+    isPaused: false,
+    runMs: 0,
+  });
+};
+
+const settleStreams = (run: LoneRun, engine: ModelEngine, nowMs: number): void => {
+  for (const stream of [...engine.streams.values()]) {
+    const request = run.open.get(stream.askId);
+    if (request === undefined) continue;
+    const isLate = nowMs >= request.ask.deadlineAtMs;
+    if (stream.tokensLeft > 0 && !isLate) continue;
+    engine.cancel(stream.askId);
+    run.open.delete(stream.askId);
+    const outcome = stream.tokensLeft > 0 ? ModelOutcome.Cut : ModelOutcome.Finished;
+    recordResult(run, request, outcome, nowMs, stream);
+  }
+};
+
+const recordReport = (run: LoneRun, nowMs: number): void => {
+  const kept = run.reports.filter(({ atMs }) => atMs > nowMs - 2 * REPORT_LAG_MS);
+  run.reports = [...kept, { atMs: nowMs, loads: run.engines.map(({ streams }) => streams.size) }];
+};
+
+/**
+ * Runs the common load with every daemon deciding alone on lagging reports; an engine queues what exceeds its slots.
+ *
+ * @param shape - how daemons spread their requests, and how engines slow down
+ * @param arrivals - the load
+ * @returns how each request ended
+ */
+export const runAlone = (
+  shape: { readonly seed: number; readonly spread: SpreadPolicy; readonly batchingCost: number },
+  arrivals: readonly Arrival[],
+): readonly ModelResult[] => {
+  const run: LoneRun = {
+    engines: buildEngines(shape.batchingCost, ENGINES).map((engine) => new ModelEngine(engine)),
+    random: createRandomSource(shape.seed),
+    spread: shape.spread,
+    open: new Map(),
+    results: [],
+    reports: [],
+    starts: Array.from({ length: DAEMONS }, () => []),
+  };
+  let next = 0;
+  for (let nowMs = STEP_MS; nowMs < DURATION_MS + SETTLE_MS; nowMs += STEP_MS) {
+    for (const engine of run.engines) {
+      engine.advance(STEP_MS, nowMs);
+      settleStreams(run, engine, nowMs);
+    }
+    if (nowMs % VIEW_INTERVAL_MS === 0) recordReport(run, nowMs);
+    for (; (arrivals[next]?.atMs ?? Infinity) <= nowMs; next += 1) {
+      const arrival = arrivals[next];
+      if (arrival !== undefined) startRequest(run, arrival.request, nowMs);
+    }
+  }
+  return run.results;
+};
--- a/packages/lab/src/bench/decide/decide.ts
+++ b/packages/lab/src/bench/decide/decide.ts
@@ -1,6 +1,7 @@
 import { DispatchPolicy } from '@sardinegrade/dispatch';
 
 import { requireAtMost } from '../runner/index.js';
+import { buildComparisonTable, runComparisons } from './comparisons/index.js';
 import { measureCharts } from './measureCharts.js';
 import { measureDecisions } from './measureDecisions.js';
 
@@ -88,15 +89,17 @@
     rounds: NAIVE_ROUNDS,
   });
   const charts = measureCharts();
+  const comparisons = runComparisons(seed, report);
   return {
     tables: [
       buildTable('Cost of a grant by queue', byQueue),
       buildTable('Cost of a grant by workers', byWorkers),
       buildTable('Naive', [naive]),
       buildChartTable(charts),
+      ...comparisons.map(buildComparisonTable),
     ],
     targets: buildTargets(byQueue),
-    figures: { byQueue, byWorkers, naive, charts },
+    figures: { byQueue, byWorkers, naive, charts, comparisons },
   };
 };
 
