--- a/packages/dispatch/src/engines/updateLimit.ts
+++ b/packages/dispatch/src/engines/updateLimit.ts
@@ -9,7 +9,7 @@
 const CUT_COOLDOWN_MS = 1_000;
 
 /** The limit grows only while the interval stays below this part of the target. */
-const GROWTH_BOUND = 0.9;
+const GROWTH_BOUND = 0.8;
 
 /** The limit is never cut below this part of the slots: below it a cut costs more than it gains. */
 const LIMIT_FLOOR_SHARE = 0.25;
