feat(lab): clusters of real processes, and the benches of the request path

Change: startCluster runs platform, engines and entry daemons as processes, with fault proxies between them; benches relay, overload, straggler, crash, poison and silent run the same seeded load against both policies. Engines note which prompts they have begun, so that a false "not run" shows.

--- /dev/null
+++ b/packages/lab/src/bench/crash/crash.ts
@@ -0,0 +1,96 @@
+import { CallerOutcome } from '../../load/index.js';
+import { requireAtMost } from '../runner/index.js';
+import {
+  buildClassTable,
+  buildCluster,
+  buildProfile,
+  computePayingAttainment,
+  countOutcome,
+  describeScenario,
+  runComparison,
+  waitWithin,
+} from '../support/index.js';
+
+import type { Cluster } from '../../harness/index.js';
+import type { RequestResult } from '../../load/index.js';
+import type { Bench, BenchTable } from '../runner/index.js';
+import type { ScenarioResult } from '../support/index.js';
+
+const ENGINES = 6;
+const VMS = 3;
+const DURATION_MS = 20_000;
+const DEMAND = { query: 0.25, report: 0.2, history: 0.2 };
+
+const ENGINE_KILL_INTERVAL_MS = 4_000;
+const RESTART_AFTER_MS = 1_000;
+const DAEMON_KILL_AT_MS = 10_000;
+
+const abortEngines = async (cluster: Cluster, signal: AbortSignal): Promise<void> => {
+  for (let turn = 0; await waitWithin(ENGINE_KILL_INTERVAL_MS, signal); turn += 1) {
+    const engine = cluster.engines[turn % cluster.engines.length];
+    await engine?.abort();
+    if (!(await waitWithin(RESTART_AFTER_MS, signal))) return;
+    await engine?.start();
+  }
+};
+
+const abortDaemon = async (cluster: Cluster, signal: AbortSignal): Promise<void> => {
+  if (!(await waitWithin(DAEMON_KILL_AT_MS, signal))) return;
+  await cluster.entries.at(-1)?.process.abort();
+};
+
+/** Whether the request was with the daemon that is killed, whose callers see their connection break. */
+const isOnKilledDaemon = ({ request }: RequestResult): boolean => request.number % VMS === VMS - 1;
+
+const BROKEN: ReadonlySet<CallerOutcome> = new Set([
+  CallerOutcome.Cut,
+  CallerOutcome.Failed,
+  CallerOutcome.Unreachable,
+  CallerOutcome.GivenUp,
+]);
+
+/** Requests that got neither a whole answer nor a refusal, although their daemon lived. */
+const countBroken = (scenario: ScenarioResult): number =>
+  scenario.results.filter((result) => BROKEN.has(result.outcome) && !isOnKilledDaemon(result))
+    .length;
+
+const buildTable = (scenarios: readonly ScenarioResult[]): BenchTable => ({
+  title: 'Together',
+  columns: ['policy', 'paying attained', 'broken on living daemons', 'wasted', 'false not run'],
+  rows: scenarios.map((scenario) => [
+    scenario.policy,
+    computePayingAttainment(scenario),
+    countBroken(scenario),
+    scenario.wastedPart,
+    scenario.falseNotRun,
+  ]),
+});
+
+/** Engines and a daemon killed under load. */
+export const CRASH_BENCH: Bench = {
+  name: 'crash',
+  description: 'engines and a daemon killed under load',
+  run: async ({ seed, report }) => {
+    const { product, naive } = await runComparison({
+      cluster: buildCluster(VMS, ENGINES),
+      profile: buildProfile(seed, DURATION_MS, ENGINES, DEMAND),
+      disturb: async (cluster, signal) => {
+        await Promise.all([abortEngines(cluster, signal), abortDaemon(cluster, signal)]);
+      },
+      report,
+    });
+    return {
+      tables: [buildClassTable([product, naive]), buildTable([product, naive])],
+      targets: [
+        requireAtMost('wrong answers', countOutcome(product, CallerOutcome.Wrong), 0),
+        requireAtMost('neither whole nor refused, living daemons', countBroken(product), 0),
+        requireAtMost('false "not run"', product.falseNotRun, 0),
+        requireAtMost('wasted tokens, as a part of all', product.wastedPart, 0.02),
+      ],
+      figures: {
+        product: { ...describeScenario(product), broken: countBroken(product) },
+        naive: { ...describeScenario(naive), broken: countBroken(naive) },
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/lab/src/bench/crash/index.ts
@@ -0,0 +1,2 @@
+/** Bench `crash` of the request path. */
+export * from './crash.js';
--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -1,6 +1,20 @@
 /** The table of all benches; a new one is registered here. */
+import { CRASH_BENCH } from './crash/index.js';
+import { OVERLOAD_BENCH } from './overload/index.js';
+import { POISON_BENCH } from './poison/index.js';
+import { RELAY_BENCH } from './relay/index.js';
+import { SILENT_BENCH } from './silent/index.js';
+import { STRAGGLER_BENCH } from './straggler/index.js';
+
 import type { Bench } from './runner/index.js';
 
 export * from './runner/index.js';
 
-export const BENCHES: readonly Bench[] = [];
+export const BENCHES: readonly Bench[] = [
+  RELAY_BENCH,
+  OVERLOAD_BENCH,
+  STRAGGLER_BENCH,
+  CRASH_BENCH,
+  POISON_BENCH,
+  SILENT_BENCH,
+];
--- /dev/null
+++ b/packages/lab/src/bench/overload/index.ts
@@ -0,0 +1,2 @@
+/** Bench of demand above capacity. */
+export * from './overload.js';
--- /dev/null
+++ b/packages/lab/src/bench/poison/index.ts
@@ -0,0 +1,2 @@
+/** Bench `poison` of the request path. */
+export * from './poison.js';
--- /dev/null
+++ b/packages/lab/src/bench/poison/poison.ts
@@ -0,0 +1,90 @@
+import { getWorkspaceKey } from '../../harness/index.js';
+import { requireAtLeast, requireAtMost } from '../runner/index.js';
+import {
+  buildClassTable,
+  buildCluster,
+  buildProfile,
+  computePayingAttainment,
+  describeScenario,
+  runComparison,
+  waitWithin,
+  WORKSPACES,
+} from '../support/index.js';
+
+import type { Cluster, EngineProcess } from '../../harness/index.js';
+import type { Bench, BenchTable } from '../runner/index.js';
+import type { ScenarioResult } from '../support/index.js';
+
+const ENGINES = 6;
+const VMS = 3;
+const DURATION_MS = 20_000;
+const DEMAND = { query: 0.25, report: 0.2, history: 0.2 };
+
+const MARKER = 'crack-the-engine';
+const RESEND_AFTER_MS = 200;
+const RESTART_AFTER_MS = 1_000;
+const ENGINES_LOST_LIMIT = 2;
+
+const keepEngineRunning = async (engine: EngineProcess, signal: AbortSignal): Promise<void> => {
+  for (;;) {
+    await engine.process.exited;
+    if (!(await waitWithin(RESTART_AFTER_MS, signal))) return;
+    await engine.start();
+  }
+};
+
+/** Sends one and the same request for ever, through one daemon after the other. */
+const sendPoison = async (cluster: Cluster, signal: AbortSignal): Promise<void> => {
+  const body = JSON.stringify({
+    model: 'drill-7b',
+    stream: true,
+    messages: [{ role: 'user', content: MARKER }],
+  });
+  const headers = { authorization: `Bearer ${getWorkspaceKey(WORKSPACES[0] ?? '')}` };
+  for (let turn = 0; await waitWithin(RESEND_AFTER_MS, signal); turn += 1) {
+    const { addresses } = cluster;
+    const address = addresses[turn % addresses.length] ?? '';
+    const url = `${address}/v1/chat/completions`;
+    await fetch(url, { method: 'POST', headers, body, signal }).then(
+      (response) => response.text(),
+      () => undefined,
+    );
+  }
+};
+
+const buildTable = (scenarios: readonly ScenarioResult[]): BenchTable => ({
+  title: 'Together',
+  columns: ['policy', 'engine crashes', 'paying attained', 'wasted'],
+  rows: scenarios.map((scenario) => [
+    scenario.policy,
+    scenario.engineCrashes,
+    computePayingAttainment(scenario),
+    scenario.wastedPart,
+  ]),
+});
+
+/** A request that crashes each engine that runs it, sent again and again. */
+export const POISON_BENCH: Bench = {
+  name: 'poison',
+  description: 'a request that crashes its engine, resent for ever among healthy ones',
+  run: async ({ seed, report }) => {
+    const { product, naive } = await runComparison({
+      cluster: buildCluster(VMS, ENGINES, { flags: { 'crash-marker': MARKER } }),
+      profile: buildProfile(seed, DURATION_MS, ENGINES, DEMAND),
+      disturb: async (cluster, signal) => {
+        for (const engine of cluster.engines) void keepEngineRunning(engine, signal);
+        await sendPoison(cluster, signal);
+      },
+      report,
+    });
+    return {
+      tables: [buildClassTable([product, naive]), buildTable([product, naive])],
+      targets: [
+        requireAtMost('engines lost', product.engineCrashes, ENGINES_LOST_LIMIT),
+        requireAtLeast('engines lost to the naive policy', naive.engineCrashes, 1),
+        requireAtMost('false "not run"', product.falseNotRun, 0),
+      ],
+      figures: { product: describeScenario(product), naive: describeScenario(naive) },
+    };
+  },
+};
--- /dev/null
+++ b/packages/lab/src/bench/relay/index.ts
@@ -0,0 +1,2 @@
+/** Bench of the hop through an entry daemon. */
+export * from './relay.js';
--- /dev/null
+++ b/packages/lab/src/bench/silent/index.ts
@@ -0,0 +1,2 @@
+/** Bench `silent` of the request path. */
+export * from './silent.js';
--- /dev/null
+++ b/packages/lab/src/bench/silent/silent.ts
@@ -0,0 +1,83 @@
+import { CallerOutcome, hasMetTargets } from '../../load/index.js';
+import { requireAtLeast, requireAtMost } from '../runner/index.js';
+import {
+  buildClassTable,
+  buildCluster,
+  buildProfile,
+  countOutcome,
+  describeScenario,
+  runComparison,
+  waitWithin,
+} from '../support/index.js';
+
+import type { Cluster } from '../../harness/index.js';
+import type { Bench, BenchTable } from '../runner/index.js';
+import type { ScenarioResult, Window } from '../support/index.js';
+
+const ENGINES = 6;
+const VMS = 3;
+const DURATION_MS = 24_000;
+const DEMAND = { query: 0.25, report: 0.15, history: 0.15 };
+
+const MUTE_AT_MS = 8_000;
+const MUTED_ENGINES = 3;
+
+/** The longest silence before a first token that the daemons tolerate in any paying class. */
+const PROGRESS_DEADLINE_MS = 5_000;
+
+const BEFORE: Window = { fromMs: 1_000, untilMs: MUTE_AT_MS - 3_000 };
+const AFTER: Window = { fromMs: MUTE_AT_MS + PROGRESS_DEADLINE_MS, untilMs: DURATION_MS };
+
+const pauseConnections = async (cluster: Cluster, signal: AbortSignal): Promise<void> => {
+  if (!(await waitWithin(MUTE_AT_MS, signal))) return;
+  for (const engine of cluster.engines.slice(0, MUTED_ENGINES)) engine.proxy?.pauseExisting();
+};
+
+const computeAttainment = (scenario: ScenarioResult, window: Window): number => {
+  const paying = scenario.results.filter(
+    ({ request, atMs }) =>
+      request.loadClass.isPaying && atMs >= window.fromMs && atMs < window.untilMs,
+  );
+  return paying.filter(hasMetTargets).length / Math.max(1, paying.length);
+};
+
+const buildTable = (scenarios: readonly ScenarioResult[]): BenchTable => ({
+  title: 'Paying attainment by the time of arrival',
+  columns: ['policy', 'before', 'within the progress deadline', 'after it', 'wasted'],
+  rows: scenarios.map((scenario) => [
+    scenario.policy,
+    computeAttainment(scenario, BEFORE),
+    computeAttainment(scenario, { fromMs: BEFORE.untilMs, untilMs: AFTER.fromMs }),
+    computeAttainment(scenario, AFTER),
+    scenario.wastedPart,
+  ]),
+});
+
+/** Open connections fall silent for good while new ones work. */
+export const SILENT_BENCH: Bench = {
+  name: 'silent',
+  description: 'open connections to half of the engines go mute, new ones work',
+  run: async ({ seed, report }) => {
+    const { product, naive } = await runComparison({
+      cluster: buildCluster(VMS, ENGINES, { hasProxy: true }),
+      profile: buildProfile(seed, DURATION_MS, ENGINES, DEMAND),
+      disturb: pauseConnections,
+      report,
+    });
+    const before = computeAttainment(product, BEFORE);
+    return {
+      tables: [buildClassTable([product, naive]), buildTable([product, naive])],
+      targets: [
+        requireAtLeast(
+          'paying attainment after the progress deadline',
+          computeAttainment(product, AFTER),
+          before,
+        ),
+        requireAtMost('wrong answers', countOutcome(product, CallerOutcome.Wrong), 0),
+        requireAtMost('cut answers', countOutcome(product, CallerOutcome.Cut), 0),
+        requireAtMost('false "not run"', product.falseNotRun, 0),
+      ],
+      figures: { product: describeScenario(product), naive: describeScenario(naive) },
+    };
+  },
+};
--- /dev/null
+++ b/packages/lab/src/bench/straggler/index.ts
@@ -0,0 +1,2 @@
+/** Bench `straggler` of the request path. */
+export * from './straggler.js';
--- /dev/null
+++ b/packages/lab/src/bench/support/classes.ts
@@ -0,0 +1,107 @@
+import { Tier } from '@sardinegrade/common';
+
+import { CLUSTER_MODEL, getWorkspaceKey } from '../../harness/index.js';
+
+import type { ClusterClass } from '../../harness/index.js';
+import type { LengthDistribution, LoadClass } from '../../load/index.js';
+
+/** Workspaces of all benches, the largest first. */
+export const WORKSPACES: readonly string[] = Array.from(
+  { length: 10 },
+  (_, index) => `workspace-${index + 1}`,
+);
+
+const WORKSPACE_SKEW = 1;
+const SHARED_PART = 0.5;
+
+/** A class of a bench: what the configuration says of it and what its callers send. */
+export interface BenchClass {
+  readonly cluster: ClusterClass;
+  readonly answerTokens: LengthDistribution;
+  readonly promptTokens: LengthDistribution;
+  readonly isPaying: boolean;
+}
+
+const createLength = (median: number, spread: number): LengthDistribution => ({
+  median,
+  spread,
+  maximum: median * 5,
+});
+
+/** Counter queries: short, paying and urgent. */
+export const QUERY: BenchClass = {
+  cluster: {
+    name: 'query',
+    tier: Tier.Paying,
+    minimumShare: 0.3,
+    firstTokenTargetMs: 1_200,
+    tokenIntervalTargetMs: 78,
+    deadlineMs: 30_000,
+  },
+  answerTokens: createLength(40, 0.5),
+  promptTokens: createLength(300, 0.5),
+  isPaying: true,
+};
+
+/** Reports: long and paying, with a wider target. */
+export const REPORT: BenchClass = {
+  cluster: {
+    name: 'report',
+    tier: Tier.Paying,
+    priority: 1,
+    minimumShare: 0.1,
+    firstTokenTargetMs: 5_000,
+    tokenIntervalTargetMs: 100,
+    deadlineMs: 60_000,
+  },
+  answerTokens: createLength(150, 0.5),
+  promptTokens: createLength(600, 0.5),
+  isPaying: true,
+};
+
+/** History reconciliation: long and free. */
+export const HISTORY: BenchClass = {
+  cluster: {
+    name: 'history',
+    tier: Tier.Free,
+    minimumShare: 0.1,
+    firstTokenTargetMs: 10_000,
+    tokenIntervalTargetMs: 500,
+    deadlineMs: 20_000,
+  },
+  answerTokens: createLength(150, 0.6),
+  promptTokens: createLength(600, 0.6),
+  isPaying: false,
+};
+
+const computeMeanLength = ({ median, spread }: LengthDistribution): number =>
+  median * Math.exp(spread ** 2 / 2);
+
+/**
+ * Makes a class's load from the tokens that it asks for.
+ *
+ * @param benchClass - the class
+ * @param tokensPerSecond - its demand in answered tokens
+ * @param changes - bursts and other changes
+ * @returns the load
+ */
+export const createLoadClass = (
+  benchClass: BenchClass,
+  tokensPerSecond: number,
+  changes: Partial<LoadClass> = {},
+): LoadClass => ({
+  name: benchClass.cluster.name,
+  model: CLUSTER_MODEL,
+  isPaying: benchClass.isPaying,
+  ratePerSecond: tokensPerSecond / computeMeanLength(benchClass.answerTokens),
+  bursts: [],
+  keys: WORKSPACES.map(getWorkspaceKey),
+  workspaceSkew: WORKSPACE_SKEW,
+  promptTokens: benchClass.promptTokens,
+  answerTokens: benchClass.answerTokens,
+  sharedPart: SHARED_PART,
+  firstTokenTargetMs: benchClass.cluster.firstTokenTargetMs,
+  tokenIntervalTargetMs: benchClass.cluster.tokenIntervalTargetMs,
+  patienceMs: benchClass.cluster.deadlineMs,
+  ...changes,
+});
--- /dev/null
+++ b/packages/lab/src/bench/support/tables.ts
@@ -0,0 +1,91 @@
+import { CallerOutcome } from '../../load/index.js';
+
+import type { ClassSummary } from '../../load/index.js';
+import type { BenchTable } from '../runner/index.js';
+import type { ScenarioResult } from './runScenario.js';
+
+const COLUMNS = [
+  'policy, class',
+  'requests',
+  'attained',
+  'first p50',
+  'first p95',
+  'interval p95',
+  'whole',
+  'refused',
+  'failed',
+  'cut',
+  'given up',
+  'wrong',
+  'good tokens',
+] as const;
+
+const buildRow = (policy: string, summary: ClassSummary): readonly (string | number)[] => [
+  `${policy}, ${summary.className}`,
+  summary.requests,
+  summary.attainment,
+  summary.firstTokenMs.p50,
+  summary.firstTokenMs.p95,
+  summary.tokenIntervalMs.p95,
+  summary.outcomes[CallerOutcome.Whole],
+  summary.outcomes[CallerOutcome.Refused],
+  summary.outcomes[CallerOutcome.Failed] + summary.outcomes[CallerOutcome.Unreachable],
+  summary.outcomes[CallerOutcome.Cut],
+  summary.outcomes[CallerOutcome.GivenUp],
+  summary.outcomes[CallerOutcome.Wrong],
+  summary.goodTokens,
+];
+
+/**
+ * Builds the table of all classes under all policies.
+ *
+ * @param scenarios - what came of each policy
+ * @returns the table; times are in milliseconds
+ */
+export const buildClassTable = (scenarios: readonly ScenarioResult[]): BenchTable => ({
+  title: 'By class (times in ms from the planned send)',
+  columns: COLUMNS,
+  rows: scenarios.flatMap(({ policy, summaries }) =>
+    summaries.map((summary) => buildRow(policy, summary)),
+  ),
+});
+
+/**
+ * Computes the attainment of all paying classes together.
+ *
+ * @param scenario - what came of a policy
+ * @returns requests that met both targets, as a part of all paying requests
+ */
+export const computePayingAttainment = (scenario: ScenarioResult): number => {
+  const paying = scenario.summaries.filter(({ isPaying }) => isPaying);
+  const requests = paying.reduce((sum, summary) => sum + summary.requests, 0);
+  const met = paying.reduce((sum, summary) => sum + summary.attainment * summary.requests, 0);
+  return requests === 0 ? 1 : met / requests;
+};
+
+/**
+ * Counts the requests of all classes that ended in a way.
+ *
+ * @param scenario - what came of a policy
+ * @param outcome - the way
+ * @returns their number
+ */
+export const countOutcome = (scenario: ScenarioResult, outcome: CallerOutcome): number =>
+  scenario.summaries.reduce((sum, summary) => sum + summary.outcomes[outcome], 0);
+
+/**
+ * Describes a policy's run for the last line of a bench.
+ *
+ * @param scenario - what came of the policy
+ * @returns figures by name
+ */
+export const describeScenario = (scenario: ScenarioResult): Readonly<Record<string, unknown>> => ({
+  paying_attainment: computePayingAttainment(scenario),
+  attainment: Object.fromEntries(
+    scenario.summaries.map(({ className, attainment }) => [className, attainment]),
+  ),
+  engine_tokens: scenario.engineTokens,
+  wasted_part: scenario.wastedPart,
+  false_not_run: scenario.falseNotRun,
+  engine_crashes: scenario.engineCrashes,
+});
--- /dev/null
+++ b/packages/lab/src/harness/processStats.ts
@@ -0,0 +1,31 @@
+import { readFileSync } from 'node:fs';
+
+const TICKS_PER_SECOND = 100;
+const USER_TICKS_FIELD = 11;
+const KERNEL_TICKS_FIELD = 12;
+const BYTES_PER_KILOBYTE = 1_024;
+
+/**
+ * Reads the processor time that a process has used.
+ *
+ * @param pid - the process
+ * @returns milliseconds of one core, user and kernel time together
+ */
+export const readProcessorMs = (pid: number): number => {
+  const text = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  // The process's name, in parentheses, may hold blanks.
+  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[KERNEL_TICKS_FIELD]);
+  return (ticks * 1_000) / TICKS_PER_SECOND;
+};
+
+/**
+ * Reads the memory that a process holds.
+ *
+ * @param pid - the process
+ * @returns its resident set in bytes
+ */
+export const readResidentBytes = (pid: number): number => {
+  const kilobytes = /^VmRSS:\s+(\d+)/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
+  return Number(kilobytes ?? 0) * BYTES_PER_KILOBYTE;
+};
--- a/packages/lab/src/load/runLoad.ts
+++ b/packages/lab/src/load/runLoad.ts
@@ -4,6 +4,7 @@
 
 import { sendRequest } from './sendRequest.js';
 
+import type { Dispatcher } from 'undici';
 import type { PlannedRequest, RequestResult } from './types.js';
 
 /** How a planned load is sent. */
@@ -13,11 +14,27 @@
   /** Called with each result as it comes. */
   readonly onResult?: (result: RequestResult) => void;
   readonly signal?: AbortSignal;
+  /** Connections to use, which stay open; by default the run has its own. */
+  readonly dispatcher?: Dispatcher;
 }
 
 const CONNECTIONS_PER_ADDRESS = 2_000;
 const CONNECT_TIMEOUT_MS = 5_000;
 
+/**
+ * Opens connections that callers share.
+ *
+ * @returns the connections; their owner destroys them
+ */
+export const openCallerConnections = (): Agent =>
+  new Agent({
+    connections: CONNECTIONS_PER_ADDRESS,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
 /**
  * Sends a planned load. The plan's times hold whatever the answers do: the load is open, and a late
  * send counts into its request's latency.
@@ -30,13 +47,8 @@
   plan: readonly PlannedRequest[],
   options: RunLoadOptions,
 ): Promise<readonly RequestResult[]> => {
-  const dispatcher = new Agent({
-    connections: CONNECTIONS_PER_ADDRESS,
-    pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  const connections = openCallerConnections();
+  const dispatcher = options.dispatcher ?? connections;
   const signal = options.signal ?? new AbortController().signal;
   const startedAtMs = performance.now();
   const getNowMs = (): number => performance.now() - startedAtMs;
@@ -51,6 +63,6 @@
     results.push(result);
   }
   const ended = await Promise.all(results);
-  await dispatcher.destroy();
+  await connections.destroy();
   return ended;
 };
--- a/packages/lab/src/standins/engine/Attempt.ts
+++ b/packages/lab/src/standins/engine/Attempt.ts
@@ -16,6 +16,7 @@
   readonly id: string;
   readonly priority: number;
   readonly promptTokens: number;
+  readonly promptHash: number;
   readonly prefixBlocks: readonly number[];
   readonly answer: Answer;
   readonly resumeAt: number;
--- a/packages/lab/src/standins/engine/Engine.ts
+++ b/packages/lab/src/standins/engine/Engine.ts
@@ -15,6 +15,7 @@
   TOKEN_INTERVAL_MS,
   TOKENS_PER_BLOCK,
 } from './constants.js';
+import { hashText } from './hashText.js';
 import { LoadHistory } from './LoadHistory.js';
 import { PrefixCache } from './PrefixCache.js';
 import { renderPrompt } from './schemas.js';
@@ -40,6 +41,8 @@
 export class Engine {
   readonly counts = createCounts();
   readonly cacheEvents = new CacheEventLog();
+  /** Hashes of the prompts that were begun, which show whether a refused request has run. */
+  readonly startedPrompts = new Set<number>();
   private readonly options: EngineOptions;
   private readonly onCrash: () => void;
   private readonly cache: PrefixCache;
@@ -110,6 +113,7 @@
       id,
       priority,
       promptTokens: promptTokens + resumeAt,
+      promptHash: hashText(prompt),
       prefixBlocks: hashPrefixBlocks(prompt),
       answer,
       resumeAt,
@@ -185,6 +189,7 @@
     if (attempt.isPrefilled) return 0;
     attempt.isPrefilled = true;
     this.counts.started += 1;
+    this.startedPrompts.add(attempt.options.promptHash);
     const { prefixBlocks, promptTokens } = attempt.options;
     const cached = this.cache.countCached(prefixBlocks) * TOKENS_PER_BLOCK;
     this.publishCacheChange(prefixBlocks);
--- a/packages/lab/src/standins/engine/engineRoutes.ts
+++ b/packages/lab/src/standins/engine/engineRoutes.ts
@@ -188,5 +188,10 @@
     pattern: /^\/control$/,
     handle: ({ response }) => sendJson(response, 200, parts.engine.counts),
   },
+  {
+    method: 'GET',
+    pattern: /^\/control\/started$/,
+    handle: ({ response }) => sendJson(response, 200, [...parts.engine.startedPrompts]),
+  },
   { method: 'POST', pattern: /^\/control$/, handle: (call) => handleControl(parts, call) },
 ];
--- a/packages/lab/src/standins/engine/index.ts
+++ b/packages/lab/src/standins/engine/index.ts
@@ -1,4 +1,5 @@
 /** Stand-in of a model engine. */
 export * from './answerText.js';
+export * from './hashText.js';
 export * from './startEngine.js';
 export type * from './types.js';
