--- a/packages/lab/src/bench/crash/crash.ts
+++ b/packages/lab/src/bench/crash/crash.ts
@@ -24,6 +24,7 @@
 const ENGINE_KILL_INTERVAL_MS = 4_000;
 const RESTART_AFTER_MS = 1_000;
 const DAEMON_KILL_AT_MS = 10_000;
+const KILL_MARGIN_MS = 500;
 
 const abortEngines = async (cluster: Cluster, signal: AbortSignal): Promise<void> => {
   for (let turn = 0; await waitWithin(ENGINE_KILL_INTERVAL_MS, signal); turn += 1) {
@@ -40,7 +41,8 @@
 };
 
 /** Whether the request was with the daemon that is killed, whose callers see their connection break. */
-const isOnKilledDaemon = ({ request }: RequestResult): boolean => request.number % VMS === VMS - 1;
+const isOnKilledDaemon = ({ request, atMs }: RequestResult): boolean =>
+  request.number % VMS === VMS - 1 && atMs < DAEMON_KILL_AT_MS + KILL_MARGIN_MS;
 
 const BROKEN: ReadonlySet<CallerOutcome> = new Set([
   CallerOutcome.Cut,
--- a/packages/lab/src/harness/cluster/startCluster.ts
+++ b/packages/lab/src/harness/cluster/startCluster.ts
@@ -1,4 +1,4 @@
-import { SYSTEM_CLOCK } from '@sardinegrade/common';
+import { rankByRendezvous, SYSTEM_CLOCK } from '@sardinegrade/common';
 import { DispatchPolicy } from '@sardinegrade/dispatch';
 import { ConfigurationStore } from '@sardinegrade/fleet';
 import { createPlatformClient } from '@sardinegrade/platform';
@@ -6,7 +6,7 @@
 import { startFaultProxy } from '../../proxy/index.js';
 import { ProcessGroup } from '../ProcessGroup.js';
 import { waitUntil } from '../waitUntil.js';
-import { buildConfigurationText } from './configurationText.js';
+import { buildConfigurationText, CLUSTER_POOL } from './configurationText.js';
 import { EngineProcess } from './EngineProcess.js';
 
 import type { HttpPlatformClient } from '@sardinegrade/platform';
@@ -71,14 +71,12 @@
   /** Starts one more entry daemon. */
   async startEntry(dataCentre: string, vm: ClusterVm = {}): Promise<EntryProcess> {
     const name = `vm-${this.entries.length + 1}`;
-    const started = await this.group.startConfigured(
-      'entry',
-      name,
-      this.buildSettings(name, dataCentre),
-    );
+    const peerProxy = vm.hasPeerProxy === true ? await this.openProxy() : undefined;
+    const settings = this.buildSettings(name, dataCentre, peerProxy);
+    const started = await this.group.startConfigured('entry', name, settings);
     const peer = formatHostPort(started.getAddress('peer'));
-    this.seed ??= peer;
-    const peerProxy = vm.hasPeerProxy === true ? await this.openProxy(peer) : undefined;
+    peerProxy?.setTarget(peer);
+    this.seed ??= peerProxy?.hostPort ?? peer;
     const callers = started.getAddress('callers');
     const entry = { vm: name, dataCentre, process: started, callers, peerProxy };
     this.entries.push(entry);
@@ -93,6 +91,22 @@
     });
   }
 
+  /** Finds the daemon that dispatches for a data centre's only shard, and the others there. */
+  findDispatcher(dataCentre: string): {
+    readonly dispatcher: EntryProcess;
+    readonly others: readonly EntryProcess[];
+  } {
+    const local = this.entries.filter((entry) => entry.dataCentre === dataCentre);
+    const shard = `${CLUSTER_POOL}/${dataCentre}/0`;
+    const [first] = rankByRendezvous(
+      shard,
+      local.map(({ vm }) => vm),
+    );
+    const dispatcher = local.find(({ vm }) => vm === first);
+    if (dispatcher === undefined) throw new Error(`No daemon in ${dataCentre}.`);
+    return { dispatcher, others: local.filter((entry) => entry !== dispatcher) };
+  }
+
   /** Ends everything that the cluster started. */
   async stop(): Promise<void> {
     await this.platformClient?.close();
@@ -133,13 +147,21 @@
     await store.apply({ text, baseGeneration: 0, author: 'lab', changeId: 'lab-1' });
   }
 
-  private buildSettings(vm: string, dataCentre: string): IniSections {
+  private buildSettings(
+    vm: string,
+    dataCentre: string,
+    peerProxy: FaultProxy | undefined,
+  ): IniSections {
     const proxy = this.platformProxies.get(dataCentre);
     return {
       vm: { id: vm, data_centre: dataCentre },
       callers: { listen: '127.0.0.1:0' },
       administration: { listen: '127.0.0.1:0' },
-      peer: { listen: '127.0.0.1:0', seeds: this.seed === undefined ? [] : [this.seed] },
+      peer: {
+        listen: '127.0.0.1:0',
+        advertise: peerProxy?.hostPort,
+        seeds: this.seed === undefined ? [] : [this.seed],
+      },
       platform: { address: proxy?.address ?? this.platformAddress },
       dispatch: {
         policy: this.options.policy ?? DispatchPolicy.Tiered,
@@ -148,8 +170,8 @@
     };
   }
 
-  private async openProxy(target: string): Promise<FaultProxy> {
-    const proxy = await startFaultProxy({ target });
+  private async openProxy(target?: string): Promise<FaultProxy> {
+    const proxy = await startFaultProxy(target === undefined ? {} : { target });
     this.proxies.push(proxy);
     return proxy;
   }
--- a/packages/lab/src/load/runLoad.ts
+++ b/packages/lab/src/load/runLoad.ts
@@ -35,6 +35,12 @@
     bodyTimeout: 0,
   });
 
+/** The addresses in turn, beginning with the one that a request is meant for. */
+const sortFrom = (addresses: readonly string[], number: number): readonly string[] => {
+  const first = number % addresses.length;
+  return [...addresses.slice(first), ...addresses.slice(0, first)];
+};
+
 /**
  * Sends a planned load. The plan's times hold whatever the answers do: the load is open, and a late
  * send counts into its request's latency.
@@ -57,8 +63,8 @@
     const waitMs = request.atMs - getNowMs();
     if (waitMs > 0) await sleep(waitMs);
     if (signal.aborted) break;
-    const address = options.addresses[request.number % options.addresses.length] ?? '';
-    const result = sendRequest(request, { address, dispatcher, getNowMs, signal });
+    const addresses = sortFrom(options.addresses, request.number);
+    const result = sendRequest(request, { addresses, dispatcher, getNowMs, signal });
     if (options.onResult !== undefined) void result.then(options.onResult);
     results.push(result);
   }
--- a/packages/lab/src/load/sendRequest.ts
+++ b/packages/lab/src/load/sendRequest.ts
@@ -11,7 +11,8 @@
 
 /** Where and when a request is sent. */
 export interface SendOptions {
-  readonly address: string;
+  /** Base addresses to try in turn; the next one only where nothing listens, as a balancer does. */
+  readonly addresses: readonly string[];
   readonly dispatcher: Dispatcher;
   /** Milliseconds since the run began. */
   readonly getNowMs: () => number;
@@ -52,23 +53,43 @@
   return stream.error?.run === RunState.NotRun ? CallerOutcome.Refused : CallerOutcome.Failed;
 };
 
+const isRefusedConnection = (error: unknown): boolean =>
+  error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+
+const openAnswer = async (
+  request: PlannedRequest,
+  options: SendOptions,
+  signal: AbortSignal,
+): Promise<Dispatcher.ResponseData> => {
+  let lastError: unknown;
+  for (const address of options.addresses) {
+    try {
+      return await sendHttp(`${address}/v1/chat/completions`, {
+        method: 'POST',
+        headers: {
+          'content-type': 'application/json',
+          authorization: `Bearer ${request.key}`,
+          'sardinegrade-class': request.loadClass.name,
+        },
+        body: buildBody(request),
+        dispatcher: options.dispatcher,
+        signal,
+      });
+    } catch (error) {
+      if (!isRefusedConnection(error)) throw error;
+      lastError = error;
+    }
+  }
+  throw lastError;
+};
+
 const readAnswer = async (
   request: PlannedRequest,
   options: SendOptions,
   stream: CallerStream,
   signal: AbortSignal,
 ): Promise<CallerOutcome> => {
-  const { statusCode, body } = await sendHttp(`${options.address}/v1/chat/completions`, {
-    method: 'POST',
-    headers: {
-      'content-type': 'application/json',
-      authorization: `Bearer ${request.key}`,
-      'sardinegrade-class': request.loadClass.name,
-    },
-    body: buildBody(request),
-    dispatcher: options.dispatcher,
-    signal,
-  });
+  const { statusCode, body } = await openAnswer(request, options, signal);
   if (statusCode !== 200) {
     stream.error = parseError(await body.text());
     const isRefused = stream.error.run === RunState.NotRun || statusCode === 429;
--- a/packages/lab/src/proxy/startFaultProxy.ts
+++ b/packages/lab/src/proxy/startFaultProxy.ts
@@ -11,14 +11,15 @@
 import { Direction } from './types.js';
 
 import type { Socket } from 'node:net';
+import type { ListenAddress } from '../standins/http/index.js';
 import type { StandIn } from '../standins/index.js';
 import type { ProxyCounts, ProxyFaultChange, ProxyFaults } from './types.js';
 
 /** How a fault proxy is started. */
 export interface FaultProxyOptions {
   readonly listen?: string;
-  /** `host:port` that connections go to. */
-  readonly target: string;
+  /** `host:port` that connections go to; without one they are closed until it is set. */
+  readonly target?: string;
   /** Where the control port listens; absent: none is opened. */
   readonly control?: string;
 }
@@ -29,6 +30,8 @@
   readonly hostPort: string;
   /** Address of the control port, where one is open. */
   readonly controlAddress: string | undefined;
+  /** Sets where new connections go. */
+  readonly setTarget: (target: string) => void;
   readonly setFaults: (change: ProxyFaultChange) => void;
   /** Silences the existing connections for good; new ones work. */
   readonly pauseExisting: (directions?: readonly Direction[]) => void;
@@ -49,19 +52,19 @@
 
 /** The connections of a proxy and their faults. */
 class ProxyCore {
-  private readonly target;
+  private target: ListenAddress | undefined;
   private readonly links = new Set<Link>();
   private readonly bytes = { [Direction.Up]: 0, [Direction.Down]: 0 };
   private connections = 0;
   private faults = FAULTLESS;
 
-  constructor(target: string) {
+  readonly setTarget = (target: string): void => {
     this.target = parseListenAddress(target);
-  }
+  };
 
   readonly accept = (client: Socket): void => {
     this.connections += 1;
-    if (this.faults.refusesNew) {
+    if (this.faults.refusesNew || this.target === undefined) {
       client.resetAndDestroy();
       return;
     }
@@ -110,7 +113,8 @@
  * @returns the proxy once it listens
  */
 export const startFaultProxy = async (options: FaultProxyOptions): Promise<FaultProxy> => {
-  const core = new ProxyCore(options.target);
+  const core = new ProxyCore();
+  if (options.target !== undefined) core.setTarget(options.target);
   const server = createServer({ allowHalfOpen: true }, core.accept);
   const { host, port } = parseListenAddress(options.listen ?? '127.0.0.1:0');
   await new Promise<void>((resolve, reject) => {
@@ -128,13 +132,14 @@
       core.cut();
     });
   };
-  const { setFaults, pauseExisting, cut, reset, getCounts } = core;
+  const { setTarget, setFaults, pauseExisting, cut, reset, getCounts } = core;
   const hostPort = formatAddress(server.address());
   return {
     address: `http://${hostPort}`,
     hostPort,
     controlAddress: control?.address,
     stop,
+    setTarget,
     setFaults,
     pauseExisting,
     cut,
