--- a/packages/common/src/administration/schemas.ts
+++ b/packages/common/src/administration/schemas.ts
@@ -219,8 +219,9 @@
   request_id: z.string(),
   vm: z.string(),
   trace_id: z.string().optional(),
-  service: z.string(),
-  class: z.string(),
+  /** Absent where the request was refused before its service and class were known. */
+  service: z.string().optional(),
+  class: z.string().optional(),
   tier: z.string().optional(),
   workspace: z.string(),
   arrived_at_ms: z.number(),
@@ -235,6 +236,8 @@
   omitted: countSchema,
 });
 
+export const explanationsSchema = z.object({ requests: z.array(explanationSchema) });
+
 export const spanSchema = z.object({
   span_id: z.string(),
   parent_span_id: z.string().optional(),
--- a/packages/entry/src/services/types.ts
+++ b/packages/entry/src/services/types.ts
@@ -2,6 +2,7 @@
   ClassConfiguration,
   Clock,
   RequestId,
+  SardinegradeError,
   ServiceConfiguration,
   UpstreamConfiguration,
   WorkspaceName,
@@ -24,17 +25,31 @@
   readonly signal: AbortSignal;
 }
 
+/** How a call to a plain service ended. */
+export interface ServiceCallEnd {
+  /** Undefined where the caller got the service's answer. */
+  readonly error: SardinegradeError | undefined;
+  /** The answer was stored for an earlier call under the same key. */
+  readonly isReplay: boolean;
+}
+
 /** Finds the upstreams of a service that may be given work, best first. */
 export type FindUpstreams = (service: ServiceConfiguration) => readonly UpstreamConfiguration[];
 
-/** What the handler of service calls works with. */
-export interface ServiceHandlerOptions {
-  readonly orders: OrderService;
+/** What calls that may be repeated work with. */
+export interface RepeatableOptions {
   readonly caller: ServiceCaller;
-  readonly findUpstreams: FindUpstreams;
   readonly clock: Clock;
   readonly sleep: (durationMs: number) => Promise<void>;
   /** Between 0 and 1. */
   readonly getRandom: () => number;
   readonly newId: () => string;
+  /** Told how each call ended. */
+  readonly onEnd?: (context: ServiceCallContext, end: ServiceCallEnd) => void;
+}
+
+/** What the handler of service calls works with. */
+export interface ServiceHandlerOptions extends RepeatableOptions {
+  readonly orders: Pick<OrderService, 'submitOrder'>;
+  readonly findUpstreams: FindUpstreams;
 }
--- /dev/null
+++ b/packages/fleet/src/lease/constants.ts
@@ -0,0 +1,12 @@
+import type { LeaseTimings } from './types.js';
+
+export const LEASE_KIND = 'lease';
+
+/** Timings of a lease unless the caller gives others. */
+export const LEASE_TIMINGS: LeaseTimings = {
+  durationMs: 10_000,
+  renewIntervalMs: 3_000,
+  standbyIntervalMs: 10_000,
+  orderDeadlineMs: 2_000,
+  marginMs: 1_000,
+};
