fix(entry): tell the dispatcher that an engine is lost when its probe fails

Cause: nothing sent UpstreamLost, so no crash was ever held against what ran on the engine; one poison request, with five attempts, ended all four engines (packages/lab integration/poison.test.ts). Change: a failed probe over a fresh connection is followed by UpstreamLost. Two lines in the lead's DispatchHost.

--- a/packages/entry/src/grants/DispatchHost.ts
+++ b/packages/entry/src/grants/DispatchHost.ts
@@ -204,6 +204,8 @@
     const isHealthy = target !== undefined && (await this.#options.engines.probe(target));
     this.#options.onProbe(upstream, isHealthy);
     this.#handle(hosted, { kind: DispatchEventKind.UpstreamProbed, upstream, isHealthy });
+    // Without this the dispatcher never learns what ran on the engine when it died.
+    if (!isHealthy) this.#handle(hosted, { kind: DispatchEventKind.UpstreamLost, upstream });
   };
 }
 
