--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -5,6 +5,7 @@
 import { RELAY_BENCH } from './relay/index.js';
 import { SILENT_BENCH } from './silent/index.js';
 import { STRAGGLER_BENCH } from './straggler/index.js';
+import { DECIDE_BENCH } from './decide/index.js';
 
 import type { Bench } from './runner/index.js';
 
@@ -18,3 +19,4 @@
   POISON_BENCH,
   SILENT_BENCH,
 ];
+export const BENCHES: readonly Bench[] = [DECIDE_BENCH];
