--- a/packages/fleet/src/membership/createMembership.ts
+++ b/packages/fleet/src/membership/createMembership.ts
@@ -1,5 +1,5 @@
 import { PartnerChoice } from '../enums.js';
-import { LIST_JITTER_MS, MS_PER_SECOND, PING_INTERVAL_MS } from './constants.js';
+import { JOIN_RETRY_MS, LIST_JITTER_MS, MS_PER_SECOND, PING_INTERVAL_MS } from './constants.js';
 import { MemberState } from './enums.js';
 
 import type { FleetSettings } from '../types.js';
@@ -29,7 +29,7 @@
     state: MemberState.Alive,
   },
   selfSendsLeft: FIRST_SENDS,
-  partnerChoice: settings.partnerChoice ?? PartnerChoice.RoundRobin,
+  partnerChoice: settings.partnerChoice ?? PartnerChoice.NearestAndRandom,
   records: new Map(),
   news: new Map(),
   contacts: new Map(),
@@ -46,6 +46,7 @@
     listAtMs: context.nowMs + context.random() * LIST_JITTER_MS,
     urgentAtMs: context.nowMs,
   },
+  syncIntervalMs: JOIN_RETRY_MS,
   isUrgent: false,
   isJoined: false,
   seeds: settings.seeds,
--- a/packages/fleet/src/membership/syncing.ts
+++ b/packages/fleet/src/membership/syncing.ts
@@ -1,4 +1,5 @@
 import { compareMembers } from './compareMembers.js';
+import { SYNC_INTERVAL_MS } from './constants.js';
 import { MembershipActionKind } from './enums.js';
 import { hashMembership } from './members.js';
 import { mergeMembers } from './mergeMembers.js';
@@ -74,7 +75,11 @@
   event: SyncAnswer,
   context: MembershipContext,
 ): MembershipStep => {
-  const merged = mergeMembers({ ...state, isJoined: true }, event.members, context);
+  const syncIntervalMs = event.isEqual
+    ? Math.min(SYNC_INTERVAL_MS, 2 * state.syncIntervalMs)
+    : state.syncIntervalMs;
+  const joined = { ...state, isJoined: true, syncIntervalMs };
+  const merged = mergeMembers(joined, event.members, context);
   const withNews = mergeNews(merged.state, event.news, context);
   const actions: MembershipAction[] = [
     ...merged.actions,
--- a/packages/fleet/src/membership/types.ts
+++ b/packages/fleet/src/membership/types.ts
@@ -68,6 +68,8 @@
   readonly round: readonly VmId[];
   readonly pingCount: number;
   readonly schedule: Schedule;
+  /** Grows while syncs find both sides equal, so that a newcomer soon knows everyone. */
+  readonly syncIntervalMs: number;
   /** An urgent fact waits to be spread out of turn. */
   readonly isUrgent: boolean;
   /** Another daemon has answered a sync, or there was none to ask. */
--- /dev/null
+++ b/packages/lab/src/bench/control/index.ts
@@ -0,0 +1,2 @@
+/** The bench `control`. */
+export * from './control.js';
--- /dev/null
+++ b/packages/lab/src/bench/control/nodes/NodeGroup.ts
@@ -0,0 +1,60 @@
+import { fileURLToPath } from 'node:url';
+
+import { ManagedProcess } from '../../../harness/index.js';
+
+import type { NodeOptions, NodeStatus } from './types.js';
+
+const SCRIPT = fileURLToPath(new URL('./fleetNode.js', import.meta.url));
+
+/** Processes of fleet agents that find each other. */
+export class NodeGroup {
+  private readonly processes: ManagedProcess[] = [];
+  private readonly defaults: Pick<NodeOptions, 'platform' | 'partnerChoice'>;
+
+  constructor(defaults: Pick<NodeOptions, 'platform' | 'partnerChoice'>) {
+    this.defaults = defaults;
+  }
+
+  /**
+   * Starts a process.
+   *
+   * @param dataCentre - where its agents are
+   * @param agents - how many agents share the process
+   * @returns its number, for `readStatus`
+   */
+  async start(dataCentre: string, agents: number): Promise<number> {
+    const name = `${dataCentre}-${this.processes.length}`;
+    const first = this.processes[0];
+    const seeds = first === undefined ? [] : [first.getAddress('peer').replace('http://', '')];
+    const options: NodeOptions = { ...this.defaults, name, dataCentre, agents, seeds };
+    const started = new ManagedProcess({
+      name,
+      args: ['--expose-gc', SCRIPT, JSON.stringify(options)],
+    });
+    this.processes.push(started);
+    await started.waitListening();
+    return this.processes.length - 1;
+  }
+
+  /**
+   * Reads what a process has spent.
+   *
+   * @param index - the process's number
+   * @returns its status
+   */
+  async readStatus(index: number): Promise<NodeStatus> {
+    const address = this.processes[index]?.getAddress('control') ?? '';
+    return (await (await fetch(address)).json()) as NodeStatus;
+  }
+
+  /** Reads what every process has spent. */
+  readAll(): Promise<readonly NodeStatus[]> {
+    return Promise.all(this.processes.map((_process, index) => this.readStatus(index)));
+  }
+
+  /** Ends all processes. */
+  async stop(): Promise<void> {
+    await Promise.all(this.processes.map((started) => started.abort()));
+    this.processes.length = 0;
+  }
+}
--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -1,6 +1,8 @@
 /** The table of all benches; a new one is registered here. */
+import { CONTROL_BENCH } from './control/index.js';
+
 import type { Bench } from './runner/index.js';
 
 export * from './runner/index.js';
 
-export const BENCHES: readonly Bench[] = [];
+export const BENCHES: readonly Bench[] = [CONTROL_BENCH];
