--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -6,6 +6,7 @@
 import { SILENT_BENCH } from './silent/index.js';
 import { STRAGGLER_BENCH } from './straggler/index.js';
 import { DECIDE_BENCH } from './decide/index.js';
+import { CONTROL_BENCH } from './control/index.js';
 
 import type { Bench } from './runner/index.js';
 
@@ -20,3 +21,4 @@
   SILENT_BENCH,
 ];
 export const BENCHES: readonly Bench[] = [DECIDE_BENCH];
+export const BENCHES: readonly Bench[] = [CONTROL_BENCH];
