--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -220,10 +220,7 @@
       metrics: this.#metrics,
       journal: this.#journal,
       routes: [...this.#createModelRoutes(), ...this.#desk.routes],
-      serveOpenPath: createOpenPaths({
-        isReady: this.isReady,
-        renderMetrics: this.#metrics.renderPrometheus,
-      }),
+      serveOpenPath: createOpenPaths({ isReady: this.isReady }),
       getConfiguration: this.#fleet.getConfiguration,
     });
 
--- a/packages/entry/src/daemon/openPaths.ts
+++ b/packages/entry/src/daemon/openPaths.ts
@@ -3,7 +3,6 @@
 /** What the paths without a key need of the daemon. */
 export interface OpenPathOptions {
   readonly isReady: () => boolean;
-  readonly renderMetrics: () => string;
 }
 
 type OpenPathHandler = (response: ServerResponse, options: OpenPathOptions) => void;
@@ -20,7 +19,6 @@
     (response, { isReady }) =>
       isReady() ? sendText(response, 200, 'ok\n') : sendText(response, 503, 'not ready\n'),
   ],
-  ['/metrics', (response, { renderMetrics }) => sendText(response, 200, renderMetrics())],
 ] satisfies readonly (readonly [string, OpenPathHandler])[]);
 
 /**
