feat(entry): a span at the dispatcher, within the trace of the request

Change: an ask carries trace and span id in 24 bytes where the trace is recorded, and nothing otherwise; the dispatcher's span lasts from the ask to the grant, refusal or withdrawal. The integration test asks through both VMs, one of which is the dispatcher, and finds the span in both traces.

--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -5,6 +5,7 @@
   RequestId,
   ResultCode,
   ServiceName,
+  TraceContext,
   UpstreamId,
   VmId,
   WorkspaceName,
@@ -43,6 +44,8 @@
   readonly isSuspect: boolean;
   /** An upstream on which the request already runs, when the ask re-registers after a fail-over. */
   readonly heldUpstream: UpstreamId | undefined;
+  /** The span that waits for the grant; decides nothing. */
+  readonly trace?: TraceContext | undefined;
 }
 
 /** What the end of a grant tells the dispatcher. */
--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -182,6 +182,7 @@
       clock: this.#clock,
       random: Math.random,
       engines: this.#engines,
+      tracing: this.tracing,
       onQuarantine: (fingerprint, untilMs) => this.#facts.spreadQuarantine(fingerprint, untilMs),
       onProbe: (upstream, isHealthy) => {
         if (!isHealthy) this.logger.warn('An upstream did not answer a probe.', { upstream });
--- a/packages/entry/src/grants/DispatchHost.ts
+++ b/packages/entry/src/grants/DispatchHost.ts
@@ -1,10 +1,11 @@
 import { ResultCode } from '@sardinegrade/common';
 import { createDispatcher, DispatchActionKind, DispatchEventKind } from '@sardinegrade/dispatch';
 
+import { DispatchSpans } from './DispatchSpans.js';
 import { EngineWatcher } from './EngineWatcher.js';
 import { IDLE_SHARD_MS, TICK_INTERVAL_MS } from './constants.js';
 
-import type { Clock, Configuration, Fingerprint, UpstreamId } from '@sardinegrade/common';
+import type { Clock, Configuration, Fingerprint, Tracing, UpstreamId } from '@sardinegrade/common';
 import type {
   DispatchAction,
   Dispatcher,
@@ -27,6 +28,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly engines: EngineClient;
+  /** Without it dispatchers have no spans. */
+  readonly tracing?: Tracing;
   /** Tells the other daemons that a request is quarantined. */
   readonly onQuarantine: (fingerprint: Fingerprint, untilMs: number) => void;
   /** Called with each probe's result. */
@@ -52,12 +55,14 @@
   readonly #options: DispatchHostOptions;
   readonly #hosted = new Map<ShardKey, HostedShard>();
   readonly #owners = new Map<string, AskOwner>();
+  readonly #spans: DispatchSpans;
   #configuration: Configuration | undefined;
   #table: ShardTable | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: DispatchHostOptions) {
     this.#options = options;
+    this.#spans = new DispatchSpans(options.tracing);
   }
 
   /**
@@ -92,6 +97,7 @@
       return;
     }
     hosted.lastAskAtMs = this.#options.clock.getNowMs();
+    this.#spans.start(key, ask);
     this.#owners.set(ask.askId, { shard: key, reply });
     this.#handle(hosted, { kind: DispatchEventKind.Ask, ask });
   };
@@ -109,6 +115,7 @@
     this.#handle(hosted, event);
     if (event.kind === DispatchEventKind.Progress) return;
     this.#owners.delete(askId);
+    this.#spans.finish(askId);
   };
 
   /**
@@ -195,10 +202,20 @@
     }
     const owner = this.#owners.get(action.askId);
     if (owner === undefined) return;
+    this.#finishSpan(action);
     if (ENDING_ACTIONS.has(action.kind)) this.#owners.delete(action.askId);
     owner.reply(action);
   };
 
+  readonly #finishSpan = (action: DispatchAction): void => {
+    if (action.kind === DispatchActionKind.Grant) {
+      this.#spans.finish(action.askId, { upstream: action.upstream });
+    }
+    if (action.kind === DispatchActionKind.Refuse) {
+      this.#spans.finish(action.askId, { code: action.code });
+    }
+  };
+
   readonly #probe = async (hosted: HostedShard, upstream: UpstreamId): Promise<void> => {
     const target = this.#configuration?.upstreams.get(upstream);
     const isHealthy = target !== undefined && (await this.#options.engines.probe(target));
--- a/packages/entry/src/grants/messages.ts
+++ b/packages/entry/src/grants/messages.ts
@@ -2,6 +2,8 @@
 import { DispatchActionKind, PreemptionMode, ReleaseReason } from '@sardinegrade/dispatch';
 import { DispatchProtocol } from '@sardinegrade/peer';
 
+import { decodeTrace, encodeTrace } from './traceBytes.js';
+
 import type {
   ClassName,
   Fingerprint,
@@ -76,6 +78,7 @@
   suspect: ask.isSuspect,
   shard,
   heldUpstream: ask.heldUpstream ?? '',
+  trace: encodeTrace(ask.trace),
 });
 
 /**
@@ -104,6 +107,7 @@
   attempt: message.attempt,
   isSuspect: message.suspect,
   heldUpstream: message.heldUpstream === '' ? undefined : (message.heldUpstream as UpstreamId),
+  trace: decodeTrace(message.trace),
 });
 
 /**
--- /dev/null
+++ b/packages/entry/src/grants/traceBytes.ts
@@ -0,0 +1,30 @@
+import type { TraceContext } from '@sardinegrade/common';
+
+const TRACE_ID_BYTES = 16;
+const SPAN_ID_BYTES = 8;
+
+/**
+ * Encodes the span that waits for a grant.
+ *
+ * @param trace - the span, if any
+ * @returns trace id and span id; empty where the trace is not recorded
+ */
+export const encodeTrace = (trace: TraceContext | undefined): Buffer =>
+  trace?.isSampled === true
+    ? Buffer.from(`${trace.traceId}${trace.spanId}`, 'hex')
+    : Buffer.alloc(0);
+
+/**
+ * Decodes the span that waits for a grant.
+ *
+ * @param bytes - as encodeTrace made them
+ * @returns the span; undefined where the bytes are empty or malformed
+ */
+export const decodeTrace = (bytes: Buffer): TraceContext | undefined => {
+  if (bytes.length !== TRACE_ID_BYTES + SPAN_ID_BYTES) return undefined;
+  return {
+    traceId: bytes.toString('hex', 0, TRACE_ID_BYTES),
+    spanId: bytes.toString('hex', TRACE_ID_BYTES),
+    isSampled: true,
+  };
+};
--- a/packages/entry/src/models/ChatCall.ts
+++ b/packages/entry/src/models/ChatCall.ts
@@ -122,7 +122,7 @@
   readonly #ask = (): void => {
     const { caller, target, fingerprint, promptTokens, chat, prefixBlocks } = this.#input;
     this.#attempts += 1;
-    this.#observer.recordAsk(this.#attempts);
+    const trace = this.#observer.recordAsk(this.#attempts);
     const attemptId = this.#services.createAttemptId();
     const details = {
       askId: attemptId,
@@ -140,6 +140,7 @@
       excludedUpstreams: [...this.#excluded],
       attempt: this.#attempts,
       isSuspect: this.#wasSuspect || this.#services.isSuspect(fingerprint),
+      trace,
     };
     this.#ticket = this.#services.broker.ask(target.service.pool, details, {
       onGrant: (upstream, priority) => this.#handleGrant(attemptId, upstream, priority),
--- a/packages/entry/src/models/ChatObserver.ts
+++ b/packages/entry/src/models/ChatObserver.ts
@@ -6,6 +6,7 @@
   Clock,
   HopSpan,
   Metrics,
+  TraceContext,
   Tracing,
   UpstreamId,
   WasteCause,
@@ -42,10 +43,17 @@
     this.#trail = caller.trail;
   }
 
-  readonly recordAsk = (attempt: number): void => {
+  /**
+   * Records an ask for an engine.
+   *
+   * @param attempt - counted from 1
+   * @returns the span that waits for the grant
+   */
+  readonly recordAsk = (attempt: number): TraceContext => {
     this.#askedAtMs = this.#services.clock.getNowMs();
     this.#waitSpan = this.#startSpan(Hop.GrantWait, { attempt });
     this.#trail.record(DecisionKind.Queued, `Asked for an engine, attempt ${attempt}.`);
+    return this.#waitSpan.context;
   };
 
   readonly recordRefusal = (code: ResultCode): void => {
--- a/packages/lab/src/operations/operations.test.ts
+++ b/packages/lab/src/operations/operations.test.ts
@@ -89,6 +89,8 @@
     assert.equal((await fleet.order(0, 'bit-2')).status, 200);
   }));
 
+const CHAT_HOPS = ['entry', 'grant_wait', 'dispatch', 'upstream_attempt'];
+
 interface CollectedSpan {
   readonly traceId: string;
   readonly name: string;
@@ -121,7 +123,9 @@
         await response.text();
         return response.headers.get('traceparent')?.split('-')[1] ?? '';
       };
-      const chat = await trace(await fleet.complete(0, 'r1'));
+      // One of the two VMs is the dispatcher of the only shard: the other asks it over the network.
+      const near = await trace(await fleet.complete(0, 'r1'));
+      const far = await trace(await fleet.complete(1, 'r2'));
       const order = await trace(await fleet.order(0, 'bit-1'));
       const hasHops = (traceId: string, hops: readonly string[]) => {
         const names = spans.filter((span) => span.traceId === traceId).map(({ name }) => name);
@@ -129,7 +133,8 @@
       };
       await waitUntil('the spans arrive', () =>
         [
-          hasHops(chat, ['entry', 'grant_wait', 'upstream_attempt']),
+          hasHops(near, CHAT_HOPS),
+          hasHops(far, CHAT_HOPS),
           hasHops(order, ['entry', 'order_write', 'upstream_attempt']),
         ].every(Boolean),
       );
