--- a/packages/entry/src/administration/context/orderAdministration.ts
+++ b/packages/entry/src/administration/context/orderAdministration.ts
@@ -8,6 +8,7 @@
   OrderFilter,
   OrderOperations,
   OrderReference as OrderName,
+  OrderView,
   StoredOrder,
 } from '@sardinegrade/orders';
 import type { OrderAdministration, OrderQuery, OrderReference } from '../types.js';
@@ -56,7 +57,7 @@
   return { orders: kept, next: kept.at(-1)?.name };
 };
 
-const wrapNotFound = async (showing: Promise<StoredOrder>): Promise<StoredOrder | undefined> => {
+const wrapNotFound = async (showing: Promise<OrderView>): Promise<OrderView | undefined> => {
   try {
     return await showing;
   } catch (error) {
@@ -77,11 +78,17 @@
     const { orders, next } = await collectOrders(operations, query);
     return { orders: orders.map(({ record }) => record), next };
   },
-  show: async (reference) => (await wrapNotFound(operations.showOrder(toName(reference))))?.record,
-  settle: async (reference, { wasRun, reason, operator }) => {
+  show: async (reference) => {
+    const view = await wrapNotFound(operations.showOrder(toName(reference)));
+    if (view === undefined) return undefined;
+    const { stored, notRunWaitMs, settlementToken } = view;
+    return { ...stored.record, notRunWaitMs, settlementToken };
+  },
+  settle: async (reference, { wasRun, reason, operator, settlementToken }) => {
     const verdict = wasRun ? SettlementVerdict.Run : SettlementVerdict.NotRun;
     const name = toName(reference);
-    const stored = await operations.settleOrder({ ...name, verdict, reason, operator });
+    const token = settlementToken === undefined ? {} : { settlementToken };
+    const stored = await operations.settleOrder({ ...name, verdict, reason, operator, ...token });
     return stored.record;
   },
 });
