--- /dev/null
+++ b/packages/entry/src/daemon/platformValueFuzz.test.ts
@@ -0,0 +1,170 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { SardinegradeError, SYSTEM_CLOCK, toBranded } from '@sardinegrade/common';
+import { createFleetAgent, parseConfiguration } from '@sardinegrade/fleet';
+import {
+  CallOutcome,
+  createOrderService,
+  createWriteBudget,
+  DEFAULT_ORDER_TIMINGS,
+  deriveOrderName,
+  LookupOutcome,
+  ORDER_KIND,
+} from '@sardinegrade/orders';
+import { createMemoryPlatform } from '@sardinegrade/platform';
+import fc from 'fast-check';
+
+import { TEST_TEXT } from '../administration/testing/createTestContext.js';
+
+import type { ServiceName, WorkspaceName } from '@sardinegrade/common';
+import type { MemoryPlatform } from '@sardinegrade/platform';
+
+const SEED = 7;
+const WAIT_LIMIT_MS = 30_000;
+
+const WORKSPACE = toBranded<WorkspaceName>('rig-desk');
+const SERVICE = toBranded<ServiceName>('booking');
+
+/** Replaces whatever stands under a name. */
+const writeOver = async (
+  platform: MemoryPlatform,
+  kind: string,
+  name: string,
+  value: unknown,
+): Promise<void> => {
+  const ifVersion = (await platform.read(kind, name))?.version ?? 0;
+  await platform.write({ kind, name, ifVersion, changeId: 'x', value });
+};
+
+const expectOwnError = (error: unknown): undefined => {
+  assert.ok(error instanceof SardinegradeError, String(error));
+  return undefined;
+};
+
+const withFields = (fields: Readonly<Record<string, fc.Arbitrary<unknown>>>) =>
+  fc.record(
+    Object.fromEntries(
+      Object.entries(fields).map(([name, field]) => [name, fc.oneof(field, fc.jsonValue())]),
+    ),
+    { requiredKeys: [] },
+  );
+
+const configurationValue = fc.oneof(
+  fc.jsonValue(),
+  withFields({
+    generation: fc.oneof(fc.nat(5), fc.constant(Number.MAX_SAFE_INTEGER)),
+    text: fc.constantFrom('', '[service', TEST_TEXT.replace('paying', 'gold')),
+    textGeneration: fc.nat(5),
+    drains: fc.constant([]),
+    author: fc.constant('ann'),
+    changeId: fc.constant('c'),
+    atMs: fc.nat(),
+  }),
+);
+
+test('no value in the place of the configuration ends the daemon or takes it back', async () => {
+  const platform = createMemoryPlatform();
+  const agent = createFleetAgent({
+    settings: { vm: toBranded('vm-1'), dataCentre: toBranded('hobart'), seeds: [] },
+    platform,
+    clock: SYSTEM_CLOCK,
+    random: () => 0.5,
+  });
+  agent.start('127.0.0.1:1');
+  try {
+    const change = { author: 'ann', text: TEST_TEXT };
+    for (const changeId of ['c1', 'c2', 'c3']) {
+      const baseGeneration = agent.getConfigurationStatus().generation;
+      await agent.applyConfiguration({ ...change, changeId, baseGeneration });
+    }
+    const { text } = agent.getConfiguration() ?? {};
+    const property = fc.asyncProperty(configurationValue, async (value) => {
+      await writeOver(platform, 'configuration', 'current', value);
+      await agent.listHistory(10, 5).catch(expectOwnError);
+      assert.ok(agent.getConfigurationStatus().generation >= 3);
+      assert.equal(agent.getConfiguration()?.text, text);
+    });
+    await fc.assert(property, { seed: SEED, numRuns: 100 });
+    // The watch sees a write only after a while: it has to have met the last values too.
+    const watches = platform.getCounts().watches;
+    await writeOver(platform, 'configuration', 'current', { generation: 'x' });
+    const deadlineAtMs = Date.now() + WAIT_LIMIT_MS;
+    while (platform.getCounts().watches <= watches && Date.now() < deadlineAtMs) await sleep(20);
+    assert.equal(agent.getConfiguration()?.text, text);
+    assert.equal(agent.getMembers().length, 1);
+  } finally {
+    agent.stop();
+  }
+});
+
+const body = withFields({ encoding: fc.constantFrom('utf8', 'base64'), data: fc.string() });
+const recordValue = fc.oneof(
+  fc.jsonValue(),
+  withFields({
+    state: fc.constantFrom('accepted', 'dispatching', 'done', 'unknown', 'not_run'),
+    workspace: fc.constant('rig-desk'),
+    service: fc.constant('booking'),
+    key: fc.constant('bit-1'),
+    fingerprint: fc.constant('f'),
+    requestId: fc.constant('r'),
+    traceparent: fc.constant(''),
+    owner: fc.constant('vm-2'),
+    attemptId: fc.constant('a'),
+    acceptedAtMs: fc.constant(0),
+    retentionMs: fc.constant(1),
+    request: withFields({ method: fc.constant('POST'), path: fc.constant('/'), body }),
+    answer: withFields({ status: fc.nat(999), bytes: fc.nat(), body }),
+    audit: fc.constant([]),
+  }),
+);
+
+test('no value in the place of an order ends the daemon or makes it call the service', async () => {
+  const platform = createMemoryPlatform();
+  const clock = SYSTEM_CLOCK;
+  let calls = 0;
+  const service = parseConfiguration(TEST_TEXT, 1).services.get(SERVICE);
+  assert.ok(service !== undefined);
+  const orders = createOrderService({
+    platform,
+    caller: {
+      callService: () => {
+        calls += 1;
+        return Promise.resolve({ outcome: CallOutcome.NotStarted, cause: undefined });
+      },
+      lookupStatus: () => Promise.resolve({ outcome: LookupOutcome.Unavailable }),
+    },
+    clock,
+    getMonotonicMs: () => performance.now(),
+    sleep: (durationMs) => sleep(Math.min(durationMs, 1)),
+    vm: toBranded('vm-1'),
+    newId: () => 'id',
+    writeBudget: createWriteBudget({ clock, writesPerSecond: 10_000, burst: 10_000 }),
+    timings: DEFAULT_ORDER_TIMINGS,
+    findService: () => undefined,
+    isVmGone: () => true,
+    onIncident: () => undefined,
+  });
+  const reference = { workspace: WORKSPACE, service: SERVICE, key: 'bit-1' };
+  const name = deriveOrderName(WORKSPACE, SERVICE, 'bit-1');
+  const property = fc.asyncProperty(recordValue, async (value) => {
+    await writeOver(platform, ORDER_KIND, name, value);
+    await orders.listOrders({}).catch(expectOwnError);
+    await orders.showOrder(reference).catch(expectOwnError);
+    const before = calls;
+    const result = await orders.submitOrder({
+      ...reference,
+      service,
+      request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.from('x') },
+      requestId: toBranded('r1'),
+      traceparent: '',
+      deadlineAtMs: clock.getNowMs() + 1_000,
+      concurrency: 1,
+    });
+    assert.equal(calls, before);
+    assert.ok('error' in result);
+  });
+  await fc.assert(property, { seed: SEED, numRuns: 200 });
+  await orders.drain();
+});
