--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -182,6 +182,7 @@
       clock: this.#clock,
       random: Math.random,
       engines: this.#engines,
+      tracing: this.tracing,
       onQuarantine: (fingerprint, untilMs) => this.#facts.spreadQuarantine(fingerprint, untilMs),
       onProbe: (upstream, isHealthy) => {
         if (!isHealthy) this.logger.warn('An upstream did not answer a probe.', { upstream });
@@ -220,10 +221,7 @@
       metrics: this.#metrics,
       journal: this.#journal,
       routes: [...this.#createModelRoutes(), ...this.#desk.routes],
-      serveOpenPath: createOpenPaths({
-        isReady: this.isReady,
-        renderMetrics: this.#metrics.renderPrometheus,
-      }),
+      serveOpenPath: createOpenPaths({ isReady: this.isReady }),
       getConfiguration: this.#fleet.getConfiguration,
     });
 
