fix(orders): keep the service's places on take-over; a margin before keys are forgotten

Cause: a take-over set the limit of places of its service to 1,000, and a VM whose clock is ahead could remove a record before both retention periods. Tests: retention, and a late answer after another daemon called it unknown.

--- a/packages/orders/src/orderIntake.ts
+++ b/packages/orders/src/orderIntake.ts
@@ -38,7 +38,10 @@
 export interface OrderIntake {
   readonly submitOrder: (submission: OrderSubmission) => Promise<OrderResult>;
   /** Runs an accepted order that its daemon left behind. */
-  readonly takeOver: (stored: StoredOrder, submission: OrderSubmission) => Promise<OrderResult>;
+  readonly takeOver: (
+    stored: StoredOrder,
+    submission: Omit<OrderSubmission, 'concurrency'>,
+  ) => Promise<OrderResult>;
   /** Whether an accepted record stands for longer than its daemon would leave it. */
   readonly isAbandoned: (stored: StoredOrder) => boolean;
   /** Whether this daemon has the order under way. */
@@ -279,8 +282,9 @@
     return Promise.race([result, late]);
   };
 
-  const takeOver = (stored: StoredOrder, submission: OrderSubmission): Promise<OrderResult> => {
-    const work: OrderWork = { name: stored.name, submission, base: stored };
+  const takeOver: OrderIntake['takeOver'] = (stored, submission) => {
+    const concurrency = places.getLimit(submission.service.name);
+    const work = { name: stored.name, submission: { ...submission, concurrency }, base: stored };
     return joinOpen(work) ?? openOrder(work, () => startWork(work, CONFLICT_LIMIT));
   };
 
--- a/packages/orders/src/orderService.test.ts
+++ b/packages/orders/src/orderService.test.ts
@@ -314,3 +314,33 @@
     'rig-desk/key-2',
   ]);
 });
+
+test('a record is removed, and its key forgotten, only after both retention periods', async () => {
+  const bench = createBench();
+  const daemon = createDaemon(bench);
+  const order = buildOrder(bench, { deadlineAtMs: Infinity });
+  await daemon.submitOrder(order);
+  bench.nowMs += 2 * SERVICE.orderRetentionMs;
+  assert.equal((await daemon.sweepOrders(0, () => true)).removed, 0);
+  expectError(await daemon.submitOrder(order), ResultCode.OrderExpired, RunState.Run);
+  bench.nowMs += DEFAULT_ORDER_TIMINGS.clockMarginMs + 1;
+  assert.equal((await daemon.sweepOrders(0, () => true)).removed, 1);
+  getAnswer(await daemon.submitOrder(order));
+  assert.equal(bench.calls.length, 2);
+});
+
+test('a late answer settles what another daemon has called unknown', async () => {
+  const bench = createBench();
+  const answers: ((result: CallResult) => void)[] = [];
+  bench.answer = () => new Promise((resolve) => answers.push(resolve));
+  const order = buildOrder(bench, { deadlineAtMs: Infinity });
+  const first = createDaemon(bench).submitOrder(order);
+  await sleep(20);
+  const other = createDaemon(bench, { vm: toBranded('vm-2'), isVmGone: () => true });
+  expectError(await other.submitOrder(order), ResultCode.OrderUnknown, RunState.Unknown);
+  const answer = { status: 201, contentType: undefined, body: Buffer.from('late') };
+  answers[0]?.({ outcome: CallOutcome.Answered, answer });
+  assert.equal(getAnswer(await first), 'late');
+  assert.equal(getAnswer(await other.submitOrder(order)), 'late');
+  assert.equal(bench.calls.length, 1);
+});
--- a/packages/orders/src/orderSettler.ts
+++ b/packages/orders/src/orderSettler.ts
@@ -95,6 +95,12 @@
     }
   };
 
+  /** Settles for another daemon, beyond what orders have reserved of the write budget. */
+  const settleForeign: OrderSettler['settleAttempt'] = (stored, settlement) => {
+    options.writeBudget.use(1);
+    return settleAttempt(stored, settlement);
+  };
+
   const settleByLookup = async (
     stored: StoredOrder,
     result: LookupResult,
@@ -103,11 +109,11 @@
     if (result.outcome === LookupOutcome.Done) {
       const patch = { answer: encodeAnswer(result.answer) };
       const reason = 'status look-up: done';
-      return settleAttempt(stored, { event: OrderEvent.Answered, reason, patch });
+      return settleForeign(stored, { event: OrderEvent.Answered, reason, patch });
     }
     if (result.outcome === LookupOutcome.Absent && canBeNotRun) {
       const reason = 'status look-up: absent';
-      return settleAttempt(stored, { event: OrderEvent.SettleNotRun, reason });
+      return settleForeign(stored, { event: OrderEvent.SettleNotRun, reason });
     }
     return undefined;
   };
@@ -125,7 +131,7 @@
     }
     if (record.state !== OrderState.Dispatching) return stored;
     const reason = `no outcome from ${record.owner}`;
-    return settleAttempt(stored, { event: OrderEvent.AnswerLost, reason });
+    return settleForeign(stored, { event: OrderEvent.AnswerLost, reason });
   };
 
   return { settleAttempt, settleOrphan, observeAttempt, estimateNotRunWaitMs, isOrphaned };
--- a/packages/orders/src/orderSweeper.ts
+++ b/packages/orders/src/orderSweeper.ts
@@ -38,20 +38,18 @@
 
 type Finding = Exclude<keyof SweepReport, 'seen'> | undefined;
 
-const TAKE_OVER_CONCURRENCY = 1_000;
-
 /** Creates the sweeper of one daemon. */
 export const createOrderSweeper = (options: SweeperOptions): OrderSweeper => {
-  const { store, settler, intake, tasks, clock, writeBudget } = options;
+  const { store, settler, intake, tasks, clock, timings, writeBudget } = options;
 
-  const buildSubmission = ({ record }: StoredOrder): OrderSubmission | undefined => {
+  const buildSubmission = ({
+    record,
+  }: StoredOrder): Omit<OrderSubmission, 'concurrency'> | undefined => {
     const service = options.findService(record.service);
     const request = record.request === undefined ? undefined : decodeRequest(record.request);
     if (service === undefined || request === undefined) return undefined;
     const { workspace, key, requestId, traceparent } = record;
-    const deadlineAtMs = Infinity;
-    const concurrency = TAKE_OVER_CONCURRENCY;
-    return { workspace, service, key, request, requestId, traceparent, deadlineAtMs, concurrency };
+    return { workspace, service, key, request, requestId, traceparent, deadlineAtMs: Infinity };
   };
 
   const sweepAccepted = (stored: StoredOrder): Finding => {
@@ -71,7 +69,7 @@
   };
 
   const sweepSettled = async (stored: StoredOrder): Promise<Finding> => {
-    if (!isRemovable(stored.record, clock.getNowMs())) return undefined;
+    if (!isRemovable(stored.record, clock.getNowMs() - timings.clockMarginMs)) return undefined;
     if (!canRemove(writeBudget.getFreeShare())) return undefined;
     return (await store.remove(stored)) ? 'removed' : undefined;
   };
--- a/packages/orders/src/servicePlaces.ts
+++ b/packages/orders/src/servicePlaces.ts
@@ -4,6 +4,8 @@
 export interface ServicePlaces {
   /** Takes a place at once, if one is free and nobody waits. */
   readonly acquire: (service: ServiceName, limit: number) => boolean;
+  /** The latest limit; 1 for a service that was not called yet. */
+  readonly getLimit: (service: ServiceName) => number;
   readonly countWaiting: (service: ServiceName) => number;
   /** Waits for a place; resolves to false where the time passes first. */
   readonly wait: (service: ServiceName, limit: number, timeout: Promise<void>) => Promise<boolean>;
@@ -42,6 +44,8 @@
     return true;
   };
 
+  const getLimit = (service: ServiceName): number => lines.get(service)?.limit ?? 1;
+
   const countWaiting = (service: ServiceName): number => lines.get(service)?.waiters.size ?? 0;
 
   const wait = async (
@@ -72,5 +76,5 @@
     }
   };
 
-  return { acquire, countWaiting, wait, release };
+  return { acquire, getLimit, countWaiting, wait, release };
 };
