--- a/packages/orders/src/constants.ts
+++ b/packages/orders/src/constants.ts
@@ -30,6 +30,9 @@
 /** A record stands for this many retention periods before its key is forgotten. */
 export const RETENTION_PERIODS = 2;
 
+/** Failed writes in a row after which the platform is taken to be down. */
+export const DOWN_AFTER_FAILURES = 5;
+
 export const RETRY_FIRST_MS = 50;
 export const RETRY_LONGEST_MS = 5_000;
 export const IN_PROGRESS_RETRY_AFTER_MS = 1_000;
--- a/packages/orders/src/orderService.test.ts
+++ b/packages/orders/src/orderService.test.ts
@@ -190,6 +190,21 @@
   assert.equal(bench.calls.length, 0);
 });
 
+test('while the platform is down, each order is refused after one try', async () => {
+  const bench = createBench();
+  const daemon = createDaemon(bench);
+  const fault = { failure: PlatformFailure.Unavailable, hasEffect: false };
+  bench.writeFaults.push(...Array.from({ length: 6 }, () => fault));
+  const [first, second] = ['key-1', 'key-2'].map((key) => buildOrder(bench, { key }));
+  assert.ok(first !== undefined && second !== undefined);
+  const refused = await daemon.submitOrder(first);
+  expectError(refused, ResultCode.PlatformUnavailable, RunState.NotRun);
+  const refusedAtOnce = await daemon.submitOrder(second);
+  expectError(refusedAtOnce, ResultCode.PlatformUnavailable, RunState.NotRun);
+  assert.equal(bench.writes, 6);
+  getAnswer(await daemon.submitOrder(second));
+});
+
 test('a lost answer leaves the order unknown until the status look-up settles it', async () => {
   const bench = createBench();
   const daemon = createDaemon(bench);
--- a/packages/orders/src/recordStore.ts
+++ b/packages/orders/src/recordStore.ts
@@ -1,6 +1,6 @@
 import { PlatformError, PlatformFailure, WriteOutcome } from '@sardinegrade/platform';
 
-import { ORDER_KIND, RETRY_FIRST_MS, RETRY_LONGEST_MS } from './constants.js';
+import { DOWN_AFTER_FAILURES, ORDER_KIND, RETRY_FIRST_MS, RETRY_LONGEST_MS } from './constants.js';
 import { SaveOutcome } from './enums.js';
 import { parseStoredOrder } from './recordSchema.js';
 
@@ -50,6 +50,12 @@
 const toStored = (object: PlatformObject | undefined): StoredOrder | undefined =>
   object === undefined ? undefined : parseStoredOrder(object);
 
+/** How the platform has answered lately, over all writes of a daemon. */
+interface PlatformHealth {
+  /** Failed writes since the last answered one. */
+  failures: number;
+}
+
 /** One write under way, whose earlier tries may have taken effect or may yet. */
 class PendingWrite {
   private mayTakeEffect = false;
@@ -59,6 +65,7 @@
   constructor(
     private readonly options: StoreOptions,
     private readonly change: RecordChange,
+    private readonly health: PlatformHealth,
   ) {
     const { name, ifVersion, record } = change;
     this.write = { kind: ORDER_KIND, name, ifVersion, changeId: options.newId(), value: record };
@@ -69,8 +76,7 @@
     for (;;) {
       const { result, cause } = await this.step();
       if (result !== undefined) return result;
-      const isHopeless = isInvalid(cause);
-      if (isHopeless || this.options.getMonotonicMs() + delayMs > this.change.giveUpAtMs) {
+      if (isInvalid(cause) || this.shouldGiveUp(delayMs)) {
         const outcome = this.mayTakeEffect ? SaveOutcome.Uncertain : SaveOutcome.NotSaved;
         return { outcome, cause };
       }
@@ -79,6 +85,14 @@
     }
   }
 
+  /** While the platform is down, a write that may be given up is tried once. */
+  private shouldGiveUp(delayMs: number): boolean {
+    const { giveUpAtMs } = this.change;
+    if (giveUpAtMs === Infinity) return false;
+    const isDown = this.health.failures >= DOWN_AFTER_FAILURES;
+    return isDown || this.options.getMonotonicMs() + delayMs > giveUpAtMs;
+  }
+
   private async step(): Promise<{ result?: SaveResult; cause?: unknown }> {
     try {
       // A write whose answer was lost is read back before it is sent again.
@@ -96,11 +110,13 @@
     try {
       const result = await this.options.platform.write(this.write);
       this.options.writeBudget.onWritten();
+      this.health.failures = 0;
       if (result.outcome === WriteOutcome.Written) return this.buildSaved(result.version);
       return this.compareCurrent(result.current);
     } catch (error) {
       this.mayTakeEffect ||= isUncertain(error);
       if (isLimited(error)) this.options.writeBudget.onLimited();
+      else this.health.failures += 1;
       throw error;
     }
   }
@@ -130,6 +146,7 @@
  */
 export const createRecordStore = (options: StoreOptions): RecordStore => {
   const { platform } = options;
+  const health: PlatformHealth = { failures: 0 };
 
   const read = async (name: string): Promise<StoredOrder | undefined> =>
     toStored(await platform.read(ORDER_KIND, name));
@@ -140,7 +157,7 @@
   };
 
   const writeRecord = (change: RecordChange): Promise<SaveResult> =>
-    new PendingWrite(options, change).run();
+    new PendingWrite(options, change, health).run();
 
   const remove = async (stored: StoredOrder): Promise<boolean> => {
     options.writeBudget.use(1);
