feat(orders): find the orders of a daemon that is gone by its list of open orders

Change: each daemon publishes the orders that it has had open for more than a second; sweepGoneDaemons reads the lists of daemons that are gone.

--- a/packages/lab/src/model/orders/modelFleet.ts
+++ b/packages/lab/src/model/orders/modelFleet.ts
@@ -116,6 +116,8 @@
     world.schedule(
       SWEEP_INTERVAL_MS,
       () => {
+        void orders.publishOpenOrders();
+        orders.sweepGoneDaemons().catch(() => undefined);
         orders.sweepOrders(PAGE_PAUSE_MS, () => true).catch(() => undefined);
         scheduleSweep(orders, host);
       },
--- a/packages/orders/src/constants.ts
+++ b/packages/orders/src/constants.ts
@@ -3,6 +3,12 @@
 /** Kind of the platform's objects that hold order records. */
 export const ORDER_KIND = 'order';
 
+/** Kind of the platform's objects that name the open orders of a daemon. */
+export const OPEN_LIST_KIND = 'order-open';
+
+/** How long an order is open before its daemon's list names it. */
+export const OPEN_AFTER_MS = 1_000;
+
 /** Largest answer body kept in a record; base64 and JSON escapes stay below the platform's megabyte. */
 export const ANSWER_KEEP_LIMIT_BYTES = 256 * 1024;
 
--- a/packages/orders/src/orderIntake.ts
+++ b/packages/orders/src/orderIntake.ts
@@ -22,6 +22,7 @@
 
 import type { AttemptId } from '@sardinegrade/common';
 import type { Observations } from './observations.js';
+import type { OpenOrderLists } from './openOrderList.js';
 import type { OrderRunner, OrderWork } from './orderRunner.js';
 import type { OrderSettler } from './orderSettler.js';
 import type { RecordStore } from './recordStore.js';
@@ -55,6 +56,7 @@
   readonly settler: OrderSettler;
   readonly runner: OrderRunner;
   readonly observations: Observations;
+  readonly openLists: OpenOrderLists;
   readonly tasks: TaskSet;
 }
 
@@ -74,7 +76,18 @@
 
 /** Creates the intake of one daemon. */
 export const createOrderIntake = (options: IntakeOptions): OrderIntake => {
-  const { store, settler, runner, observations, tasks, clock, vm, timings, writeBudget } = options;
+  const {
+    store,
+    settler,
+    runner,
+    observations,
+    openLists,
+    tasks,
+    clock,
+    vm,
+    timings,
+    writeBudget,
+  } = options;
   const open = new Map<string, OpenOrder>();
   const places = createServicePlaces();
   let isClosed = false;
@@ -250,7 +263,11 @@
 
   const openOrder = (work: OrderWork, run: () => Promise<OrderResult>): Promise<OrderResult> => {
     const fingerprint = hashRequest(work.submission.request);
-    const result = run().finally(() => open.delete(work.name));
+    openLists.add(work.name);
+    const result = run().finally(() => {
+      open.delete(work.name);
+      openLists.remove(work.name);
+    });
     open.set(work.name, { fingerprint, result });
     tasks.keepTask(result);
     return result;
--- a/packages/orders/src/orderService.test.ts
+++ b/packages/orders/src/orderService.test.ts
@@ -80,7 +80,11 @@
   };
   return {
     read: (_, name) => Promise.resolve(bench.objects.get(name)),
-    list: () => Promise.resolve({ objects: [...bench.objects.values()], next: undefined }),
+    list: (kind) =>
+      Promise.resolve({
+        objects: [...bench.objects.values()].filter((object) => object.kind === kind),
+        next: undefined,
+      }),
     write: (change) => {
       bench.writes += 1;
       const fault = bench.writeFaults.shift();
@@ -359,3 +363,27 @@
   assert.equal(getAnswer(await other.submitOrder(order)), 'late');
   assert.equal(bench.calls.length, 1);
 });
+
+test('what a daemon had open when it died is found by its list', async () => {
+  const bench = createBench();
+  const never = new Promise<CallResult>(() => undefined);
+  bench.answer = () => never;
+  const lost = createDaemon(bench, { vm: toBranded('vm-2') });
+  const pending = ['key-1', 'key-2'].map((key) =>
+    lost.submitOrder(buildOrder(bench, { key, concurrency: 1, deadlineAtMs: Infinity })),
+  );
+  assert.equal(pending.length, 2);
+  await sleep(20);
+  await lost.publishOpenOrders();
+  const writesBefore = bench.writes;
+  bench.nowMs += 2_000;
+  await lost.publishOpenOrders();
+  await lost.publishOpenOrders();
+  assert.equal(bench.writes, writesBefore + 1);
+  bench.answer = createBench().answer;
+  const daemon = createDaemon(bench, { isVmGone: (vm) => vm === 'vm-2' });
+  const report = await daemon.sweepGoneDaemons();
+  await daemon.drain();
+  assert.deepEqual([report.seen, report.takenOver, report.unknown], [2, 1, 1]);
+  assert.equal((await daemon.sweepGoneDaemons()).seen, 0);
+});
--- a/packages/orders/src/orderService.ts
+++ b/packages/orders/src/orderService.ts
@@ -4,6 +4,7 @@
 import { createOrderSettler } from './orderSettler.js';
 import { createOrderSweeper } from './orderSweeper.js';
 import { createObservations } from './observations.js';
+import { createOpenOrderLists } from './openOrderList.js';
 import { createRecordStore } from './recordStore.js';
 import { createTaskSet } from './taskSet.js';
 
@@ -20,6 +21,11 @@
    * @returns the service's whole answer, or an error that says truthfully whether it was run; never rejects
    */
   readonly submitOrder: (submission: OrderSubmission) => Promise<OrderResult>;
+  /**
+   * Publishes which orders this daemon has open for long, so that they are found when it is gone. Called
+   * every few seconds; it writes only where that has changed, and never rejects.
+   */
+  readonly publishOpenOrders: () => Promise<void>;
   /** Refuses new orders and waits until every order and settlement under way has ended. */
   readonly drain: () => Promise<void>;
 }
@@ -33,17 +39,29 @@
 export const createOrderService = (options: OrderServiceOptions): OrderService => {
   const store = createRecordStore(options);
   const observations = createObservations(options.getMonotonicMs);
+  const openLists = createOpenOrderLists(options);
   const tasks = createTaskSet();
   const settler = createOrderSettler({ ...options, store, observations });
   const runner = createOrderRunner({ ...options, store, settler, keepTask: tasks.keepTask });
-  const intake = createOrderIntake({ ...options, store, settler, runner, observations, tasks });
-  const sweeper = createOrderSweeper({ ...options, store, settler, intake, tasks });
+  const intake = createOrderIntake({
+    ...options,
+    store,
+    settler,
+    runner,
+    observations,
+    openLists,
+    tasks,
+  });
+  const sweeper = createOrderSweeper({ ...options, store, settler, intake, openLists, tasks });
   const operations = createOrderOperations({ ...options, store, settler });
 
+  const { publishOpenOrders } = openLists;
+
   const drain = async (): Promise<void> => {
     intake.close();
     await tasks.drain();
+    await publishOpenOrders();
   };
 
-  return { submitOrder: intake.submitOrder, drain, ...sweeper, ...operations };
+  return { submitOrder: intake.submitOrder, publishOpenOrders, drain, ...sweeper, ...operations };
 };
--- a/packages/orders/src/orderSweeper.ts
+++ b/packages/orders/src/orderSweeper.ts
@@ -2,6 +2,7 @@
 import { OrderState } from './enums.js';
 import { canRemove, isRemovable } from './orderRecord.js';
 
+import type { OpenOrderList, OpenOrderLists } from './openOrderList.js';
 import type { OrderIntake } from './orderIntake.js';
 import type { OrderSettler } from './orderSettler.js';
 import type { RecordStore } from './recordStore.js';
@@ -27,20 +28,38 @@
    * @returns what was found
    */
   readonly sweepOrders: (pagePauseMs: number, isActive: () => boolean) => Promise<SweepReport>;
+  /**
+   * Goes over the orders that daemons which are gone have had open for long. It reads few objects and is
+   * called every few seconds, by one daemon.
+   *
+   * @returns what was found
+   */
+  readonly sweepGoneDaemons: () => Promise<SweepReport>;
 }
 
 interface SweeperOptions extends OrderServiceOptions {
   readonly store: RecordStore;
   readonly settler: OrderSettler;
   readonly intake: OrderIntake;
+  readonly openLists: OpenOrderLists;
   readonly tasks: TaskSet;
 }
 
+type SweepCounts = { -readonly [Field in keyof SweepReport]: SweepReport[Field] };
+
+const createCounts = (): SweepCounts => ({
+  seen: 0,
+  takenOver: 0,
+  settled: 0,
+  unknown: 0,
+  removed: 0,
+});
+
 type Finding = Exclude<keyof SweepReport, 'seen'> | undefined;
 
 /** Creates the sweeper of one daemon. */
 export const createOrderSweeper = (options: SweeperOptions): OrderSweeper => {
-  const { store, settler, intake, tasks, clock, timings, writeBudget } = options;
+  const { store, settler, intake, openLists, tasks, clock, timings, writeBudget } = options;
 
   const buildSubmission = ({
     record,
@@ -82,20 +101,22 @@
     [OrderState.NotRun]: sweepSettled,
   };
 
+  const sweepOne = async (stored: StoredOrder, report: SweepCounts): Promise<void> => {
+    report.seen += 1;
+    if (intake.isOpen(stored.name)) return;
+    const finding = await SWEEP[stored.record.state](stored);
+    if (finding !== undefined) report[finding] += 1;
+  };
+
   const sweepOrders = async (
     pagePauseMs: number,
     isActive: () => boolean,
   ): Promise<SweepReport> => {
-    const report = { seen: 0, takenOver: 0, settled: 0, unknown: 0, removed: 0 };
+    const report = createCounts();
     let after: string | undefined;
     while (isActive()) {
       const page = await store.list(after);
-      for (const stored of page.orders) {
-        report.seen += 1;
-        if (intake.isOpen(stored.name)) continue;
-        const finding = await SWEEP[stored.record.state](stored);
-        if (finding !== undefined) report[finding] += 1;
-      }
+      for (const stored of page.orders) await sweepOne(stored, report);
       after = page.next;
       if (after === undefined) return report;
       await options.sleep(pagePauseMs);
@@ -103,5 +124,19 @@
     return report;
   };
 
-  return { sweepOrders };
+  const sweepList = async (list: OpenOrderList, report: SweepCounts): Promise<void> => {
+    for (const name of list.names) {
+      const stored = await store.read(name);
+      if (stored !== undefined) await sweepOne(stored, report);
+    }
+    await openLists.removeList(list);
+  };
+
+  const sweepGoneDaemons = async (): Promise<SweepReport> => {
+    const report = createCounts();
+    for (const list of await openLists.listGone()) await sweepList(list, report);
+    return report;
+  };
+
+  return { sweepOrders, sweepGoneDaemons };
 };
