--- a/packages/lab/src/bench/orders/runOrdersBench.ts
+++ b/packages/lab/src/bench/orders/runOrdersBench.ts
@@ -4,14 +4,8 @@
 import { runOutage } from './runOutage.js';
 import { RecordLayout } from './types.js';
 
-import type { OrderSchedule, PlannedSubmission } from '../../model/orders/index.js';
-import type {
-  FaultFigures,
-  LayoutFigures,
-  OrdersBenchReport,
-  OrdersTarget,
-  OutageFigures,
-} from './types.js';
+import type { OrderSchedule, OrderVerdict, PlannedSubmission } from '../../model/orders/index.js';
+import type { LayoutFigures, OrdersBenchReport, OrdersTarget, OutageFigures } from './types.js';
 
 /** What the benchmark takes. */
 export interface OrdersBenchOptions {
@@ -76,7 +70,7 @@
   met: figure <= bound,
 });
 
-const buildTargets = (product: FaultFigures, outage: OutageFigures): readonly OrdersTarget[] => [
+const buildTargets = (product: OrderVerdict, outage: OutageFigures): readonly OrdersTarget[] => [
   buildTarget('run_twice', product.runTwice, 0),
   buildTarget('lost', product.lost + product.unsettled, 0),
   buildTarget('false_not_run', product.falseNotRun, 0),
--- a/packages/lab/src/bench/orders/types.ts
+++ b/packages/lab/src/bench/orders/types.ts
@@ -1,3 +1,5 @@
+import type { OrderVerdict } from '../../model/orders/index.js';
+
 /** One target of the benchmark. */
 export interface OrdersTarget {
   readonly name: string;
@@ -13,19 +15,6 @@
   readonly p99Ms: number;
 }
 
-/** What one version came to under faults. */
-export interface FaultFigures {
-  readonly runTwice: number;
-  readonly lost: number;
-  readonly falseNotRun: number;
-  readonly differingAnswers: number;
-  readonly unsettled: number;
-  readonly executions: number;
-  readonly submissions: number;
-  readonly crashes: number;
-  readonly pauses: number;
-}
-
 /** How orders are recorded. */
 export enum RecordLayout {
   /** One object per order, recorded as dispatching at once where a place is free. */
@@ -56,8 +45,8 @@
   readonly ok: boolean;
   readonly targets: readonly OrdersTarget[];
   readonly seed: number;
-  readonly product: FaultFigures;
-  readonly naive: FaultFigures;
+  readonly product: OrderVerdict;
+  readonly naive: OrderVerdict;
   /** Part of the orders sent during a 60 s outage that were answered by its end. */
   readonly outageAvailability: OutageFigures;
   readonly layouts: readonly LayoutFigures[];
--- a/packages/orders/src/orderService.test.ts
+++ b/packages/orders/src/orderService.test.ts
@@ -311,16 +311,21 @@
   assert.equal(bench.writes, 2);
 });
 
-test('a sweep takes over what was accepted by a daemon that is gone', async () => {
-  const bench = createBench();
+/** A daemon that has one order under way and one waiting, and never hears from the service. */
+const startLostDaemon = async (bench: Bench) => {
   const never = new Promise<CallResult>(() => undefined);
   bench.answer = () => never;
   const lost = createDaemon(bench, { vm: toBranded('vm-2') });
-  const pending = ['key-1', 'key-2'].map((key) =>
-    lost.submitOrder(buildOrder(bench, { key, concurrency: 1, deadlineAtMs: Infinity })),
-  );
-  assert.equal(pending.length, 2);
+  for (const key of ['key-1', 'key-2']) {
+    void lost.submitOrder(buildOrder(bench, { key, concurrency: 1, deadlineAtMs: Infinity }));
+  }
   await sleep(20);
+  return lost;
+};
+
+test('a sweep takes over what was accepted by a daemon that is gone', async () => {
+  const bench = createBench();
+  await startLostDaemon(bench);
   bench.answer = createBench().answer;
   const daemon = createDaemon(bench, { isVmGone: (vm) => vm === 'vm-2' });
   const report = await daemon.sweepOrders(0, () => true);
@@ -366,14 +371,7 @@
 
 test('what a daemon had open when it died is found by its list', async () => {
   const bench = createBench();
-  const never = new Promise<CallResult>(() => undefined);
-  bench.answer = () => never;
-  const lost = createDaemon(bench, { vm: toBranded('vm-2') });
-  const pending = ['key-1', 'key-2'].map((key) =>
-    lost.submitOrder(buildOrder(bench, { key, concurrency: 1, deadlineAtMs: Infinity })),
-  );
-  assert.equal(pending.length, 2);
-  await sleep(20);
+  const lost = await startLostDaemon(bench);
   await lost.publishOpenOrders();
   const writesBefore = bench.writes;
   bench.nowMs += 2_000;
