feat(entry): pass the headers of body and result between callers and plain services

Cause: only the content type passed, so a location or a file name was lost. Change: lists of request and answer headers pass and are kept in records; keys of workspaces and cookies never do.

--- a/packages/entry/src/services/constants.ts
+++ b/packages/entry/src/services/constants.ts
@@ -13,6 +13,40 @@
 export const RETRY_FIRST_MS = 20;
 export const RETRY_LONGEST_MS = 1_000;
 
+/** Headers of a caller's request that its service receives. Keys of workspaces are never passed on. */
+export const REQUEST_HEADERS = [
+  'accept',
+  'accept-language',
+  'content-encoding',
+  'content-language',
+  'content-type',
+  'if-match',
+  'if-modified-since',
+  'if-none-match',
+  'if-unmodified-since',
+  'prefer',
+  'range',
+] as const;
+
+/** Headers of a service's answer that its caller receives, and that records keep. */
+export const ANSWER_HEADERS = [
+  'accept-ranges',
+  'cache-control',
+  'content-disposition',
+  'content-encoding',
+  'content-language',
+  'content-location',
+  'content-range',
+  'content-type',
+  'etag',
+  'expires',
+  'last-modified',
+  'link',
+  'location',
+  'retry-after',
+  'vary',
+] as const;
+
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 export const ATTEMPT_ID_HEADER = 'x-attempt-id';
 export const REQUEST_ID_HEADER = 'x-request-id';
--- a/packages/entry/src/services/handleServiceCall.test.ts
+++ b/packages/entry/src/services/handleServiceCall.test.ts
@@ -15,7 +15,7 @@
 import { createServiceHandler } from './handleServiceCall.js';
 import { createServiceCaller } from './serviceCaller.js';
 
-import type { RequestListener, Server } from 'node:http';
+import type { IncomingHttpHeaders, RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ServiceConfiguration, UpstreamConfiguration } from '@sardinegrade/common';
 import type { OrderSubmission } from '@sardinegrade/orders';
@@ -75,7 +75,11 @@
   const submissions: OrderSubmission[] = [];
   const submitOrder = (submission: OrderSubmission) => {
     submissions.push(submission);
-    const answer = { status: 201, contentType: 'text/plain', body: Buffer.from('booked') };
+    const answer = {
+      status: 201,
+      headers: { 'content-type': 'text/plain' },
+      body: Buffer.from('booked'),
+    };
     return Promise.resolve({ answer, isReplay: true });
   };
   let ids = 0;
@@ -163,6 +167,21 @@
   assert.equal(((await answer.body.json()) as Problem).run, 'unknown');
 });
 
+test('the headers of body and result pass, the key of the workspace does not', async () => {
+  const received: IncomingHttpHeaders[] = [];
+  const service = await startService((incoming, response) => {
+    received.push(incoming.headers);
+    response.setHeader('location', '/bits/1').setHeader('set-cookie', 'secret').end('found');
+  });
+  const { address } = await startEntry([buildUpstream('a', service)]);
+  const headers = { authorization: 'Bearer key', accept: 'text/plain', cookie: 'secret' };
+  const answer = await request(`${address}/bits/1`, { headers });
+  assert.equal(await answer.body.text(), 'found');
+  assert.deepEqual([answer.headers.location, answer.headers['set-cookie']], ['/bits/1', undefined]);
+  const { accept, authorization, cookie } = received[0] ?? {};
+  assert.deepEqual([accept, authorization, cookie], ['text/plain', undefined, undefined]);
+});
+
 test('a service that de-duplicates sees the key under its workspace and no order is recorded', async () => {
   const keys: unknown[] = [];
   const service = await startService((incoming, response) => {
@@ -199,7 +218,7 @@
   const caller = createServiceCaller(() => [buildUpstream('a', service)]);
   const result = await caller.callService({
     service: SERVICE,
-    request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.alloc(0) },
+    request: { method: 'POST', path: '/', headers: {}, body: Buffer.alloc(0) },
     scopedKey: 'rig-desk/key-1',
     attemptId: toBranded('attempt-1'),
     requestId: toBranded('request-1'),
--- a/packages/entry/src/services/handleServiceCall.ts
+++ b/packages/entry/src/services/handleServiceCall.ts
@@ -1,7 +1,8 @@
 import { ResultCode, RunState, SardinegradeError, toSardinegradeError } from '@sardinegrade/common';
 import { deriveScopedKey, KEY_LENGTH_LIMIT } from '@sardinegrade/orders';
 
-import { IDEMPOTENCY_KEY_HEADER } from './constants.js';
+import { IDEMPOTENCY_KEY_HEADER, REQUEST_HEADERS } from './constants.js';
+import { pickHeaders } from './pickHeaders.js';
 import { createRepeatableRunner } from './repeatableCall.js';
 import { readRequestBody } from './requestBody.js';
 import { respondAnswer, respondProblem } from './serviceResponse.js';
@@ -78,7 +79,7 @@
   ): Promise<ServiceRequest> => ({
     method: request.method ?? 'GET',
     path: context.path,
-    contentType: request.headers['content-type'],
+    headers: pickHeaders(request.headers, REQUEST_HEADERS),
     body: await readRequestBody(request, context.bodyLimitBytes),
   });
 
--- /dev/null
+++ b/packages/entry/src/services/pickHeaders.ts
@@ -0,0 +1,22 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { RelayedHeaders } from '@sardinegrade/orders';
+
+/**
+ * Picks the headers that pass between caller and service.
+ *
+ * @param headers - all headers received
+ * @param names - those to pick, in lower case
+ * @returns the picked headers; several values of one are joined as HTTP allows
+ */
+export const pickHeaders = (
+  headers: Readonly<IncomingHttpHeaders>,
+  names: readonly string[],
+): RelayedHeaders => {
+  const picked: Record<string, string> = {};
+  for (const name of names) {
+    const value = headers[name];
+    if (value === undefined) continue;
+    picked[name] = typeof value === 'string' ? value : value.join(', ');
+  }
+  return picked;
+};
--- a/packages/entry/src/services/serviceCaller.ts
+++ b/packages/entry/src/services/serviceCaller.ts
@@ -2,12 +2,14 @@
 import { z } from 'zod';
 
 import {
+  ANSWER_HEADERS,
   ANSWER_LIMIT_BYTES,
   ATTEMPT_ID_HEADER,
   IDEMPOTENCY_KEY_HEADER,
   LOOKUP_TIMEOUT_MS,
   REQUEST_ID_HEADER,
 } from './constants.js';
+import { pickHeaders } from './pickHeaders.js';
 import { createSingleUseClient, isBeforeSend } from './singleUseClient.js';
 
 import type { ServiceConfiguration, UpstreamConfiguration, UpstreamId } from '@sardinegrade/common';
@@ -48,11 +50,11 @@
 };
 
 const buildHeaders = (call: ServiceCall): Record<string, string> => ({
+  ...call.request.headers,
   [ATTEMPT_ID_HEADER]: call.attemptId,
   [REQUEST_ID_HEADER]: call.requestId,
   traceparent: call.traceparent,
   ...(call.scopedKey === '' ? {} : { [IDEMPOTENCY_KEY_HEADER]: call.scopedKey }),
-  ...(call.request.contentType === undefined ? {} : { 'content-type': call.request.contentType }),
 });
 
 const readAnswer = async (
@@ -66,8 +68,8 @@
   const { bytes, body } = await collectBody(response.body);
   const status = response.statusCode;
   if (body === undefined) return { outcome: CallOutcome.TooLarge, status, bytes };
-  const contentType = getHeader(response, 'content-type');
-  return { outcome: CallOutcome.Answered, answer: { status, contentType, body } };
+  const headers = pickHeaders(response.headers, ANSWER_HEADERS);
+  return { outcome: CallOutcome.Answered, answer: { status, headers, body } };
 };
 
 const callUpstream = async (
@@ -109,7 +111,8 @@
     const found = lookupSchema.parse(JSON.parse(body.toString('utf8')));
     if (found.state === 'absent') return { outcome: LookupOutcome.Absent };
     const { status, content_type: contentType } = found;
-    const answer = { status, contentType, body: Buffer.from(found.body) };
+    const headers = contentType === undefined ? {} : { 'content-type': contentType };
+    const answer = { status, headers, body: Buffer.from(found.body) };
     return { outcome: LookupOutcome.Done, answer };
   } catch {
     return { outcome: LookupOutcome.Unavailable };
--- a/packages/entry/src/services/serviceResponse.ts
+++ b/packages/entry/src/services/serviceResponse.ts
@@ -29,7 +29,7 @@
   isReplay: boolean,
 ): void => {
   setCommonHeaders(response, context);
-  if (answer.contentType !== undefined) response.setHeader('content-type', answer.contentType);
+  for (const [name, value] of Object.entries(answer.headers)) response.setHeader(name, value);
   if (isReplay) response.setHeader('idempotency-replayed', 'true');
   response.writeHead(answer.status);
   response.end(answer.body);
--- a/packages/lab/src/bench/orders/runLayout.ts
+++ b/packages/lab/src/bench/orders/runLayout.ts
@@ -122,7 +122,7 @@
     return {
       callService: async ({ attemptId }) => {
         await this.world.sleep(this.world.pickBetween(SHORTEST_SERVICE_MS, LONGEST_SERVICE_MS));
-        const answer = { status: 201, contentType: undefined, body: Buffer.from(attemptId) };
+        const answer = { status: 201, headers: {}, body: Buffer.from(attemptId) };
         return { outcome: CallOutcome.Answered, answer };
       },
       lookupStatus: () => Promise.resolve({ outcome: LookupOutcome.Unavailable }),
@@ -171,7 +171,7 @@
       workspace: WORKSPACE,
       service: SERVICE,
       key,
-      request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.from(key) },
+      request: { method: 'POST', path: '/', headers: {}, body: Buffer.from(key) },
       requestId: toBranded('request'),
       traceparent: '',
       deadlineAtMs: startMs + DEADLINE_MS,
--- a/packages/lab/src/bench/orders/runOutage.ts
+++ b/packages/lab/src/bench/orders/runOutage.ts
@@ -33,7 +33,7 @@
 const createCaller = (world: VirtualWorld): ServiceCaller => ({
   callService: async ({ attemptId }) => {
     await world.sleep(world.pickBetween(5, 15));
-    const answer = { status: 201, contentType: undefined, body: Buffer.from(attemptId) };
+    const answer = { status: 201, headers: {}, body: Buffer.from(attemptId) };
     return { outcome: CallOutcome.Answered, answer };
   },
   lookupStatus: () => Promise.resolve({ outcome: LookupOutcome.Unavailable }),
@@ -121,7 +121,7 @@
         workspace: toBranded('rig-desk'),
         service: SERVICE,
         key,
-        request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.from(key) },
+        request: { method: 'POST', path: '/', headers: {}, body: Buffer.from(key) },
         requestId: toBranded(key),
         traceparent: '',
         deadlineAtMs: world.nowMs + DEADLINE_MS,
--- a/packages/lab/src/model/orders/modelService.ts
+++ b/packages/lab/src/model/orders/modelService.ts
@@ -48,7 +48,7 @@
 
   const buildAnswer = ({ attemptId }: Execution) => ({
     status: 201,
-    contentType: 'text/plain',
+    headers: { 'content-type': 'text/plain' },
     body: Buffer.from(attemptId),
   });
 
--- a/packages/lab/src/model/orders/runOrderSchedule.ts
+++ b/packages/lab/src/model/orders/runOrderSchedule.ts
@@ -121,7 +121,7 @@
       workspace: WORKSPACE,
       service: buildModelService(this.schedule),
       key,
-      request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.from(key) },
+      request: { method: 'POST', path: '/', headers: {}, body: Buffer.from(key) },
       requestId: toBranded('request'),
       traceparent: '',
       deadlineAtMs: daemon.getNowMs() + DEADLINE_MS,
--- a/packages/orders/src/bodyCodec.ts
+++ b/packages/orders/src/bodyCodec.ts
@@ -35,7 +35,7 @@
  */
 export const encodeAnswer = (answer: ServiceAnswer): RecordedAnswer => ({
   status: answer.status,
-  contentType: answer.contentType,
+  headers: answer.headers,
   bytes: answer.body.length,
   body: encodeBody(answer.body, ANSWER_KEEP_LIMIT_BYTES),
 });
@@ -48,8 +48,8 @@
  */
 export const decodeAnswer = (recorded: RecordedAnswer): ServiceAnswer | undefined => {
   if (recorded.body === undefined) return undefined;
-  const { status, contentType } = recorded;
-  return { status, contentType, body: decodeBody(recorded.body) };
+  const { status, headers } = recorded;
+  return { status, headers, body: decodeBody(recorded.body) };
 };
 
 /**
@@ -61,7 +61,7 @@
 export const encodeRequest = (request: ServiceRequest): RecordedRequest => ({
   method: request.method,
   path: request.path,
-  contentType: request.contentType,
+  headers: request.headers,
   body: encodeBody(request.body, REQUEST_KEEP_LIMIT_BYTES),
 });
 
@@ -73,6 +73,6 @@
  */
 export const decodeRequest = (recorded: RecordedRequest): ServiceRequest | undefined => {
   if (recorded.body === undefined) return undefined;
-  const { method, path, contentType } = recorded;
-  return { method, path, contentType, body: decodeBody(recorded.body) };
+  const { method, path, headers } = recorded;
+  return { method, path, headers, body: decodeBody(recorded.body) };
 };
--- a/packages/orders/src/orderName.ts
+++ b/packages/orders/src/orderName.ts
@@ -40,7 +40,13 @@
  * Digests a request, to tell a resend from another request under the same key.
  *
  * @param request - the caller's request
- * @returns digest of method, path, content type and body
+ * @returns digest of method, path, type and encoding of the body, and the body
  */
 export const hashRequest = (request: ServiceRequest): string =>
-  hashParts([request.method, request.path, request.contentType ?? '', request.body]);
+  hashParts([
+    request.method,
+    request.path,
+    request.headers['content-type'] ?? '',
+    request.headers['content-encoding'] ?? '',
+    request.body,
+  ]);
--- a/packages/orders/src/orderRunner.ts
+++ b/packages/orders/src/orderRunner.ts
@@ -179,7 +179,7 @@
       case CallOutcome.Answered:
         return handleAnswer(attempt, result.answer);
       case CallOutcome.TooLarge:
-        return handleTooLarge(attempt, { status: result.status, bytes: result.bytes });
+        return handleTooLarge(attempt, { status: result.status, headers: {}, bytes: result.bytes });
       case CallOutcome.Unknown:
         return handleUnknown(attempt, result.cause);
       case CallOutcome.NotStarted:
--- a/packages/orders/src/orderService.test.ts
+++ b/packages/orders/src/orderService.test.ts
@@ -53,7 +53,11 @@
   writeFaults: [],
   answer: (call) => ({
     outcome: CallOutcome.Answered,
-    answer: { status: 201, contentType: 'text/plain', body: Buffer.from(call.attemptId) },
+    answer: {
+      status: 201,
+      headers: { 'content-type': 'text/plain' },
+      body: Buffer.from(call.attemptId),
+    },
   }),
   lookup: { outcome: LookupOutcome.Unavailable },
   nowMs: 1_000_000,
@@ -128,7 +132,7 @@
   workspace: toBranded('rig-desk'),
   service: SERVICE,
   key: 'key-1',
-  request: { method: 'POST', path: '/orders', contentType: undefined, body: Buffer.from('bit') },
+  request: { method: 'POST', path: '/orders', headers: {}, body: Buffer.from('bit') },
   requestId: toBranded('request-1'),
   traceparent: '',
   deadlineAtMs: bench.nowMs + 10_000,
@@ -216,7 +220,7 @@
   const order = buildOrder(bench);
   expectError(await daemon.submitOrder(order), ResultCode.OrderUnknown, RunState.Unknown);
   expectError(await daemon.submitOrder(order), ResultCode.OrderUnknown, RunState.Unknown);
-  const answer = { status: 200, contentType: undefined, body: Buffer.from('found') };
+  const answer = { status: 200, headers: {}, body: Buffer.from('found') };
   bench.lookup = { outcome: LookupOutcome.Done, answer };
   assert.equal(getAnswer(await daemon.submitOrder(order)), 'found');
   assert.equal(bench.calls.length, 1);
@@ -271,7 +275,7 @@
   bench.answer = (call) => {
     if (bench.calls.length === 1) bench.nowMs += DEFAULT_ORDER_TIMINGS.callWindowMs;
     if (!call.canStart()) return { outcome: CallOutcome.NotStarted, cause: 'window' };
-    const answer = { status: 200, contentType: undefined, body: Buffer.from(call.attemptId) };
+    const answer = { status: 200, headers: {}, body: Buffer.from(call.attemptId) };
     return { outcome: CallOutcome.Answered, answer };
   };
   const answer = getAnswer(await daemon.submitOrder(buildOrder(bench)));
@@ -291,7 +295,7 @@
   const body = Buffer.alloc(ANSWER_KEEP_LIMIT_BYTES + 1, 'a');
   bench.answer = () => ({
     outcome: CallOutcome.Answered,
-    answer: { status: 200, contentType: undefined, body },
+    answer: { status: 200, headers: {}, body },
   });
   const large = { ...late, key: 'key-2' };
   assert.equal(getAnswer(await daemon.submitOrder(large)).length, body.length);
@@ -362,7 +366,7 @@
   await sleep(20);
   const other = createDaemon(bench, { vm: toBranded('vm-2'), isVmGone: () => true });
   expectError(await other.submitOrder(order), ResultCode.OrderUnknown, RunState.Unknown);
-  const answer = { status: 201, contentType: undefined, body: Buffer.from('late') };
+  const answer = { status: 201, headers: {}, body: Buffer.from('late') };
   answers[0]?.({ outcome: CallOutcome.Answered, answer });
   assert.equal(getAnswer(await first), 'late');
   assert.equal(getAnswer(await other.submitOrder(order)), 'late');
--- a/packages/orders/src/recordSchema.ts
+++ b/packages/orders/src/recordSchema.ts
@@ -7,6 +7,8 @@
 
 const bodySchema = z.object({ encoding: z.enum(['utf8', 'base64']), data: z.string() });
 
+const headersSchema = z.record(z.string(), z.string());
+
 const recordSchema = z.object({
   state: z.enum(OrderState),
   workspace: z.string(),
@@ -25,14 +27,14 @@
     .object({
       method: z.string(),
       path: z.string(),
-      contentType: z.string().optional(),
+      headers: headersSchema,
       body: bodySchema.optional(),
     })
     .optional(),
   answer: z
     .object({
       status: z.number(),
-      contentType: z.string().optional(),
+      headers: headersSchema,
       bytes: z.number(),
       body: bodySchema.optional(),
     })
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -12,19 +12,22 @@
 import type { CallOutcome, LookupOutcome, OrderEvent, OrderState, SaveOutcome } from './enums.js';
 import type { WriteBudget } from './writeBudget.js';
 
+/** The headers that pass between caller and service, by their names in lower case. */
+export type RelayedHeaders = Readonly<Record<string, string>>;
+
 /** A caller's request to a plain service. */
 export interface ServiceRequest {
   readonly method: string;
   /** Path and query below the service. */
   readonly path: string;
-  readonly contentType: string | undefined;
+  readonly headers: RelayedHeaders;
   readonly body: Buffer;
 }
 
 /** A service's whole answer. */
 export interface ServiceAnswer {
   readonly status: number;
-  readonly contentType: string | undefined;
+  readonly headers: RelayedHeaders;
   readonly body: Buffer;
 }
 
@@ -72,7 +75,7 @@
 export interface RecordedRequest {
   readonly method: string;
   readonly path: string;
-  readonly contentType?: string | undefined;
+  readonly headers: RelayedHeaders;
   /** Absent where the body is too large to keep; only a resend can then take the order over. */
   readonly body?: EncodedBody | undefined;
 }
@@ -80,7 +83,7 @@
 /** The answer in a record. */
 export interface RecordedAnswer {
   readonly status: number;
-  readonly contentType?: string | undefined;
+  readonly headers: RelayedHeaders;
   readonly bytes: number;
   /** Absent where the answer is too large to keep or was never seen. */
   readonly body?: EncodedBody | undefined;
