--- a/packages/orders/src/orderOperations.ts
+++ b/packages/orders/src/orderOperations.ts
@@ -32,7 +32,8 @@
 }
 
 /** An order as an operator sees it before settling it. */
-export interface OrderView extends StoredOrder {
+export interface OrderView {
+  readonly stored: StoredOrder;
   /** Until the order may be settled as not run; undefined where it is not open. */
   readonly notRunWaitMs: number | undefined;
   /**
@@ -102,11 +103,11 @@
   const showOrder = async (reference: OrderReference): Promise<OrderView> => {
     const stored = await readOrder(reference);
     if (!OPEN.has(stored.record.state)) {
-      return { ...stored, notRunWaitMs: undefined, settlementToken: undefined };
+      return { stored, notRunWaitMs: undefined, settlementToken: undefined };
     }
     const notRunWaitMs = settler.estimateNotRunWaitMs(stored.record);
     const settlementToken = notRunWaitMs === 0 ? buildToken(stored) : undefined;
-    return { ...stored, notRunWaitMs, settlementToken };
+    return { stored, notRunWaitMs, settlementToken };
   };
 
   /** An order is not run only if the operator looked into the service after no call could arrive. */
