--- a/packages/entry/src/daemon/platformValueFuzz.test.ts
+++ b/packages/entry/src/daemon/platformValueFuzz.test.ts
@@ -156,7 +156,7 @@
     const result = await orders.submitOrder({
       ...reference,
       service,
-      request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.from('x') },
+      request: { method: 'POST', path: '/', headers: {}, body: Buffer.from('x') },
       requestId: toBranded('r1'),
       traceparent: '',
       deadlineAtMs: clock.getNowMs() + 1_000,
--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -1,12 +1,12 @@
 /** The table of all benches; a new one is registered here. */
+import { CONTROL_BENCH } from './control/index.js';
 import { CRASH_BENCH } from './crash/index.js';
+import { DECIDE_BENCH } from './decide/index.js';
 import { OVERLOAD_BENCH } from './overload/index.js';
 import { POISON_BENCH } from './poison/index.js';
 import { RELAY_BENCH } from './relay/index.js';
 import { SILENT_BENCH } from './silent/index.js';
 import { STRAGGLER_BENCH } from './straggler/index.js';
-import { DECIDE_BENCH } from './decide/index.js';
-import { CONTROL_BENCH } from './control/index.js';
 
 import type { Bench } from './runner/index.js';
 
@@ -19,6 +19,6 @@
   CRASH_BENCH,
   POISON_BENCH,
   SILENT_BENCH,
+  DECIDE_BENCH,
+  CONTROL_BENCH,
 ];
-export const BENCHES: readonly Bench[] = [DECIDE_BENCH];
-export const BENCHES: readonly Bench[] = [CONTROL_BENCH];
