--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -1,5 +1,5 @@
 import type { Clock, DataCentreName, VmId } from '@sardinegrade/common';
-import type { FleetProtocol } from '@sardinegrade/peer';
+import type { FleetProtocol, PeerCredentials } from '@sardinegrade/peer';
 import type { PlatformClient } from '@sardinegrade/platform';
 import type { Stream } from 'most';
 import type { Drain, FleetConfiguration } from './configuration/types.js';
@@ -60,9 +60,11 @@
   readonly clock: Clock;
   /** Uniform numbers from 0 up to but without 1. */
   readonly random: () => number;
+  /** Credentials shared with the daemon's gRPC server; made from the settings where left out. */
+  readonly credentials?: PeerCredentials | undefined;
 }
 
-/** What an operator wants to change; exactly one of text and drains is given. */
+/** A text that an operator wants in force. */
 export interface ConfigurationChange {
   /** The generation that the operator started from. */
   readonly baseGeneration: number;
@@ -121,6 +123,11 @@
 
   /** @returns all known members but the dead, this daemon among them */
   readonly getMembers: () => readonly Member[];
+  /**
+   * @param vm - another daemon
+   * @returns the generation that it had in force when last heard of; undefined where never
+   */
+  readonly getMemberGeneration: (vm: VmId) => number | undefined;
   /**
    * @param dataCentre - a data centre's name
    * @returns whether a daemon there has been heard of lately
