--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -254,7 +254,10 @@
       writesPerSecond: this.#settings.orders.writes_per_second,
       getConfiguration: this.#fleet.getConfiguration,
       isUpstreamDown: (upstream) => this.#facts.isDown(upstream),
-      isVmGone: (vm) => this.#fleet.getMembers().every((member) => member.vm !== vm),
+      isVmGone: (vm) =>
+        this.#fleet
+          .getMembers()
+          .some((member) => member.vm === vm && member.state === MemberState.Dead),
       listVms: () => this.#listDispatchMembers().map(({ vm }) => vm),
       checkDependencies: this.#checkDependencies,
     });
--- a/packages/entry/src/daemon/OrderDesk.ts
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -149,8 +149,10 @@
   readonly #sweepForEver = async (): Promise<void> => {
     while (this.#isActive) {
       await sleepMs(SWEEP_INTERVAL_MS);
+      await this.orders.publishOpenOrders();
       if (!this.#isOnDuty()) continue;
       try {
+        await this.orders.sweepGoneDaemons();
         await this.orders.sweepOrders(SWEEP_PAGE_PAUSE_MS, this.#isOnDuty);
       } catch (error) {
         this.#options.logger.warn('The orders could not be swept.', { error });
--- a/packages/orders/src/constants.ts
+++ b/packages/orders/src/constants.ts
@@ -9,6 +9,9 @@
 /** How long an order is open before its daemon's list names it. */
 export const OPEN_AFTER_MS = 1_000;
 
+/** How long a list of open orders may stand unchanged before its daemon is taken to be gone. */
+export const OPEN_LIST_STALE_MS = 600_000;
+
 /** Largest answer body kept in a record; base64 and JSON escapes stay below the platform's megabyte. */
 export const ANSWER_KEEP_LIMIT_BYTES = 256 * 1024;
 
--- a/packages/orders/src/openOrderList.ts
+++ b/packages/orders/src/openOrderList.ts
@@ -1,10 +1,11 @@
 import { WriteOutcome } from '@sardinegrade/platform';
 import { z } from 'zod';
 
-import { OPEN_AFTER_MS, OPEN_LIST_KIND } from './constants.js';
+import { OPEN_AFTER_MS, OPEN_LIST_KIND, OPEN_LIST_STALE_MS } from './constants.js';
 
 import type { VmId } from '@sardinegrade/common';
 import type { PlatformObject } from '@sardinegrade/platform';
+import type { Observations } from './observations.js';
 import type { OrderServiceOptions } from './types.js';
 
 /** The orders that a daemon has had open for long, as the platform holds them. */
@@ -28,7 +29,7 @@
 type ListOptions = Pick<
   OrderServiceOptions,
   'platform' | 'getMonotonicMs' | 'vm' | 'newId' | 'writeBudget' | 'isVmGone'
->;
+> & { readonly observations: Observations };
 
 const listSchema = z.object({ vm: z.string(), names: z.array(z.string()) });
 
@@ -69,6 +70,11 @@
     await writeList(names).catch(() => undefined);
   };
 
+  /** A list that stands unchanged for long belongs to a daemon that the membership has forgotten. */
+  const isGone = (list: OpenOrderList): boolean =>
+    options.isVmGone(list.vm) ||
+    options.observations.measureAgeMs(`${list.vm}:${list.version}`) >= OPEN_LIST_STALE_MS;
+
   const listGone = async (): Promise<readonly OpenOrderList[]> => {
     const lists: OpenOrderList[] = [];
     let after: string | undefined;
@@ -77,7 +83,7 @@
       lists.push(...page.objects.map(parseList));
       after = page.next;
     } while (after !== undefined);
-    return lists.filter((list) => options.isVmGone(list.vm));
+    return lists.filter(isGone);
   };
 
   const removeList = async (list: OpenOrderList): Promise<void> => {
--- a/packages/orders/src/orderService.ts
+++ b/packages/orders/src/orderService.ts
@@ -39,7 +39,7 @@
 export const createOrderService = (options: OrderServiceOptions): OrderService => {
   const store = createRecordStore(options);
   const observations = createObservations(options.getMonotonicMs);
-  const openLists = createOpenOrderLists(options);
+  const openLists = createOpenOrderLists({ ...options, observations });
   const tasks = createTaskSet();
   const settler = createOrderSettler({ ...options, store, observations });
   const runner = createOrderRunner({ ...options, store, settler, keepTask: tasks.keepTask });
