--- /dev/null
+++ b/packages/lab/src/bench/config/index.ts
@@ -0,0 +1,2 @@
+/** The bench `config`. */
+export * from './config.js';
