--- a/packages/fleet/src/createFleetAgent.test.ts
+++ b/packages/fleet/src/createFleetAgent.test.ts
@@ -156,4 +156,5 @@
   });
   await waitFor('an observer sees the present configuration first', () => seen.length === 1);
   assert.deepEqual(seen, [1]);
+  await waitFor('it watches, being alone', () => daemon.agent.getConfigurationStatus().isWatcher);
 });
--- a/packages/fleet/src/createFleetAgent.ts
+++ b/packages/fleet/src/createFleetAgent.ts
@@ -47,7 +47,10 @@
     clock,
     random,
     observer: {
-      onChange: changes.push,
+      onChange: (change) => {
+        isWatchOutdated = true;
+        changes.push(change);
+      },
       onNews: news.push,
       onGeneration: (from, generation) => distribution.addHeard(from, generation),
     },
@@ -74,11 +77,18 @@
     distribution.addStored(record);
     return record;
   };
-  const tick = (): void => {
-    membership.tick();
+  let isWatchOutdated = true;
+  let wasJoined = false;
+  const updateWatch = (): void => {
+    isWatchOutdated = false;
+    wasJoined = membership.isJoined();
     const watchers = membership.pickForTask(WATCH_TASK, WATCHER_COUNT);
     // A daemon that has not heard from its peers yet would take itself for a watcher.
-    distribution.setWatcher(membership.isJoined() && watchers.includes(settings.vm));
+    distribution.setWatcher(wasJoined && watchers.includes(settings.vm));
+  };
+  const tick = (): void => {
+    membership.tick();
+    if (isWatchOutdated || wasJoined !== membership.isJoined()) updateWatch();
     distribution.tick();
   };
 
