--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,3 +5,4 @@
 export * from './health/index.js';
 export * from './models/index.js';
 export * from './settings/index.js';
+export * from './services/index.js';
