--- a/packages/lab/src/bench/config/config.ts
+++ b/packages/lab/src/bench/config/config.ts
@@ -5,11 +5,13 @@
 import { RealFleet } from '../../integration/index.js';
 import { createRandom } from '../../load/index.js';
 import { requireAtMost } from '../runner/index.js';
+import { measureColdStart } from './coldStart.js';
 import { NaivePoller } from './NaivePoller.js';
 
 import type { ConfigurationRecord } from '@sardinegrade/fleet';
 import type { LocalAgent } from '../../integration/index.js';
 import type { Random } from '../../load/index.js';
+import type { ColdStart } from './coldStart.js';
 import type { Bench, BenchOptions, BenchOutcome } from '../runner/index.js';
 
 /** Today's places: 7 VMs in 4 data centres. */
@@ -23,6 +25,8 @@
 const POLL_INTERVAL_MS = 4_000;
 const QUIET_CHANGES = 10;
 const QUIET_GAP_MS = 3_000;
+/** Daemons that start at once beside the ones that run. */
+const COLD_DAEMONS = 24;
 const SETTLE_LIMIT_MS = 60_000;
 
 /** A change that was accepted, and when its author was told so. */
@@ -245,7 +249,10 @@
   report('quiet changes, and the same with a poller for each daemon');
   const quiet = await measureQuiet(fleet, scenario, editor);
   const naive = await measureNaive(fleet, scenario, editor, random);
+  report(`${COLD_DAEMONS} daemons of one data centre start at once`);
+  const cold = await measureColdStart(fleet, COLD_DAEMONS);
   return buildOutcome({
+    cold,
     inForce,
     reverts,
     isEqual,
@@ -257,6 +264,7 @@
 };
 
 interface Measured {
+  readonly cold: ColdStart;
   readonly inForce: readonly number[];
   readonly reverts: number;
   readonly isEqual: boolean;
@@ -267,7 +275,7 @@
 }
 
 const buildOutcome = (measured: Measured): BenchOutcome => {
-  const { inForce, reverts, isEqual, races, failures, quiet, naive } = measured;
+  const { cold, inForce, reverts, isEqual, races, failures, quiet, naive } = measured;
   const p50 = getPercentile(inForce, 0.5);
   const maximum = inForce.at(-1) ?? Infinity;
   return {
@@ -297,6 +305,11 @@
         columns: ['accepted', 'conflicts', 'failed', 'reverts', 'equal at the end'],
         rows: [[races.accepted, races.conflicts, failures, reverts, isEqual ? 'yes' : 'no']],
       },
+      {
+        title: 'A data centre that starts at once',
+        columns: ['daemons', 'configured after ms', 'all known after ms', 'platform calls'],
+        rows: [[cold.daemons, cold.configuredMs, cold.joinedMs, cold.platformCalls]],
+      },
     ],
     targets: [
       requireAtMost('reverts', reverts, 0),
@@ -313,6 +326,7 @@
       conflicts: races.conflicts,
       failures,
       naive,
+      cold,
     },
   };
 };
--- a/packages/lab/src/bench/control/nodes/NodeGroup.ts
+++ b/packages/lab/src/bench/control/nodes/NodeGroup.ts
@@ -27,15 +27,31 @@
     const first = this.processes[0];
     const seeds = first === undefined ? [] : [first.getAddress('peer').replace('http://', '')];
     const options: NodeOptions = { ...this.defaults, name, dataCentre, agents, seeds };
-    const started = new ManagedProcess({
-      name,
-      args: ['--expose-gc', SCRIPT, JSON.stringify(options)],
-    });
-    this.processes.push(started);
+    const started = this.createProcess(options);
     await started.waitListening();
     return this.processes.length - 1;
   }
 
+  /**
+   * Starts several processes at once, one agent in each.
+   *
+   * @param dataCentre - where the agents are
+   * @param count - how many
+   * @param seeds - whom they join by
+   */
+  async startTogether(dataCentre: string, count: number, seeds: readonly string[]): Promise<void> {
+    const started = Array.from({ length: count }, (_, index) =>
+      this.createProcess({
+        ...this.defaults,
+        name: `${dataCentre}-${index}`,
+        dataCentre,
+        agents: 1,
+        seeds,
+      }),
+    );
+    await Promise.all(started.map((process) => process.waitListening()));
+  }
+
   /**
    * Reads what a process has spent.
    *
@@ -52,6 +68,13 @@
     return Promise.all(this.processes.map((_process, index) => this.readStatus(index)));
   }
 
+  private createProcess(options: NodeOptions): ManagedProcess {
+    const args = ['--expose-gc', SCRIPT, JSON.stringify(options)];
+    const created = new ManagedProcess({ name: options.name, args });
+    this.processes.push(created);
+    return created;
+  }
+
   /** Ends all processes. */
   async stop(): Promise<void> {
     await Promise.all(this.processes.map((started) => started.abort()));
--- a/packages/lab/src/integration/RealFleet.ts
+++ b/packages/lab/src/integration/RealFleet.ts
@@ -141,6 +141,12 @@
     return local;
   }
 
+  /** Lists the peer addresses of all daemons and agents. */
+  listAddresses(): readonly string[] {
+    const daemons = [...this.daemons.values()].map(({ proxy }) => proxy.hostPort);
+    return [...daemons, ...this.agents.map((local) => local.address)];
+  }
+
   getDaemon(vm: string): RealDaemon {
     const daemon = this.daemons.get(vm);
     if (daemon === undefined) throw new Error(`no daemon ${vm}`);
