--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -1,4 +1,5 @@
 /** The table of all benches; a new one is registered here. */
+import { CONFIG_BENCH } from './config/index.js';
 import { CONTROL_BENCH } from './control/index.js';
 import { CRASH_BENCH } from './crash/index.js';
 import { DECIDE_BENCH } from './decide/index.js';
@@ -20,5 +21,6 @@
   POISON_BENCH,
   SILENT_BENCH,
   DECIDE_BENCH,
+  CONFIG_BENCH,
   CONTROL_BENCH,
 ];
