fix(orders): a record that cannot be read hides no others and runs nothing

Ruled out: dropping the object, since it may stand for an order that was run. Change: it reads as order unknown (4002, run unknown), listings skip it and report an incident, and a write over it ends instead of being tried for ever.

--- a/packages/orders/src/errors.ts
+++ b/packages/orders/src/errors.ts
@@ -37,6 +37,22 @@
     UNKNOWN_RETRY_AFTER_MS,
   );
 
+/**
+ * Creates the error for a record that cannot be read, whose order is therefore neither run nor settled.
+ *
+ * @param name - the record's name
+ * @param cause - what is wrong with it
+ * @returns the error
+ */
+export const createUnreadableError = (name: string, cause: unknown): SardinegradeError =>
+  createError(
+    ResultCode.OrderUnknown,
+    RunState.Unknown,
+    `The record '${name}' cannot be read; an operator has to look into it.`,
+    undefined,
+    cause,
+  );
+
 /** @returns the error for a key that already stands for another request */
 export const createMismatchError = (): SardinegradeError =>
   createError(
--- a/packages/orders/src/recordSchema.ts
+++ b/packages/orders/src/recordSchema.ts
@@ -2,6 +2,8 @@
 
 import { OrderEvent, OrderState } from './enums.js';
 
+import { createUnreadableError } from './errors.js';
+
 import type { PlatformObject } from '@sardinegrade/platform';
 import type { OrderRecord, StoredOrder } from './types.js';
 
@@ -55,10 +57,11 @@
  *
  * @param object - the object as the platform returned it
  * @returns the checked record with its name and version
- * @throws ZodError where the object is no order record
+ * @throws SardinegradeError with code 4002 where the object is no order record: nothing is known of its order
  */
-export const parseStoredOrder = (object: PlatformObject): StoredOrder => ({
-  name: object.name,
-  version: object.version,
-  record: recordSchema.parse(object.value) as unknown as OrderRecord,
-});
+export const parseStoredOrder = (object: PlatformObject): StoredOrder => {
+  const result = recordSchema.safeParse(object.value);
+  if (!result.success) throw createUnreadableError(object.name, result.error);
+  const { name, version } = object;
+  return { name, version, record: result.data as unknown as OrderRecord };
+};
--- a/packages/orders/src/recordStore.ts
+++ b/packages/orders/src/recordStore.ts
@@ -1,3 +1,4 @@
+import { SardinegradeError } from '@sardinegrade/common';
 import { PlatformError, PlatformFailure, WriteOutcome } from '@sardinegrade/platform';
 
 import { DOWN_AFTER_FAILURES, ORDER_KIND, RETRY_FIRST_MS, RETRY_LONGEST_MS } from './constants.js';
@@ -35,7 +36,7 @@
 
 type StoreOptions = Pick<
   OrderServiceOptions,
-  'platform' | 'getMonotonicMs' | 'sleep' | 'newId' | 'writeBudget'
+  'platform' | 'getMonotonicMs' | 'sleep' | 'newId' | 'writeBudget' | 'onIncident'
 >;
 
 const isUncertain = (error: unknown): boolean =>
@@ -44,8 +45,11 @@
 const isLimited = (error: unknown): boolean =>
   error instanceof PlatformError && error.failure === PlatformFailure.Limited;
 
+/** Trying again is of no use: the platform refuses the value, or holds a record that cannot be read. */
 const isInvalid = (error: unknown): boolean =>
-  error instanceof PlatformError && error.failure === PlatformFailure.Invalid;
+  error instanceof PlatformError
+    ? error.failure === PlatformFailure.Invalid
+    : error instanceof SardinegradeError;
 
 const toStored = (object: PlatformObject | undefined): StoredOrder | undefined =>
   object === undefined ? undefined : parseStoredOrder(object);
@@ -151,9 +155,19 @@
   const read = async (name: string): Promise<StoredOrder | undefined> =>
     toStored(await platform.read(ORDER_KIND, name));
 
+  /** One record that cannot be read does not hide the others. */
+  const readListed = (object: PlatformObject): readonly StoredOrder[] => {
+    try {
+      return [parseStoredOrder(object)];
+    } catch (error) {
+      options.onIncident(`A record cannot be read: ${String(error)}`, object.name);
+      return [];
+    }
+  };
+
   const list = async (after: string | undefined): Promise<RecordPage> => {
     const page = await platform.list(ORDER_KIND, '', after);
-    return { orders: page.objects.map(parseStoredOrder), next: page.next };
+    return { orders: page.objects.flatMap(readListed), next: page.next };
   };
 
   const writeRecord = (change: RecordChange): Promise<SaveResult> =>
