--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -1,8 +1,26 @@
 /** The table of all benches; a new one is registered here. */
+import { CONFIG_BENCH } from './config/index.js';
+import { CONTROL_BENCH } from './control/index.js';
+import { CRASH_BENCH } from './crash/index.js';
 import { DECIDE_BENCH } from './decide/index.js';
+import { OVERLOAD_BENCH } from './overload/index.js';
+import { POISON_BENCH } from './poison/index.js';
+import { RELAY_BENCH } from './relay/index.js';
+import { SILENT_BENCH } from './silent/index.js';
+import { STRAGGLER_BENCH } from './straggler/index.js';
 
 import type { Bench } from './runner/index.js';
 
 export * from './runner/index.js';
 
-export const BENCHES: readonly Bench[] = [DECIDE_BENCH];
+export const BENCHES: readonly Bench[] = [
+  RELAY_BENCH,
+  OVERLOAD_BENCH,
+  STRAGGLER_BENCH,
+  CRASH_BENCH,
+  POISON_BENCH,
+  SILENT_BENCH,
+  DECIDE_BENCH,
+  CONFIG_BENCH,
+  CONTROL_BENCH,
+];
--- a/packages/orders/src/orderIntake.ts
+++ b/packages/orders/src/orderIntake.ts
@@ -22,6 +22,7 @@
 
 import type { AttemptId } from '@sardinegrade/common';
 import type { Observations } from './observations.js';
+import type { OpenOrderLists } from './openOrderList.js';
 import type { OrderRunner, OrderWork } from './orderRunner.js';
 import type { OrderSettler } from './orderSettler.js';
 import type { RecordStore } from './recordStore.js';
@@ -38,7 +39,10 @@
 export interface OrderIntake {
   readonly submitOrder: (submission: OrderSubmission) => Promise<OrderResult>;
   /** Runs an accepted order that its daemon left behind. */
-  readonly takeOver: (stored: StoredOrder, submission: OrderSubmission) => Promise<OrderResult>;
+  readonly takeOver: (
+    stored: StoredOrder,
+    submission: Omit<OrderSubmission, 'concurrency'>,
+  ) => Promise<OrderResult>;
   /** Whether an accepted record stands for longer than its daemon would leave it. */
   readonly isAbandoned: (stored: StoredOrder) => boolean;
   /** Whether this daemon has the order under way. */
@@ -52,6 +56,7 @@
   readonly settler: OrderSettler;
   readonly runner: OrderRunner;
   readonly observations: Observations;
+  readonly openLists: OpenOrderLists;
   readonly tasks: TaskSet;
 }
 
@@ -71,7 +76,18 @@
 
 /** Creates the intake of one daemon. */
 export const createOrderIntake = (options: IntakeOptions): OrderIntake => {
-  const { store, settler, runner, observations, tasks, clock, vm, timings, writeBudget } = options;
+  const {
+    store,
+    settler,
+    runner,
+    observations,
+    openLists,
+    tasks,
+    clock,
+    vm,
+    timings,
+    writeBudget,
+  } = options;
   const open = new Map<string, OpenOrder>();
   const places = createServicePlaces();
   let isClosed = false;
@@ -247,7 +263,11 @@
 
   const openOrder = (work: OrderWork, run: () => Promise<OrderResult>): Promise<OrderResult> => {
     const fingerprint = hashRequest(work.submission.request);
-    const result = run().finally(() => open.delete(work.name));
+    openLists.add(work.name);
+    const result = run().finally(() => {
+      open.delete(work.name);
+      openLists.remove(work.name);
+    });
     open.set(work.name, { fingerprint, result });
     tasks.keepTask(result);
     return result;
@@ -279,8 +299,9 @@
     return Promise.race([result, late]);
   };
 
-  const takeOver = (stored: StoredOrder, submission: OrderSubmission): Promise<OrderResult> => {
-    const work: OrderWork = { name: stored.name, submission, base: stored };
+  const takeOver: OrderIntake['takeOver'] = (stored, submission) => {
+    const concurrency = places.getLimit(submission.service.name);
+    const work = { name: stored.name, submission: { ...submission, concurrency }, base: stored };
     return joinOpen(work) ?? openOrder(work, () => startWork(work, CONFLICT_LIMIT));
   };
 
