--- a/packages/fleet/src/access/access.test.ts
+++ b/packages/fleet/src/access/access.test.ts
@@ -14,6 +14,7 @@
   createFleetConnections,
   createFleetHandlers,
   createPeerCredentials,
+  openPeerPort,
 } from '@sardinegrade/peer';
 
 import { hashKey, matchKey } from './keys.js';
@@ -98,13 +99,7 @@
       fetchConfiguration: () => assert.fail('not used'),
     }),
   );
-  const port = await new Promise<number>((resolve, reject) => {
-    server.bindAsync('127.0.0.1:0', credentials, (error, bound) => {
-      if (error === null) resolve(bound);
-      else reject(error);
-    });
-  });
-  return `127.0.0.1:${port}`;
+  return `127.0.0.1:${await openPeerPort(server, '127.0.0.1:0', credentials)}`;
 };
 
 test("daemons accept each other's certificates of one authority, and nobody else's", async (context) => {
--- a/packages/fleet/src/configuration/distribution/differential.test.ts
+++ b/packages/fleet/src/configuration/distribution/differential.test.ts
@@ -4,11 +4,11 @@
 import { toBranded } from '@sardinegrade/common';
 import fc from 'fast-check';
 
+import { createRecord } from '../testing/createRecord.js';
 import { DistributionActionKind, DistributionEventKind } from './enums.js';
 import { createDistribution, getGeneration, reduceDistribution } from './reduceDistribution.js';
 
 import type { VmId } from '@sardinegrade/common';
-import type { ConfigurationRecord } from '../../types.js';
 import type { DistributionAction, DistributionEvent, DistributionState } from './types.js';
 
 const SEED = 20261204;
@@ -28,16 +28,6 @@
   CutEnds = 'cut_ends',
 }
 
-const createRecord = (generation: number): ConfigurationRecord => ({
-  generation,
-  text: '',
-  textGeneration: generation,
-  drains: [],
-  author: 'ann',
-  changeId: `c${generation}`,
-  atMs: 0,
-});
-
 /** A platform, a fleet of distribution machines that gossip, and as many naive pollers beside them. */
 class Comparison {
   nowMs = 0;
--- a/packages/fleet/src/configuration/distribution/reduceDistribution.test.ts
+++ b/packages/fleet/src/configuration/distribution/reduceDistribution.test.ts
@@ -4,26 +4,16 @@
 import { toBranded } from '@sardinegrade/common';
 import fc from 'fast-check';
 
+import { createRecord } from '../testing/createRecord.js';
 import { DistributionActionKind, DistributionEventKind } from './enums.js';
 import { createDistribution, getGeneration, reduceDistribution } from './reduceDistribution.js';
 
 import type { VmId } from '@sardinegrade/common';
-import type { ConfigurationRecord } from '../../types.js';
 import type { DistributionEvent, DistributionState } from './types.js';
 
 const SEED = 20261204;
 const PEER = toBranded<VmId>('peer');
 
-const createRecord = (generation: number): ConfigurationRecord => ({
-  generation,
-  text: '',
-  textGeneration: generation,
-  drains: [],
-  author: 'ann',
-  changeId: `c${generation}`,
-  atMs: 0,
-});
-
 const createContext = (nowMs: number) => ({ nowMs, random: () => 0.5 });
 
 const GENERATION = fc.integer({ min: 1, max: 20 });
@@ -119,3 +109,18 @@
   assert.deepEqual(runEvents([tick, heard, tick], 100), [DistributionActionKind.Fetch]);
   assert.deepEqual(runEvents([tick], 3_000), [DistributionActionKind.Read]);
 });
+
+test('a watcher reads the object again after a quiet watch, in case that the platform was restored', () => {
+  const watch = { kind: DistributionEventKind.WatcherChanged, isWatcher: true } as const;
+  const read = { kind: DistributionEventKind.PlatformRead, version: 9, record: undefined } as const;
+  const quiet = {
+    kind: DistributionEventKind.PlatformWatched,
+    version: 9,
+    record: undefined,
+  } as const;
+  assert.deepEqual(runEvents([watch, read, quiet], 0), [
+    DistributionActionKind.Read,
+    DistributionActionKind.Watch,
+    DistributionActionKind.Read,
+  ]);
+});
--- a/packages/fleet/src/configuration/distribution/reduceDistribution.ts
+++ b/packages/fleet/src/configuration/distribution/reduceDistribution.ts
@@ -177,10 +177,13 @@
   event: EventOf<DistributionEventKind.PlatformRead | DistributionEventKind.PlatformWatched>,
   context: DistributionContext,
 ): DistributionStep => {
+  // After a quiet watch the object is read again: a platform that was restored counts anew.
+  const isQuiet =
+    event.kind === DistributionEventKind.PlatformWatched && event.record === undefined;
   const next = {
     ...state,
     isCalling: false,
-    watchVersion: event.version,
+    watchVersion: isQuiet ? undefined : event.version,
     platformBackoff: NO_BACKOFF,
     checkAtMs: chooseCheckTime(context),
   };
--- a/packages/fleet/src/createFleetAgent.test.ts
+++ b/packages/fleet/src/createFleetAgent.test.ts
@@ -4,7 +4,7 @@
 
 import { Server, ServerCredentials } from '@grpc/grpc-js';
 import { SYSTEM_CLOCK, toBranded } from '@sardinegrade/common';
-import { FleetProtocol } from '@sardinegrade/peer';
+import { FleetProtocol, openPeerPort } from '@sardinegrade/peer';
 import { createMemoryPlatform } from '@sardinegrade/platform';
 
 import { DrainScope } from './configuration/index.js';
@@ -33,14 +33,6 @@
   }
 };
 
-const openServer = (server: Server, address: string): Promise<number> =>
-  new Promise((resolve, reject) => {
-    server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
-      if (error === null) resolve(port);
-      else reject(error);
-    });
-  });
-
 const startDaemon = async (
   platform: MemoryPlatform,
   vm: string,
@@ -56,7 +48,8 @@
   });
   const server = new Server();
   server.addService(FleetProtocol.FleetService, agent.handlers);
-  const address = `127.0.0.1:${await openServer(server, listen)}`;
+  const port = await openPeerPort(server, listen, ServerCredentials.createInsecure());
+  const address = `127.0.0.1:${port}`;
   agent.start(address);
   const close = (): void => {
     agent.stop();
--- a/packages/lab/src/bench/config/config.ts
+++ b/packages/lab/src/bench/config/config.ts
@@ -2,7 +2,7 @@
 
 import { ConfigurationConflictError } from '@sardinegrade/fleet';
 
-import { RealFleet } from '../../integration/index.js';
+import { RealFleet, createWeightText } from '../../integration/index.js';
 import { createRandom } from '../../load/index.js';
 import { requireAtMost } from '../runner/index.js';
 import { measureColdStart } from './coldStart.js';
@@ -42,9 +42,6 @@
   untilMs: number;
 }
 
-const createText = (weight: number): string =>
-  `[workspace.desk]\nkey_sha256[] = ${'a'.repeat(64)}\nweight = ${weight}\n`;
-
 const getPercentile = (sorted: readonly number[], share: number): number =>
   sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
 
@@ -105,7 +102,7 @@
         baseGeneration,
         author: 'bench',
         changeId: `edit-${weight}`,
-        text: createText(weight),
+        text: createWeightText(weight),
       });
       this.accepted.push({ generation: record.generation, atMs: Date.now() });
       return record;
--- a/packages/lab/src/bench/control/nodes/fleetNode.ts
+++ b/packages/lab/src/bench/control/nodes/fleetNode.ts
@@ -4,7 +4,7 @@
 import { Server, ServerCredentials } from '@grpc/grpc-js';
 import { SYSTEM_CLOCK, toBranded } from '@sardinegrade/common';
 import { createFleetAgent } from '@sardinegrade/fleet';
-import { FleetProtocol } from '@sardinegrade/peer';
+import { FleetProtocol, openPeerPort } from '@sardinegrade/peer';
 import { createPlatformClient } from '@sardinegrade/platform';
 
 import type { FleetAgent } from '@sardinegrade/fleet';
@@ -22,14 +22,6 @@
   return { received: readCounter(text, 'rchar'), sent: readCounter(text, 'wchar') };
 };
 
-const openServer = (server: Server): Promise<number> =>
-  new Promise((resolve, reject) => {
-    server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (error, port) => {
-      if (error === null) resolve(port);
-      else reject(error);
-    });
-  });
-
 const startAgent = async (
   options: NodeOptions,
   index: number,
@@ -48,7 +40,8 @@
   });
   const server = new Server();
   server.addService(FleetProtocol.FleetService, agent.handlers);
-  const address = `127.0.0.1:${await openServer(server)}`;
+  const port = await openPeerPort(server, '127.0.0.1:0', ServerCredentials.createInsecure());
+  const address = `127.0.0.1:${port}`;
   agent.start(address);
   return { agent, address };
 };
--- a/packages/lab/src/integration/RealFleet.ts
+++ b/packages/lab/src/integration/RealFleet.ts
@@ -3,7 +3,7 @@
 import { Server, ServerCredentials } from '@grpc/grpc-js';
 import { SYSTEM_CLOCK, toBranded } from '@sardinegrade/common';
 import { createFleetAgent } from '@sardinegrade/fleet';
-import { FleetProtocol } from '@sardinegrade/peer';
+import { FleetProtocol, openPeerPort } from '@sardinegrade/peer';
 import { createPlatformClient } from '@sardinegrade/platform';
 
 import { ProcessGroup, waitUntil } from '../harness/index.js';
@@ -50,6 +50,15 @@
   return port;
 };
 
+/**
+ * Writes a configuration text that differs from others by one number.
+ *
+ * @param weight - the number, above 0
+ * @returns the text
+ */
+export const createWeightText = (weight: number): string =>
+  `[workspace.desk]\nkey_sha256[] = ${'a'.repeat(64)}\nweight = ${weight}\n`;
+
 const parseInForce = (line: string): InForce | undefined => {
   try {
     const entry = JSON.parse(line) as Readonly<Record<string, unknown>>;
@@ -124,12 +133,7 @@
     });
     const server = new Server();
     server.addService(FleetProtocol.FleetService, agent.handlers);
-    const port = await new Promise<number>((resolve, reject) => {
-      server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (error, bound) => {
-        if (error === null) resolve(bound);
-        else reject(error);
-      });
-    });
+    const port = await openPeerPort(server, '127.0.0.1:0', ServerCredentials.createInsecure());
     const stop = (): void => {
       agent.stop();
       server.forceShutdown();
--- a/packages/lab/src/integration/fleet.test.ts
+++ b/packages/lab/src/integration/fleet.test.ts
@@ -4,23 +4,20 @@
 import { MemberState } from '@sardinegrade/fleet';
 
 import { waitUntil } from '../harness/index.js';
-import { RealFleet } from './RealFleet.js';
+import { RealFleet, createWeightText } from './RealFleet.js';
 
 import type { LocalAgent } from './RealFleet.js';
 
 const DATA_CENTRES = ['dc-a', 'dc-b', 'dc-c', 'dc-d'];
 const DAEMONS_PER_DATA_CENTRE = 3;
 
-const createText = (weight: number): string =>
-  `[workspace.desk]\nkey_sha256[] = ${'a'.repeat(64)}\nweight = ${weight}\n`;
-
 const apply = async (editor: LocalAgent, weight: number): Promise<number> => {
   const baseGeneration = editor.agent.getConfigurationStatus().generation;
   const record = await editor.agent.applyConfiguration({
     baseGeneration,
     author: 'ann',
     changeId: `change-${weight}`,
-    text: createText(weight),
+    text: createWeightText(weight),
   });
   return record.generation;
 };
--- a/packages/peer/src/fleet/index.ts
+++ b/packages/peer/src/fleet/index.ts
@@ -3,3 +3,4 @@
 export * from './createFleetConnections.js';
 export * from './createFleetHandlers.js';
 export * from './credentials.js';
+export * from './openPeerPort.js';
