--- a/packages/fleet/src/configuration/distribution/reduceDistribution.ts
+++ b/packages/fleet/src/configuration/distribution/reduceDistribution.ts
@@ -117,7 +117,9 @@
 
 const askPlatform = (state: DistributionState, context: DistributionContext): DistributionStep => {
   const isWaiting = state.isCalling || context.nowMs < state.platformBackoff.retryAtMs;
-  const isDue = state.isWatcher || context.nowMs >= state.checkAtMs;
+  // A peer that has what is missing comes before the platform.
+  const hasSource = state.record === undefined && state.sources.size > 0;
+  const isDue = state.isWatcher || (context.nowMs >= state.checkAtMs && !hasSource);
   if (isWaiting || !isDue) return { state, actions: [] };
   const action: DistributionAction =
     state.isWatcher && state.watchVersion !== undefined
--- a/packages/fleet/src/createFleetAgent.ts
+++ b/packages/fleet/src/createFleetAgent.ts
@@ -9,7 +9,7 @@
 
 import { ConfigurationStore } from './configuration/index.js';
 import { createDistributionAgent } from './configuration/distribution/createDistributionAgent.js';
-import { WATCHER_COUNT } from './configuration/distribution/constants.js';
+import { WATCHER_COUNT, WATCHER_SETTLE_MS } from './configuration/distribution/constants.js';
 import { LEAVE_TIMEOUT_MS, TICK_INTERVAL_MS } from './constants.js';
 import { createChannel } from './createChannel.js';
 import { createMembershipAgent } from './membership/createMembershipAgent.js';
@@ -86,16 +86,18 @@
   };
   let isWatchOutdated = true;
   let wasJoined = false;
-  const updateWatch = (): void => {
+  let chosenSinceMs = Infinity;
+  const updateChosen = (): void => {
     isWatchOutdated = false;
     wasJoined = membership.isJoined();
     const watchers = membership.pickForTask(WATCH_TASK, WATCHER_COUNT);
-    // A daemon that has not heard from its peers yet would take itself for a watcher.
-    distribution.setWatcher(wasJoined && watchers.includes(settings.vm));
+    const isChosen = wasJoined && watchers.includes(settings.vm);
+    chosenSinceMs = isChosen ? Math.min(chosenSinceMs, clock.getNowMs()) : Infinity;
   };
   const tick = (): void => {
     membership.tick();
-    if (isWatchOutdated || wasJoined !== membership.isJoined()) updateWatch();
+    if (isWatchOutdated || wasJoined !== membership.isJoined()) updateChosen();
+    distribution.setWatcher(clock.getNowMs() - chosenSinceMs >= WATCHER_SETTLE_MS);
     distribution.tick();
   };
 
--- a/packages/fleet/src/membership/constants.ts
+++ b/packages/fleet/src/membership/constants.ts
@@ -28,9 +28,13 @@
 export const NEIGHBOUR_COUNT = 3;
 export const RANDOM_PARTNER_EVERY = 3;
 
+/** Parts into which members fall for comparison, so that a sync carries only parts that differ. */
+export const SYNC_BUCKETS = 16;
 export const SYNC_INTERVAL_MS = 30_000;
 export const LIST_INTERVAL_MS = 60_000;
 export const JOIN_RETRY_MS = 1_000;
+/** How long the seeds may take to answer before the platform is asked for its list. */
+export const SEED_WAIT_MS = 2_000;
 export const JOIN_FANOUT = 3;
 /** Longest random wait before the platform is asked for its list, so that a data centre does not start at once. */
 export const LIST_JITTER_MS = 1_000;
--- a/packages/fleet/src/membership/createMembershipAgent.ts
+++ b/packages/fleet/src/membership/createMembershipAgent.ts
@@ -232,14 +232,14 @@
   }
 
   private async sendSync(action: ActionOf<MembershipActionKind.Sync>): Promise<void> {
-    const { address, digest, isPush } = action;
+    const { address, isPush } = action;
     const self = this.state?.self;
     if (self === undefined) return;
     const request: FleetProtocol.SyncRequest = {
       sender: encodeMember(self),
       members: action.members.map(encodeMember),
       generation: this.state?.generation ?? 0,
-      digest,
+      digests: [...action.digests],
     };
     const reply = await this.options.connections
       .sync(address, request, SYNC_TIMEOUT_MS)
@@ -255,7 +255,7 @@
       members: decodeMembers(reply.members),
       news: decodeNews(reply.news),
       generation: reply.generation,
-      isEqual: reply.isEqual,
+      buckets: reply.buckets,
       isPush,
     });
   }
@@ -307,7 +307,7 @@
       sender,
       members: decodeMembers(request.members),
       generation: request.generation,
-      digest: request.digest,
+      digests: request.digests,
     });
     const reply = actions.find((action) => action.kind === MembershipActionKind.ReplySync);
     return {
@@ -315,7 +315,7 @@
       members: (reply?.members ?? []).map(encodeMember),
       news: (reply?.news ?? []).map(encodeNews),
       generation: this.state?.generation ?? 0,
-      isEqual: reply?.isEqual ?? false,
+      buckets: [...(reply?.buckets ?? [])],
     };
   }
 }
--- a/packages/fleet/src/membership/members.ts
+++ b/packages/fleet/src/membership/members.ts
@@ -1,6 +1,6 @@
 import { hashText, rankByRendezvous } from '@sardinegrade/common';
 
-import { DELEGATE_COUNT } from './constants.js';
+import { DELEGATE_COUNT, SYNC_BUCKETS } from './constants.js';
 import { isPresent } from './compareMembers.js';
 import { MemberState } from './enums.js';
 
@@ -76,15 +76,25 @@
 };
 
 /**
- * Hashes the membership, whatever the order in which it was learned.
+ * @param vm - a VM
+ * @returns the part of the membership that it falls into
+ */
+export const getBucket = (vm: VmId): number => hashText(vm) % SYNC_BUCKETS;
+
+/**
+ * Hashes the parts of the membership, whatever the order in which it was learned. Suspicions pass soon
+ * and do not count.
  *
  * @param state - the membership
- * @returns a 32-bit number, equal for equal memberships
+ * @returns a 32-bit number for each part, equal for equal memberships
  */
-export const hashMembership = (state: MembershipState): number => {
-  let sum = 0;
+export const hashBuckets = (state: MembershipState): readonly number[] => {
+  const digests = Array.from({ length: SYNC_BUCKETS }, () => 0);
   for (const { vm, incarnation, state: memberState } of [state.self, ...listOthers(state)]) {
-    sum = (sum + hashText(`${vm}/${incarnation}/${memberState}`)) >>> 0;
+    const isLeaving = memberState === MemberState.Leaving;
+    const bucket = getBucket(vm);
+    const hash = hashText(`${vm}/${incarnation}/${String(isLeaving)}`);
+    digests[bucket] = ((digests[bucket] ?? 0) + hash) >>> 0;
   }
-  return sum;
+  return digests;
 };
--- a/packages/fleet/src/membership/reduceMembership.test.ts
+++ b/packages/fleet/src/membership/reduceMembership.test.ts
@@ -15,7 +15,7 @@
 } from './constants.js';
 import { createMembership } from './createMembership.js';
 import { MemberState, MembershipActionKind, MembershipEventKind } from './enums.js';
-import { hashMembership } from './members.js';
+import { hashBuckets } from './members.js';
 import { reduceMembership } from './reduceMembership.js';
 
 import type { DataCentreName, VmId } from '@sardinegrade/common';
@@ -99,7 +99,7 @@
     const cut = rotation % (members.length + 1);
     const left = createRun(members);
     const right = createRun([...members.slice(cut), ...members.slice(0, cut)].reverse());
-    assert.equal(hashMembership(left.state), hashMembership(right.state));
+    assert.deepEqual(hashBuckets(left.state), hashBuckets(right.state));
   });
   fc.assert(property, { seed: SEED, numRuns: 500 });
 });
@@ -266,3 +266,39 @@
   applyEvent(run, { kind: MembershipEventKind.Tick });
   assert.equal(run.state.news.size, 0);
 });
+
+test('a sync carries only the parts that differ, both ways', () => {
+  const common = Array.from({ length: 200 }, (_, index) => createMember(`m${index}`));
+  const left = createRun([...common, createMember('only-left')]);
+  const right = createRun([...common, createMember('only-right')]);
+  const sender = { ...left.state.self, vm: toBranded<VmId>('vm-other') };
+  left.state = { ...left.state, self: sender };
+  applyMembers(left, [right.state.self]);
+  applyMembers(right, [sender]);
+  applyEvent(right, {
+    kind: MembershipEventKind.Sync,
+    sender,
+    members: [],
+    generation: 0,
+    digests: hashBuckets(left.state),
+  });
+  const reply = right.actions.find(({ kind }) => kind === MembershipActionKind.ReplySync);
+  assert.ok(reply?.kind === MembershipActionKind.ReplySync);
+  assert.ok(reply.members.some((member) => member.vm === 'only-right'));
+  assert.ok(reply.members.length < 60, `${reply.members.length} members`);
+  applyEvent(left, {
+    kind: MembershipEventKind.SyncAnswered,
+    address: '127.0.0.1:1',
+    from: SELF,
+    members: reply.members,
+    news: [],
+    generation: 0,
+    buckets: reply.buckets,
+    isPush: false,
+  });
+  assert.equal(getState(left, 'only-right'), MemberState.Alive);
+  const push = left.actions.find(({ kind }) => kind === MembershipActionKind.Sync);
+  assert.ok(push?.kind === MembershipActionKind.Sync && push.isPush);
+  applyMembers(right, push.members);
+  assert.deepEqual(hashBuckets(left.state), hashBuckets(right.state));
+});
--- a/packages/fleet/src/membership/syncing.ts
+++ b/packages/fleet/src/membership/syncing.ts
@@ -1,7 +1,7 @@
 import { compareMembers } from './compareMembers.js';
-import { SYNC_INTERVAL_MS } from './constants.js';
+import { SYNC_BUCKETS } from './constants.js';
 import { MembershipActionKind } from './enums.js';
-import { hashMembership } from './members.js';
+import { getBucket, hashBuckets } from './members.js';
 import { mergeMembers } from './mergeMembers.js';
 import { mergeNews } from './mergeNews.js';
 
@@ -23,13 +23,21 @@
   ...[...state.records.values()].map((record) => record.member),
 ];
 
+const ALL_BUCKETS: readonly number[] = Array.from({ length: SYNC_BUCKETS }, (_, index) => index);
+
+const listBuckets = (state: MembershipState, buckets: readonly number[]): readonly Member[] => {
+  if (buckets.length === 0) return [];
+  const wanted = new Set(buckets);
+  return listAll(state).filter((member) => wanted.has(getBucket(member.vm)));
+};
+
 /**
  * Answers another daemon's sync.
  *
  * @param state - the membership
  * @param event - the other's request
  * @param context - time and random source
- * @returns the merged state, and the reply with all members unless both know the same
+ * @returns the merged state, and the reply with the parts that differ
  */
 export const handleSync = (
   state: MembershipState,
@@ -37,13 +45,16 @@
   context: MembershipContext,
 ): MembershipStep => {
   const merged = mergeMembers(state, [...event.members, event.sender], context);
-  const isEqual = hashMembership(merged.state) === event.digest;
+  const own = hashBuckets(merged.state);
+  const buckets = ALL_BUCKETS.filter((bucket) => own[bucket] !== event.digests[bucket]);
+  const known = state.records.get(event.sender.vm)?.member;
+  const isNewcomer = known === undefined || known.incarnation < event.sender.incarnation;
   const news = [...merged.state.news.values()].map((record) => record.news);
   const reply: MembershipAction = {
     kind: MembershipActionKind.ReplySync,
-    members: isEqual ? [] : listAll(merged.state),
-    news: isEqual ? [] : news,
-    isEqual,
+    members: listBuckets(merged.state, buckets),
+    news: isNewcomer ? news : [],
+    buckets,
   };
   const report: MembershipAction = {
     kind: MembershipActionKind.ReportGeneration,
@@ -54,9 +65,13 @@
 };
 
 /** Lists what the other daemon, by its own list, does not know yet. */
-const listLacked = (state: MembershipState, members: readonly Member[]): readonly Member[] => {
+const listLacked = (
+  state: MembershipState,
+  members: readonly Member[],
+  buckets: readonly number[],
+): readonly Member[] => {
   const known = new Map(members.map((member) => [member.vm, member]));
-  return listAll(state).filter((member) => {
+  return listBuckets(state, buckets).filter((member) => {
     const other = known.get(member.vm);
     return other === undefined || compareMembers(member, other) > 0;
   });
@@ -75,11 +90,7 @@
   event: SyncAnswer,
   context: MembershipContext,
 ): MembershipStep => {
-  const syncIntervalMs = event.isEqual
-    ? Math.min(SYNC_INTERVAL_MS, 2 * state.syncIntervalMs)
-    : state.syncIntervalMs;
-  const joined = { ...state, isJoined: true, syncIntervalMs };
-  const merged = mergeMembers(joined, event.members, context);
+  const merged = mergeMembers({ ...state, isJoined: true }, event.members, context);
   const withNews = mergeNews(merged.state, event.news, context);
   const actions: MembershipAction[] = [
     ...merged.actions,
@@ -90,13 +101,13 @@
       generation: event.generation,
     },
   ];
-  const lacked = event.isEqual || event.isPush ? [] : listLacked(withNews.state, event.members);
+  const lacked = event.isPush ? [] : listLacked(withNews.state, event.members, event.buckets);
   if (lacked.length > 0) {
     actions.push({
       kind: MembershipActionKind.Sync,
       address: event.address,
       members: lacked,
-      digest: hashMembership(withNews.state),
+      digests: hashBuckets(withNews.state),
       isPush: true,
     });
   }
--- a/packages/fleet/src/membership/ticking.ts
+++ b/packages/fleet/src/membership/ticking.ts
@@ -5,6 +5,7 @@
   LIST_INTERVAL_MS,
   LIST_JITTER_MS,
   PING_INTERVAL_MS,
+  SYNC_INTERVAL_MS,
   URGENT_FANOUT,
   URGENT_INTERVAL_MS,
 } from './constants.js';
@@ -12,7 +13,7 @@
 import { computeSuspicionMs } from './limits.js';
 import {
   isDelegate,
-  hashMembership,
+  hashBuckets,
   listOtherDataCentres,
   listOthers,
   listOthersIn,
@@ -132,7 +133,7 @@
   kind: MembershipActionKind.Sync,
   address,
   members: [],
-  digest: hashMembership(state),
+  digests: hashBuckets(state),
   isPush: false,
 });
 
@@ -159,11 +160,12 @@
 
 const syncSeldom = (state: MembershipState, context: MembershipContext): MembershipStep => {
   const syncAtMs = context.nowMs + addJitter(state.syncIntervalMs, context.random);
+  const syncIntervalMs = Math.min(SYNC_INTERVAL_MS, 2 * state.syncIntervalMs);
   const member = pickSyncPartner(state, context);
   const candidate = pickRandom(listCandidates(state), context.random);
   const addresses = [member?.address, candidate].filter((address) => address !== undefined);
   return {
-    state: withSchedule(state, { syncAtMs }),
+    state: withSchedule({ ...state, syncIntervalMs }, { syncAtMs }),
     actions: addresses.map((address) => createSync(state, address)),
   };
 };
--- a/packages/fleet/src/membership/types.ts
+++ b/packages/fleet/src/membership/types.ts
@@ -68,7 +68,7 @@
   readonly round: readonly VmId[];
   readonly pingCount: number;
   readonly schedule: Schedule;
-  /** Grows while syncs find both sides equal, so that a newcomer soon knows everyone. */
+  /** Grows with each sync, so that a newcomer soon knows everyone. */
   readonly syncIntervalMs: number;
   /** An urgent fact waits to be spread out of turn. */
   readonly isUrgent: boolean;
@@ -103,7 +103,7 @@
       readonly sender: Member;
       readonly members: readonly Member[];
       readonly generation: number;
-      readonly digest: number;
+      readonly digests: readonly number[];
     }
   | {
       readonly kind: MembershipEventKind.SyncAnswered;
@@ -112,7 +112,8 @@
       readonly members: readonly Member[];
       readonly news: readonly News[];
       readonly generation: number;
-      readonly isEqual: boolean;
+      /** Parts of the membership in which both differ. */
+      readonly buckets: readonly number[];
       /** The request already carried what the other lacked. */
       readonly isPush: boolean;
     }
@@ -146,14 +147,14 @@
       readonly kind: MembershipActionKind.Sync;
       readonly address: string;
       readonly members: readonly Member[];
-      readonly digest: number;
+      readonly digests: readonly number[];
       readonly isPush: boolean;
     }
   | {
       readonly kind: MembershipActionKind.ReplySync;
       readonly members: readonly Member[];
       readonly news: readonly News[];
-      readonly isEqual: boolean;
+      readonly buckets: readonly number[];
     }
   | { readonly kind: MembershipActionKind.ListVms }
   | { readonly kind: MembershipActionKind.ReportChange; readonly change: MembershipChange }
--- a/packages/lab/src/bench/control/virtual/VirtualFleet.ts
+++ b/packages/lab/src/bench/control/virtual/VirtualFleet.ts
@@ -298,14 +298,14 @@
       this.scheduleAnswer(daemon, Membership.SYNC_TIMEOUT_MS, failed);
       return;
     }
-    const { members, digest } = action;
+    const { members, digests } = action;
     const sender = daemon.state.self;
     const actions = this.handle(reached, {
       kind: Membership.MembershipEventKind.Sync,
       sender,
       members,
       generation: 0,
-      digest,
+      digests,
     });
     const reply = actions.find(({ kind }) => kind === Membership.MembershipActionKind.ReplySync);
     if (reply?.kind !== Membership.MembershipActionKind.ReplySync) throw new Error('no reply');
@@ -321,7 +321,7 @@
       members: reply.members,
       news: reply.news,
       generation: 0,
-      isEqual: reply.isEqual,
+      buckets: reply.buckets,
       isPush,
     });
   }
