--- a/packages/fleet/src/configuration/distribution/reduceDistribution.ts
+++ b/packages/fleet/src/configuration/distribution/reduceDistribution.ts
@@ -117,7 +117,9 @@
 
 const askPlatform = (state: DistributionState, context: DistributionContext): DistributionStep => {
   const isWaiting = state.isCalling || context.nowMs < state.platformBackoff.retryAtMs;
-  const isDue = state.isWatcher || context.nowMs >= state.checkAtMs;
+  // A peer that has what is missing comes before the platform.
+  const hasSource = state.record === undefined && state.sources.size > 0;
+  const isDue = state.isWatcher || (context.nowMs >= state.checkAtMs && !hasSource);
   if (isWaiting || !isDue) return { state, actions: [] };
   const action: DistributionAction =
     state.isWatcher && state.watchVersion !== undefined
@@ -177,10 +179,13 @@
   event: EventOf<DistributionEventKind.PlatformRead | DistributionEventKind.PlatformWatched>,
   context: DistributionContext,
 ): DistributionStep => {
+  // After a quiet watch the object is read again: a platform that was restored counts anew.
+  const isQuiet =
+    event.kind === DistributionEventKind.PlatformWatched && event.record === undefined;
   const next = {
     ...state,
     isCalling: false,
-    watchVersion: event.version,
+    watchVersion: isQuiet ? undefined : event.version,
     platformBackoff: NO_BACKOFF,
     checkAtMs: chooseCheckTime(context),
   };
