fix(orders): an unreadable order record hides no other and keeps no daemon from ending

Change: such a record counts as a conflict for a write, is reported once as an incident and left out of lists; the order itself answers 4002 with run unknown, and the service is never called.

--- a/packages/entry/src/daemon/platformValueFuzz.test.ts
+++ b/packages/entry/src/daemon/platformValueFuzz.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { SardinegradeError, SYSTEM_CLOCK, toBranded } from '@sardinegrade/common';
+import { RunState, SardinegradeError, SYSTEM_CLOCK, toBranded } from '@sardinegrade/common';
 import { createFleetAgent, parseConfiguration } from '@sardinegrade/fleet';
 import {
   CallOutcome,
@@ -24,6 +24,9 @@
 const SEED = 7;
 const WAIT_LIMIT_MS = 30_000;
 
+/** How long a resend waits for an order that another daemon has under way. */
+const SHORT_WAIT_MS = 20;
+
 const WORKSPACE = toBranded<WorkspaceName>('rig-desk');
 const SERVICE = toBranded<ServiceName>('booking');
 
@@ -120,51 +123,78 @@
   }),
 );
 
-test('no value in the place of an order ends the daemon or makes it call the service', async () => {
-  const platform = createMemoryPlatform();
-  const clock = SYSTEM_CLOCK;
-  let calls = 0;
+const REFERENCE = { workspace: WORKSPACE, service: SERVICE, key: 'bit-1' };
+
+/** An order service whose plain service answers every call. */
+const createOrders = (platform: MemoryPlatform) => {
+  const calls: string[] = [];
+  const incidents: string[] = [];
   const service = parseConfiguration(TEST_TEXT, 1).services.get(SERVICE);
   assert.ok(service !== undefined);
   const orders = createOrderService({
     platform,
     caller: {
-      callService: () => {
-        calls += 1;
-        return Promise.resolve({ outcome: CallOutcome.NotStarted, cause: undefined });
+      callService: ({ scopedKey }) => {
+        calls.push(scopedKey);
+        const answer = { status: 200, contentType: undefined, body: Buffer.from('done') };
+        return Promise.resolve({ outcome: CallOutcome.Answered, answer });
       },
       lookupStatus: () => Promise.resolve({ outcome: LookupOutcome.Unavailable }),
     },
-    clock,
+    clock: SYSTEM_CLOCK,
     getMonotonicMs: () => performance.now(),
     sleep: (durationMs) => sleep(Math.min(durationMs, 1)),
     vm: toBranded('vm-1'),
-    newId: () => 'id',
-    writeBudget: createWriteBudget({ clock, writesPerSecond: 10_000, burst: 10_000 }),
+    newId: () => `id-${calls.length}`,
+    writeBudget: createWriteBudget({
+      clock: SYSTEM_CLOCK,
+      writesPerSecond: 10_000,
+      burst: 10_000,
+    }),
     timings: DEFAULT_ORDER_TIMINGS,
     findService: () => undefined,
     isVmGone: () => true,
-    onIncident: () => undefined,
+    onIncident: (message) => incidents.push(message),
   });
-  const reference = { workspace: WORKSPACE, service: SERVICE, key: 'bit-1' };
-  const name = deriveOrderName(WORKSPACE, SERVICE, 'bit-1');
-  const property = fc.asyncProperty(recordValue, async (value) => {
-    await writeOver(platform, ORDER_KIND, name, value);
-    await orders.listOrders({}).catch(expectOwnError);
-    await orders.showOrder(reference).catch(expectOwnError);
-    const before = calls;
-    const result = await orders.submitOrder({
-      ...reference,
+  const submit = (timeoutMs: number) =>
+    orders.submitOrder({
+      ...REFERENCE,
       service,
       request: { method: 'POST', path: '/', contentType: undefined, body: Buffer.from('x') },
       requestId: toBranded('r1'),
       traceparent: '',
-      deadlineAtMs: clock.getNowMs() + 1_000,
+      deadlineAtMs: Date.now() + timeoutMs,
       concurrency: 1,
     });
-    assert.equal(calls, before);
+  return { orders, calls, incidents, submit };
+};
+
+test('no value in the place of an order ends the daemon or makes it call the service', async () => {
+  const platform = createMemoryPlatform();
+  const { orders, calls, submit } = createOrders(platform);
+  const name = deriveOrderName(WORKSPACE, SERVICE, REFERENCE.key);
+  const property = fc.asyncProperty(recordValue, async (value) => {
+    await writeOver(platform, ORDER_KIND, name, value);
+    await orders.listOrders({}).catch(expectOwnError);
+    const shown = await orders.showOrder(REFERENCE).catch(expectOwnError);
+    const result = await submit(SHORT_WAIT_MS);
     assert.ok('error' in result);
+    if (shown === undefined) assert.equal(result.error.run, RunState.Unknown);
   });
   await fc.assert(property, { seed: SEED, numRuns: 200 });
+  assert.deepEqual(calls, []);
+  await orders.drain();
+});
+
+test('a record that cannot be read does not hide the other orders', async () => {
+  const platform = createMemoryPlatform();
+  const { orders, calls, incidents, submit } = createOrders(platform);
+  assert.ok('answer' in (await submit(WAIT_LIMIT_MS)));
+  await writeOver(platform, ORDER_KIND, 'broken', { state: 'gone' });
+  for (let round = 0; round < 2; round += 1) {
+    assert.equal((await orders.listOrders({})).orders.length, 1);
+  }
+  assert.deepEqual(incidents, ['The record of an order cannot be read.']);
+  assert.equal(calls.length, 1);
   await orders.drain();
 });
--- a/packages/orders/src/errors.ts
+++ b/packages/orders/src/errors.ts
@@ -141,3 +141,16 @@
   retryAfterMs?: number,
 ): SardinegradeError =>
   createError(ResultCode.OrderNotSettleable, RunState.Unknown, message, retryAfterMs);
+
+/**
+ * @param cause - what is wrong with the record
+ * @returns the error for an order whose record is not one
+ */
+export const createUnreadableError = (cause: unknown): SardinegradeError =>
+  createError(
+    ResultCode.OrderUnknown,
+    RunState.Unknown,
+    'The record of the order cannot be read; it will not be run before that is settled.',
+    UNKNOWN_RETRY_AFTER_MS,
+    cause,
+  );
--- a/packages/orders/src/orderIntake.ts
+++ b/packages/orders/src/orderIntake.ts
@@ -132,7 +132,11 @@
     conflictsLeft: number,
   ): Promise<OrderResult> => {
     if (conflictsLeft <= 0) return { error: createInProgressError() };
-    if (stored === undefined) return startWork({ ...work, base: undefined }, conflictsLeft - 1);
+    if (stored === undefined) {
+      // Gone meanwhile, or no record at all: reading it throws then.
+      const current = await store.read(work.name);
+      return startWork({ ...work, base: current }, conflictsLeft - 1);
+    }
     const isSame = stored.record.fingerprint === hashRequest(work.submission.request);
     if (!isSame) return { error: createMismatchError() };
     return EXISTING[stored.record.state](stored, work, conflictsLeft);
--- a/packages/orders/src/recordSchema.ts
+++ b/packages/orders/src/recordSchema.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 
 import { OrderEvent, OrderState } from './enums.js';
+import { createUnreadableError } from './errors.js';
 
 import type { PlatformObject } from '@sardinegrade/platform';
 import type { OrderRecord, StoredOrder } from './types.js';
@@ -53,10 +54,11 @@
  *
  * @param object - the object as the platform returned it
  * @returns the checked record with its name and version
- * @throws ZodError where the object is no order record
+ * @throws SardinegradeError where the object is no order record: then nobody knows what became of the order
  */
-export const parseStoredOrder = (object: PlatformObject): StoredOrder => ({
-  name: object.name,
-  version: object.version,
-  record: recordSchema.parse(object.value) as unknown as OrderRecord,
-});
+export const parseStoredOrder = (object: PlatformObject): StoredOrder => {
+  const { name, version, value } = object;
+  const result = recordSchema.safeParse(value);
+  if (!result.success) throw createUnreadableError(result.error);
+  return { name, version, record: result.data as unknown as OrderRecord };
+};
--- a/packages/orders/src/recordStore.ts
+++ b/packages/orders/src/recordStore.ts
@@ -35,7 +35,7 @@
 
 type StoreOptions = Pick<
   OrderServiceOptions,
-  'platform' | 'getMonotonicMs' | 'sleep' | 'newId' | 'writeBudget'
+  'platform' | 'getMonotonicMs' | 'sleep' | 'newId' | 'writeBudget' | 'onIncident'
 >;
 
 const isUncertain = (error: unknown): boolean =>
@@ -50,6 +50,15 @@
 const toStored = (object: PlatformObject | undefined): StoredOrder | undefined =>
   object === undefined ? undefined : parseStoredOrder(object);
 
+/** What stands in the way of a write need not be a record; the write has had no effect all the same. */
+const findReadable = (object: PlatformObject | undefined): StoredOrder | undefined => {
+  try {
+    return toStored(object);
+  } catch {
+    return undefined;
+  }
+};
+
 /** One write under way, whose earlier tries may have taken effect or may yet. */
 class PendingWrite {
   private mayTakeEffect = false;
@@ -113,7 +122,7 @@
 
   private compareCurrent(current: PlatformObject | undefined): SaveResult {
     if (current?.changeId === this.write.changeId) return this.buildSaved(current.version);
-    return { outcome: SaveOutcome.Conflict, current: toStored(current) };
+    return { outcome: SaveOutcome.Conflict, current: findReadable(current) };
   }
 
   private buildSaved(version: number): SaveResult {
@@ -130,13 +139,25 @@
  */
 export const createRecordStore = (options: StoreOptions): RecordStore => {
   const { platform } = options;
+  const reported = new Set<string>();
 
   const read = async (name: string): Promise<StoredOrder | undefined> =>
     toStored(await platform.read(ORDER_KIND, name));
 
+  /** One record that is none must not hide the others from operators and from the sweep. */
+  const listReadable = (object: PlatformObject): readonly StoredOrder[] => {
+    const stored = findReadable(object);
+    if (stored !== undefined) return [stored];
+    if (!reported.has(object.name)) {
+      options.onIncident('The record of an order cannot be read.', object.name);
+    }
+    reported.add(object.name);
+    return [];
+  };
+
   const list = async (after: string | undefined): Promise<RecordPage> => {
     const page = await platform.list(ORDER_KIND, '', after);
-    return { orders: page.objects.map(parseStoredOrder), next: page.next };
+    return { orders: page.objects.flatMap(listReadable), next: page.next };
   };
 
   const writeRecord = (change: RecordChange): Promise<SaveResult> =>
