fix(orders): an order behind an unreadable record is never said not to have run

One fault remained: a write that met such a record was answered 2009 with run not_run, although the record may stand for an order that was run.

--- a/packages/orders/src/constants.ts
+++ b/packages/orders/src/constants.ts
@@ -3,6 +3,15 @@
 /** Kind of the platform's objects that hold order records. */
 export const ORDER_KIND = 'order';
 
+/** Kind of the platform's objects that name the open orders of a daemon. */
+export const OPEN_LIST_KIND = 'order-open';
+
+/** How long an order is open before its daemon's list names it. */
+export const OPEN_AFTER_MS = 1_000;
+
+/** How long a list of open orders may stand unchanged before its daemon is taken to be gone. */
+export const OPEN_LIST_STALE_MS = 600_000;
+
 /** Largest answer body kept in a record; base64 and JSON escapes stay below the platform's megabyte. */
 export const ANSWER_KEEP_LIMIT_BYTES = 256 * 1024;
 
@@ -30,6 +39,9 @@
 /** A record stands for this many retention periods before its key is forgotten. */
 export const RETENTION_PERIODS = 2;
 
+/** Failed writes in a row after which the platform is taken to be down. */
+export const DOWN_AFTER_FAILURES = 5;
+
 export const RETRY_FIRST_MS = 50;
 export const RETRY_LONGEST_MS = 5_000;
 export const IN_PROGRESS_RETRY_AFTER_MS = 1_000;
--- a/packages/orders/src/errors.ts
+++ b/packages/orders/src/errors.ts
@@ -37,6 +37,22 @@
     UNKNOWN_RETRY_AFTER_MS,
   );
 
+/**
+ * Creates the error for a record that cannot be read, whose order is therefore neither run nor settled.
+ *
+ * @param name - the record's name
+ * @param cause - what is wrong with it
+ * @returns the error
+ */
+export const createUnreadableError = (name: string, cause: unknown): SardinegradeError =>
+  createError(
+    ResultCode.OrderUnknown,
+    RunState.Unknown,
+    `The record '${name}' cannot be read; an operator has to look into it.`,
+    undefined,
+    cause,
+  );
+
 /** @returns the error for a key that already stands for another request */
 export const createMismatchError = (): SardinegradeError =>
   createError(
@@ -141,16 +157,3 @@
   retryAfterMs?: number,
 ): SardinegradeError =>
   createError(ResultCode.OrderNotSettleable, RunState.Unknown, message, retryAfterMs);
-
-/**
- * @param cause - what is wrong with the record
- * @returns the error for an order whose record is not one
- */
-export const createUnreadableError = (cause: unknown): SardinegradeError =>
-  createError(
-    ResultCode.OrderUnknown,
-    RunState.Unknown,
-    'The record of the order cannot be read; it will not be run before that is settled.',
-    UNKNOWN_RETRY_AFTER_MS,
-    cause,
-  );
