feat(entry): choose shards by the load that counts for a tier, spill over, and share the retry decision

Cause: the broker compared whole queues, so that a free tier's queue sent paying requests away; it never left a data centre whose engines were gone; retries had no jitter and their own budget beside the dispatch package's. Ruled out: spilling overload refusals too, which doubles the control messages of every refused request. Change: shard loads travel by tier, chooseShard, RetryBudget and decideRetry of packages/dispatch are used, and a shard without engines passes the ask to another shard, if need be in a reachable data centre.

--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -15,7 +15,7 @@
 import { CallerServer } from '../callers/index.js';
 import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
 import { DependencyCheck, UpstreamProber } from '../health/index.js';
-import { createModelRoutes, RetryAllowance } from '../models/index.js';
+import { createModelRoutes, RetryBudgets } from '../models/index.js';
 import { observePlatform, registerGauges } from '../observation/index.js';
 import { listenOn } from './addresses.js';
 import { FleetFacts } from './FleetFacts.js';
@@ -232,7 +232,8 @@
       engines: this.#engines,
       tracing: this.tracing,
       metrics: this.#metrics,
-      retries: new RetryAllowance(),
+      retries: new RetryBudgets(this.#clock),
+      random: Math.random,
       bodyLimitBytes: this.#settings.callers.body_limit,
       checkDependencies: this.#checkDependencies,
       isSuspect: (fingerprint) => this.#facts.isSuspect(fingerprint),
--- a/packages/entry/src/grants/DispatchHost.ts
+++ b/packages/entry/src/grants/DispatchHost.ts
@@ -4,6 +4,7 @@
 import { DispatchSpans } from './DispatchSpans.js';
 import { EngineWatcher } from './EngineWatcher.js';
 import { IDLE_SHARD_MS, TICK_INTERVAL_MS } from './constants.js';
+import { buildShardLoad } from './shardLoad.js';
 
 import type { Clock, Configuration, Fingerprint, Tracing, UpstreamId } from '@sardinegrade/common';
 import type {
@@ -127,11 +128,16 @@
     for (const hosted of this.#hosted.values()) this.#handle(hosted, event);
   };
 
-  /** @returns queue and free slots of each shard hosted here */
+  /** @returns the load of each shard hosted here */
   readonly listLoads = (): ReadonlyMap<ShardKey, ShardLoad> => {
+    const configuration = this.#configuration;
+    if (configuration === undefined) return new Map();
     const atMs = this.#options.clock.getNowMs();
     return new Map(
-      [...this.#hosted].map(([key, { dispatcher }]) => [key, toLoad(dispatcher, atMs)]),
+      [...this.#hosted].map(([key, { dispatcher }]) => [
+        key,
+        buildShardLoad(dispatcher.describe(), configuration, atMs),
+      ]),
     );
   };
 
@@ -225,13 +231,3 @@
     if (!isHealthy) this.#handle(hosted, { kind: DispatchEventKind.UpstreamLost, upstream });
   };
 }
-
-const toLoad = (dispatcher: Dispatcher, atMs: number): ShardLoad => {
-  const { queuedByClass, upstreams } = dispatcher.describe();
-  const queued = Object.values(queuedByClass).reduce((sum, count) => sum + count, 0);
-  const freeSlots = upstreams.reduce(
-    (sum, { granted, limit }) => sum + Math.max(0, limit - granted),
-    0,
-  );
-  return { queued, freeSlots, atMs };
-};
--- a/packages/entry/src/grants/GrantBroker.test.ts
+++ b/packages/entry/src/grants/GrantBroker.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { parseDurationMs, rankByRendezvous, ResultCode } from '@sardinegrade/common';
+import { parseDurationMs, rankByRendezvous, ResultCode, Tier } from '@sardinegrade/common';
 import { DispatchActionKind, DispatchPolicy, ReleaseReason } from '@sardinegrade/dispatch';
 import { parseConfiguration } from '@sardinegrade/fleet';
 
@@ -47,6 +47,11 @@
 data_centre = ${DATA_CENTRE}
 address = http://127.0.0.1:1
 slots = 4
+[upstream.engine-2]
+pool = ${POOL}
+data_centre = dc-b
+address = http://127.0.0.1:2
+slots = 4
 `;
 
 const buildDetails = (askId: string): AskDetails => ({
@@ -129,7 +134,7 @@
 const startAsk = (broker: GrantBroker, askId: string) => {
   const granted: UpstreamId[] = [];
   const refused: ResultCode[] = [];
-  const ticket = broker.ask(POOL, buildDetails(askId), {
+  const ticket = broker.ask({ pool: POOL, tier: Tier.Paying }, buildDetails(askId), {
     onGrant: (upstream) => granted.push(upstream),
     onRefuse: (code) => refused.push(code),
     onPreempt: () => undefined,
@@ -242,3 +247,26 @@
     ],
   );
 });
+
+test('where the shard here has no engine left, a reachable data centre is asked', (t) => {
+  const { broker, sessions, members, order } = buildBroker(t);
+  const [first] = listOthers(order);
+  const far = { vm: 'vm-9' as VmId, dataCentre: 'dc-b' as DataCentreName, address: 'vm-9:1' };
+  broker.updateMembers([...members, far]);
+  const { refused } = startAsk(broker, 'a');
+  const refusal = {
+    kind: DispatchActionKind.Refuse,
+    askId: 'a',
+    code: ResultCode.NoUpstream,
+    retryAfterMs: 1_000,
+  } as const;
+  getSession(sessions, first).listener.onActions(first, [refusal]);
+  assert.deepEqual(refused, []);
+  const spilled = getSession(sessions, far.vm);
+  assert.deepEqual(
+    spilled.asks.map(({ askId }) => askId),
+    ['a'],
+  );
+  spilled.listener.onActions(far.vm, [refusal]);
+  assert.deepEqual(refused, [ResultCode.NoUpstream]);
+});
--- a/packages/entry/src/grants/GrantBroker.ts
+++ b/packages/entry/src/grants/GrantBroker.ts
@@ -1,19 +1,14 @@
 import { rankByRendezvous, ResultCode } from '@sardinegrade/common';
 import { DispatchActionKind, DispatchEventKind } from '@sardinegrade/dispatch';
 
-import { LOST_DISPATCHER_COOLDOWN_MS, SHARD_LOAD_TTL_MS } from './constants.js';
+import { LOST_DISPATCHER_COOLDOWN_MS } from './constants.js';
+import { ShardChooser } from './ShardChooser.js';
 import { ShardTable } from './shards.js';
 
-import type {
-  Clock,
-  Configuration,
-  DataCentreName,
-  PoolName,
-  UpstreamId,
-  VmId,
-} from '@sardinegrade/common';
+import type { Clock, Configuration, DataCentreName, UpstreamId, VmId } from '@sardinegrade/common';
 import type { DispatchAction, GrantAsk, RandomSource } from '@sardinegrade/dispatch';
 import type { DispatchHost } from './DispatchHost.js';
+import type { ShardRequest } from './ShardChooser.js';
 import type {
   AskDetails,
   DispatchMember,
@@ -23,7 +18,6 @@
   GrantTicket,
   Shard,
   ShardKey,
-  ShardLoad,
 } from './types.js';
 
 /** What a broker needs of its daemon. */
@@ -41,13 +35,18 @@
   ) => DispatchPort & { readonly close: () => void };
 }
 
+type Refusal = Extract<DispatchAction, { readonly kind: DispatchActionKind.Refuse }>;
+
 interface OpenAsk {
   readonly details: AskDetails;
   readonly listener: GrantListener;
-  readonly pool: PoolName;
+  readonly route: ShardRequest;
+  /** Shards that said that they have no engine for it. */
+  readonly passed: Set<ShardKey>;
   shard: ShardKey;
   target: VmId;
   held: UpstreamId | undefined;
+  grantedAtMs: number;
 }
 
 /** Asks dispatchers for grants on behalf of this daemon's requests, and follows them through fail-overs. */
@@ -56,7 +55,7 @@
   readonly #open = new Map<string, OpenAsk>();
   readonly #sessions = new Map<VmId, DispatchPort & { readonly close: () => void }>();
   readonly #lostUntilMs = new Map<VmId, number>();
-  readonly #loads = new Map<ShardKey, ShardLoad>();
+  readonly #chooser: ShardChooser;
   readonly #self: DispatchPort;
   readonly #listener: DispatchPortListener;
   #members: readonly DispatchMember[] = [];
@@ -64,14 +63,13 @@
 
   constructor(options: GrantBrokerOptions) {
     this.#options = options;
+    this.#chooser = new ShardChooser({ ...options, isReachable: this.#isReachable });
     this.#self = this.#createLocalPort();
     this.#listener = {
       onActions: (vm, actions) => {
         for (const action of actions) this.#handleAction(vm, action);
       },
-      onLoads: (loads) => {
-        for (const [key, load] of loads) this.#loads.set(key, load);
-      },
+      onLoads: this.#chooser.updateLoads,
       onLost: this.#handleLost,
     };
   }
@@ -105,20 +103,29 @@
   /**
    * Asks for an engine's slot.
    *
-   * @param pool - the pool of the service's upstreams
+   * @param place - the pool of the service's upstreams, and the tier of the request's class
    * @param details - the ask
    * @param listener - receives what becomes of it
    * @returns the ticket, or undefined where the pool has no upstream anywhere
    */
   readonly ask = (
-    pool: PoolName,
+    place: Pick<ShardRequest, 'pool' | 'tier'>,
     details: AskDetails,
     listener: GrantListener,
   ): GrantTicket | undefined => {
-    const shard = this.#chooseShard(pool);
+    const route = { ...place, prefixBlocks: details.prefixBlocks };
+    const shard = this.#chooseShard(route, new Set());
     if (shard === undefined) return undefined;
-    const target = this.#findTarget(shard);
-    const open: OpenAsk = { details, listener, pool, shard: shard.key, target, held: undefined };
+    const open: OpenAsk = {
+      details,
+      listener,
+      route,
+      passed: new Set(),
+      shard: shard.key,
+      target: this.#findTarget(shard),
+      held: undefined,
+      grantedAtMs: 0,
+    };
     this.#open.set(details.askId, open);
     this.#send(open);
     return this.#createTicket(details.askId);
@@ -143,8 +150,13 @@
       if (open === undefined) return;
       this.#open.delete(askId);
       const port = this.#getPort(open.target);
-      if (open.held === undefined) port.withdraw(askId);
-      else port.release({ ...release, askId });
+      if (open.held === undefined) {
+        port.withdraw(askId);
+        return;
+      }
+      const heldMs = this.#options.clock.getNowMs() - open.grantedAtMs;
+      this.#chooser.recordHold(open.route.pool, heldMs);
+      port.release({ ...release, askId });
     },
   });
 
@@ -169,7 +181,9 @@
 
   readonly #findCurrentShard = (open: OpenAsk): Shard | undefined => {
     if (open.held !== undefined) return this.#table?.findByUpstream(open.held);
-    return this.#table?.getShard(open.shard) ?? this.#chooseShard(open.pool);
+    const known = this.#table?.getShard(open.shard);
+    if (known !== undefined && !open.passed.has(known.key)) return known;
+    return this.#chooseShard(open.route, open.passed);
   };
 
   readonly #handleAction = (vm: VmId, action: DispatchAction): void => {
@@ -184,26 +198,39 @@
       case DispatchActionKind.Grant:
         if (open.held !== undefined) return;
         open.held = action.upstream;
+        open.grantedAtMs = this.#options.clock.getNowMs();
         open.listener.onGrant(action.upstream, action.priority);
         return;
       case DispatchActionKind.Refuse:
-        if (open.held !== undefined) return;
-        if (action.code === ResultCode.NotReady && vm !== this.#options.vm) {
-          this.#passOver(vm, action.askId, open);
-          return;
-        }
-        this.#open.delete(action.askId);
-        open.listener.onRefuse(action.code, action.retryAfterMs);
+        if (open.held === undefined) this.#handleRefusal(vm, open, action);
         return;
       case DispatchActionKind.Preempt:
         open.listener.onPreempt(action.mode);
     }
   };
 
-  /** The dispatcher does not know the shard yet: the next in order takes the ask. */
-  readonly #passOver = (vm: VmId, askId: string, open: OpenAsk): void => {
-    this.#lostUntilMs.set(vm, this.#options.clock.getNowMs() + LOST_DISPATCHER_COOLDOWN_MS);
-    this.#replace(askId, open);
+  readonly #handleRefusal = (vm: VmId, open: OpenAsk, refusal: Refusal): void => {
+    const { askId, code, retryAfterMs } = refusal;
+    if (code === ResultCode.NotReady && vm !== this.#options.vm) {
+      // The dispatcher does not know the shard yet: the next in order takes the ask.
+      this.#lostUntilMs.set(vm, this.#options.clock.getNowMs() + LOST_DISPATCHER_COOLDOWN_MS);
+      this.#replace(askId, open);
+      return;
+    }
+    if (code === ResultCode.NoUpstream && this.#tryOtherShard(open)) return;
+    this.#open.delete(askId);
+    open.listener.onRefuse(code, retryAfterMs);
+  };
+
+  /** Where a shard has no engine left, another one may have, if need be in another data centre. */
+  readonly #tryOtherShard = (open: OpenAsk): boolean => {
+    open.passed.add(open.shard);
+    const shard = this.#chooseShard(open.route, open.passed);
+    if (shard === undefined) return false;
+    open.shard = shard.key;
+    open.target = this.#findTarget(shard);
+    this.#send(open);
+    return true;
   };
 
   readonly #handleLost = (vm: VmId): void => {
@@ -228,25 +255,19 @@
     return this.#options.vm;
   };
 
-  readonly #chooseShard = (pool: PoolName): Shard | undefined => {
-    const all = this.#table?.listOfPool(pool) ?? [];
-    const local = all.filter((shard) => shard.dataCentre === this.#options.dataCentre);
-    const candidates = local.length > 0 ? local : all;
-    const first = this.#pick(candidates);
-    const second = this.#pick(candidates);
-    if (first === undefined || second === undefined) return first;
-    return this.#scoreShard(second) < this.#scoreShard(first) ? second : first;
+  readonly #chooseShard = (
+    route: ShardRequest,
+    passed: ReadonlySet<ShardKey>,
+  ): Shard | undefined => {
+    const shards = this.#table?.listOfPool(route.pool) ?? [];
+    return this.#chooser.choose(
+      shards.filter(({ key }) => !passed.has(key)),
+      route,
+    );
   };
 
-  readonly #pick = (shards: readonly Shard[]): Shard | undefined =>
-    shards[Math.floor(this.#options.random() * shards.length)];
-
-  readonly #scoreShard = (shard: Shard): number => {
-    const load = this.#loads.get(shard.key);
-    if (load === undefined) return 0;
-    if (this.#options.clock.getNowMs() - load.atMs > SHARD_LOAD_TTL_MS) return 0;
-    return load.queued - load.freeSlots;
-  };
+  readonly #isReachable = (dataCentre: DataCentreName): boolean =>
+    this.#members.some((member) => member.dataCentre === dataCentre && !this.#isLost(member.vm));
 
   readonly #findPort = (vm: VmId): DispatchPort | undefined =>
     vm === this.#options.vm ? this.#self : this.#sessions.get(vm);
--- a/packages/entry/src/grants/constants.ts
+++ b/packages/entry/src/grants/constants.ts
@@ -18,6 +18,3 @@
 
 /** A shard that nobody has asked for this long is given up. */
 export const IDLE_SHARD_MS = 60_000;
-
-/** Age at which a shard's last-known load counts no more. */
-export const SHARD_LOAD_TTL_MS = 5_000;
--- a/packages/entry/src/grants/messages.ts
+++ b/packages/entry/src/grants/messages.ts
@@ -229,8 +229,8 @@
   nowMs: number,
 ): ReadonlyMap<ShardKey, ShardLoad> =>
   new Map(
-    message.loads.map(({ shard, queued, freeSlots }) => [
+    message.loads.map(({ shard, queued, granted, slots }) => [
       shard as ShardKey,
-      { queued, freeSlots, atMs: nowMs },
+      { queuedByRank: queued, grantedByRank: granted, slots, atMs: nowMs },
     ]),
   );
--- a/packages/entry/src/grants/serveSessions.ts
+++ b/packages/entry/src/grants/serveSessions.ts
@@ -81,8 +81,11 @@
   readonly #sendHeartbeat = (): void => {
     if (this.#openAsks.size === 0) return;
     const outgoing = this.#getOutgoing();
-    for (const [shard, { queued, freeSlots }] of this.#host.listLoads()) {
-      if (this.#askedShards.has(shard)) outgoing.loads.push({ shard, queued, freeSlots });
+    for (const [shard, { queuedByRank, grantedByRank, slots }] of this.#host.listLoads()) {
+      if (!this.#askedShards.has(shard)) continue;
+      const queued = [...queuedByRank];
+      const granted = [...grantedByRank];
+      outgoing.loads.push({ shard, queued, granted, slots });
     }
   };
 
--- a/packages/entry/src/grants/types.ts
+++ b/packages/entry/src/grants/types.ts
@@ -34,8 +34,12 @@
 
 /** Last-known load of a shard. */
 export interface ShardLoad {
-  readonly queued: number;
-  readonly freeSlots: number;
+  /** Waiting requests by rank of their tier. */
+  readonly queuedByRank: readonly number[];
+  /** Places held by rank of their tier. */
+  readonly grantedByRank: readonly number[];
+  /** Places that its engines have for now. */
+  readonly slots: number;
   readonly atMs: number;
 }
 
--- a/packages/entry/src/models/ChatCall.ts
+++ b/packages/entry/src/models/ChatCall.ts
@@ -1,5 +1,5 @@
 import { ResultCode, RunState, SardinegradeError, WasteCause } from '@sardinegrade/common';
-import { PreemptionMode, ReleaseReason } from '@sardinegrade/dispatch';
+import { decideRetry, PreemptionMode, ReleaseReason, RetryVerdict } from '@sardinegrade/dispatch';
 import { AttemptCommand, AttemptEnd } from '@sardinegrade/upstream';
 
 import { ChatObserver } from './ChatObserver.js';
@@ -21,7 +21,7 @@
   UpstreamConfiguration,
   UpstreamId,
 } from '@sardinegrade/common';
-import type { GrantRelease } from '@sardinegrade/dispatch';
+import type { GrantRelease, RandomSource, RetryBudget } from '@sardinegrade/dispatch';
 import type {
   AttemptOutcome,
   EngineAttempt,
@@ -32,14 +32,15 @@
 import type { GrantBroker, GrantTicket } from '../grants/index.js';
 import type { AnswerSink } from './AnswerSink.js';
 import type { ChatObserverServices } from './ChatObserver.js';
-import type { RetryAllowance } from './RetryAllowance.js';
+import type { RetryBudgets } from './RetryBudgets.js';
 import type { ChatRequest, ChatTarget } from './types.js';
 
 /** What all calls of a daemon share. */
 export interface ChatCallServices extends ChatObserverServices {
   readonly broker: GrantBroker;
   readonly engines: EngineClient;
-  readonly retries: RetryAllowance;
+  readonly retries: RetryBudgets;
+  readonly random: RandomSource;
   /** Whether the request was running on an engine when it died, here or on another daemon. */
   readonly isSuspect: (fingerprint: Fingerprint) => boolean;
   /** An upstream died under a request. */
@@ -80,12 +81,15 @@
   readonly #input: ChatCallInput;
   readonly #sink: AnswerSink;
   readonly #observer: ChatObserver;
+  readonly #budget: RetryBudget;
   readonly #excluded = new Set<UpstreamId>();
   readonly #deadlineTimer: NodeJS.Timeout;
   #ticket: GrantTicket | undefined;
   #running: RunningAttempt | undefined;
   #attempts = 0;
   #failures = 0;
+  #retryDelayMs = 0;
+  #retryTimer: NodeJS.Timeout | undefined;
   #tokens = 0;
   /** Whether an engine may have begun to run the request. */
   #wasSent = false;
@@ -97,6 +101,7 @@
     this.#services = services;
     this.#input = input;
     this.#sink = sink;
+    this.#budget = services.retries.getBudget(input.target.service);
     this.#observer = new ChatObserver(services, input.caller, input.target);
     const remainingMs = Math.max(0, input.deadlineAtMs - services.clock.getNowMs());
     this.#deadlineTimer = setTimeout(this.#handleDeadline, remainingMs);
@@ -111,7 +116,7 @@
    * @returns when the answer or an error has been given to the caller, or the caller has gone
    */
   readonly run = async (): Promise<void> => {
-    this.#services.retries.addFirstAttempt(this.#input.target.service);
+    this.#budget.recordFirstAttempt();
     const ended = new Promise<void>((resolve) => {
       this.#resolve = resolve;
     });
@@ -142,7 +147,8 @@
       isSuspect: this.#wasSuspect || this.#services.isSuspect(fingerprint),
       trace,
     };
-    this.#ticket = this.#services.broker.ask(target.service.pool, details, {
+    const place = { pool: target.service.pool, tier: target.serviceClass.tier };
+    this.#ticket = this.#services.broker.ask(place, details, {
       onGrant: (upstream, priority) => this.#handleGrant(attemptId, upstream, priority),
       onRefuse: this.#handleRefusal,
       onPreempt: this.#handlePreemption,
@@ -243,18 +249,30 @@
   /** Asks again where attempts, deadline and budget allow, at the next token that the caller lacks. */
   readonly #retry = (code: ResultCode, message: string): void => {
     if (this.#isEnded) return;
-    const { service } = this.#input.target;
     this.#failures += 1;
-    const canRetry =
-      this.#failures < service.retry.attemptLimit &&
-      this.#services.clock.getNowMs() < this.#input.deadlineAtMs &&
-      this.#services.retries.take(service);
-    if (!canRetry) {
-      this.#fail(code, message);
+    const failed = {
+      mayHaveStarted: this.#wasSent,
+      // A completion has no effect beside its answer.
+      isRepeatable: true,
+      canResume: this.#tokens > 0,
+      attempts: this.#failures,
+      attemptLimit: this.#input.target.service.retry.attemptLimit,
+      deadlineAtMs: this.#input.deadlineAtMs,
+      previousDelayMs: this.#retryDelayMs,
+      code,
+    };
+    const decision = decideRetry(failed, {
+      budget: this.#budget,
+      nowMs: this.#services.clock.getNowMs(),
+      random: this.#services.random,
+    });
+    if (decision.verdict === RetryVerdict.Stop) {
+      this.#fail(decision.code, message);
       return;
     }
     this.#observer.recordRetry(this.#failures, this.#tokens);
-    this.#ask();
+    this.#retryDelayMs = decision.delayMs;
+    this.#retryTimer = setTimeout(this.#ask, decision.delayMs);
   };
 
   readonly #handleRefusal = (code: ResultCode, retryAfterMs: number | undefined): void => {
@@ -341,6 +359,7 @@
   readonly #end = (): void => {
     this.#isEnded = true;
     clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#retryTimer);
     this.#resolve?.();
   };
 }
--- /dev/null
+++ b/packages/entry/src/models/RetryBudgets.ts
@@ -0,0 +1,30 @@
+import { RetryBudget } from '@sardinegrade/dispatch';
+
+import type { Clock, ServiceConfiguration, ServiceName } from '@sardinegrade/common';
+
+/** The retry budgets of a daemon, one per service. */
+export class RetryBudgets {
+  readonly #clock: Clock;
+  readonly #budgets = new Map<ServiceName, RetryBudget>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /**
+   * Gets the budget of a service.
+   *
+   * @param service - the service, whose configured share takes effect
+   * @returns its budget
+   */
+  readonly getBudget = ({ name, retry }: ServiceConfiguration): RetryBudget => {
+    const known = this.#budgets.get(name);
+    if (known !== undefined) {
+      known.setShare(retry.budgetShare);
+      return known;
+    }
+    const budget = new RetryBudget(retry.budgetShare, this.#clock.getNowMs());
+    this.#budgets.set(name, budget);
+    return budget;
+  };
+}
