--- a/packages/lab/src/model/orders/runOrderSchedule.ts
+++ b/packages/lab/src/model/orders/runOrderSchedule.ts
@@ -62,6 +62,7 @@
       platform: this.platform,
       service: this.service,
       isNaive: options.isNaive ?? false,
+      faultyUntilMs: world.nowMs + FAULTY_PERIOD_MS,
       onCrash: (daemon) => this.handleCrash(daemon),
     });
   }
