--- a/packages/orders/src/recordSchema.ts
+++ b/packages/orders/src/recordSchema.ts
@@ -2,11 +2,15 @@
 
 import { OrderEvent, OrderState } from './enums.js';
 
+import { createUnreadableError } from './errors.js';
+
 import type { PlatformObject } from '@sardinegrade/platform';
 import type { OrderRecord, StoredOrder } from './types.js';
 
 const bodySchema = z.object({ encoding: z.enum(['utf8', 'base64']), data: z.string() });
 
+const headersSchema = z.record(z.string(), z.string());
+
 const recordSchema = z.object({
   state: z.enum(OrderState),
   workspace: z.string(),
@@ -25,14 +29,14 @@
     .object({
       method: z.string(),
       path: z.string(),
-      contentType: z.string().optional(),
+      headers: headersSchema,
       body: bodySchema.optional(),
     })
     .optional(),
   answer: z
     .object({
       status: z.number(),
-      contentType: z.string().optional(),
+      headers: headersSchema,
       bytes: z.number(),
       body: bodySchema.optional(),
     })
@@ -53,10 +57,11 @@
  *
  * @param object - the object as the platform returned it
  * @returns the checked record with its name and version
- * @throws ZodError where the object is no order record
+ * @throws SardinegradeError with code 4002 where the object is no order record: nothing is known of its order
  */
-export const parseStoredOrder = (object: PlatformObject): StoredOrder => ({
-  name: object.name,
-  version: object.version,
-  record: recordSchema.parse(object.value) as unknown as OrderRecord,
-});
+export const parseStoredOrder = (object: PlatformObject): StoredOrder => {
+  const result = recordSchema.safeParse(object.value);
+  if (!result.success) throw createUnreadableError(object.name, result.error);
+  const { name, version } = object;
+  return { name, version, record: result.data as unknown as OrderRecord };
+};
