--- a/packages/fleet/src/configuration/distribution/createDistributionAgent.ts
+++ b/packages/fleet/src/configuration/distribution/createDistributionAgent.ts
@@ -62,6 +62,8 @@
 class RunningDistribution implements DistributionAgent {
   private state: DistributionState;
   private configuration: FleetConfiguration | undefined;
+  /** What a fetched record was found to hold, until it is put into force. */
+  private readonly built = new WeakMap<ConfigurationRecord, FleetConfiguration>();
   private readonly options: DistributionAgentOptions;
   private readonly aborter = new AbortController();
 
@@ -128,7 +130,7 @@
   }
 
   private applyRecord(record: ConfigurationRecord): void {
-    const configuration = buildConfiguration(record);
+    const configuration = this.built.get(record) ?? buildConfiguration(record);
     if (configuration === undefined) return;
     this.configuration = configuration;
     this.options.onInstall(configuration);
@@ -144,10 +146,12 @@
             .fetchConfiguration(address, { atLeast }, FETCH_TIMEOUT_MS)
             .catch(expectNothing);
     const record = reply === undefined ? undefined : decodeRecordMessage(reply);
-    if (record === undefined || buildConfiguration(record) === undefined) {
+    const configuration = record === undefined ? undefined : buildConfiguration(record);
+    if (record === undefined || configuration === undefined) {
       this.handle({ kind: DistributionEventKind.FetchFailed, from });
       return;
     }
+    this.built.set(record, configuration);
     this.handle({ kind: DistributionEventKind.Fetched, record });
   }
 
--- a/packages/fleet/src/membership/reduceMembership.ts
+++ b/packages/fleet/src/membership/reduceMembership.ts
@@ -8,7 +8,7 @@
 import { pickSeveral } from './partners.js';
 import { handleProbeAnswer, handleProbeFailure, startProbe } from './probing.js';
 import { runSteps } from './steps.js';
-import { handleSync, handleSyncAnswer } from './syncing.js';
+import { computeNextInterval, handleSync, handleSyncAnswer } from './syncing.js';
 import { handleTick } from './ticking.js';
 
 import type { DataCentreName, VmId } from '@sardinegrade/common';
@@ -152,7 +152,10 @@
     handleProbeFailure(state, event.probeId, context),
   [MembershipEventKind.Sync]: handleSync,
   [MembershipEventKind.SyncAnswered]: handleSyncAnswer,
-  [MembershipEventKind.SyncFailed]: (state) => ({ state, actions: [] }),
+  [MembershipEventKind.SyncFailed]: (state) => ({
+    state: { ...state, syncIntervalMs: computeNextInterval(state) },
+    actions: [],
+  }),
   [MembershipEventKind.VmsListed]: handleVmsListed,
   [MembershipEventKind.VmsUnlisted]: (state) => ({ state, actions: [] }),
   [MembershipEventKind.NewsFound]: (state, event, context) =>
--- a/packages/fleet/src/membership/syncing.ts
+++ b/packages/fleet/src/membership/syncing.ts
@@ -1,5 +1,5 @@
-import { compareMembers } from './compareMembers.js';
-import { SYNC_BUCKETS } from './constants.js';
+import { compareMembers, isPresent } from './compareMembers.js';
+import { SYNC_BUCKETS, SYNC_INTERVAL_MS } from './constants.js';
 import { MembershipActionKind } from './enums.js';
 import { getBucket, hashBuckets } from './members.js';
 import { mergeMembers } from './mergeMembers.js';
@@ -77,6 +77,23 @@
   });
 };
 
+/** Tells whether one side named a member that the other did not know at all. */
+const isDiscovering = (state: MembershipState, event: SyncAnswer): boolean => {
+  const named = new Set(event.members.map((member) => member.vm));
+  const own = listBuckets(state, event.buckets).filter(isPresent);
+  const isNew = event.members.some(
+    (member) => isPresent(member) && member.vm !== state.self.vm && !state.records.has(member.vm),
+  );
+  return isNew || own.some((member) => !named.has(member.vm));
+};
+
+/**
+ * @param state - the membership
+ * @returns the interval after a sync that found nobody new
+ */
+export const computeNextInterval = (state: MembershipState): number =>
+  Math.min(SYNC_INTERVAL_MS, 2 * state.syncIntervalMs);
+
 /**
  * Takes the answer to a sync into account.
  *
@@ -90,7 +107,11 @@
   event: SyncAnswer,
   context: MembershipContext,
 ): MembershipStep => {
-  const merged = mergeMembers({ ...state, isJoined: true }, event.members, context);
+  const syncIntervalMs = isDiscovering(state, event)
+    ? state.syncIntervalMs
+    : computeNextInterval(state);
+  const joined = { ...state, isJoined: true, syncIntervalMs };
+  const merged = mergeMembers(joined, event.members, context);
   const withNews = mergeNews(merged.state, event.news, context);
   const actions: MembershipAction[] = [
     ...merged.actions,
--- a/packages/fleet/src/membership/ticking.ts
+++ b/packages/fleet/src/membership/ticking.ts
@@ -5,7 +5,6 @@
   LIST_INTERVAL_MS,
   LIST_JITTER_MS,
   PING_INTERVAL_MS,
-  SYNC_INTERVAL_MS,
   URGENT_FANOUT,
   URGENT_INTERVAL_MS,
 } from './constants.js';
@@ -160,12 +159,11 @@
 
 const syncSeldom = (state: MembershipState, context: MembershipContext): MembershipStep => {
   const syncAtMs = context.nowMs + addJitter(state.syncIntervalMs, context.random);
-  const syncIntervalMs = Math.min(SYNC_INTERVAL_MS, 2 * state.syncIntervalMs);
   const member = pickSyncPartner(state, context);
   const candidate = pickRandom(listCandidates(state), context.random);
   const addresses = [member?.address, candidate].filter((address) => address !== undefined);
   return {
-    state: withSchedule({ ...state, syncIntervalMs }, { syncAtMs }),
+    state: withSchedule(state, { syncAtMs }),
     actions: addresses.map((address) => createSync(state, address)),
   };
 };
--- a/packages/fleet/src/membership/types.ts
+++ b/packages/fleet/src/membership/types.ts
@@ -68,7 +68,7 @@
   readonly round: readonly VmId[];
   readonly pingCount: number;
   readonly schedule: Schedule;
-  /** Grows with each sync, so that a newcomer soon knows everyone. */
+  /** Grows while syncs find nobody new, so that a newcomer soon knows everyone. */
   readonly syncIntervalMs: number;
   /** An urgent fact waits to be spread out of turn. */
   readonly isUrgent: boolean;
