fix(controller): an order never waits long for its connection

Cause: a load has a deadline of minutes, and a connection that takes seconds to open would carry it out after the lease that it was checked against. Change: connections are opened within the short order deadline or not at all.

--- a/packages/controller/src/OrderKeeper.test.ts
+++ b/packages/controller/src/OrderKeeper.test.ts
@@ -46,6 +46,7 @@
       sent.push({ order, fencing });
       return Promise.resolve(outcome);
     },
+    close: () => Promise.resolve(),
   };
   const keeper = new OrderKeeper({
     dataCentre: toBranded('dc-a'),
--- a/packages/controller/src/orders/createEngineClient.ts
+++ b/packages/controller/src/orders/createEngineClient.ts
@@ -1,4 +1,4 @@
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 import { z } from 'zod';
 
 import { OrderOutcome } from './enums.js';
@@ -28,44 +28,53 @@
   /** @returns the engine's state; undefined where it could not be read in time */
   readonly readState: (address: string, timeoutMs: number) => Promise<EngineState | undefined>;
   readonly send: (order: EngineOrder, sending: OrderSending) => Promise<OrderOutcome>;
+  /** Closes all connections. */
+  readonly close: () => Promise<void>;
 }
 
-const readState: EngineClient['readState'] = async (address, timeoutMs) => {
-  try {
-    const signal = AbortSignal.timeout(timeoutMs);
-    const response = await request(`${address}/v1/orders`, { signal });
-    const body = await response.body.json();
-    if (response.statusCode !== 200) return undefined;
-    const { role, ...state } = STATE_SCHEMA.parse(body);
-    return { ...state, role };
-  } catch {
-    return undefined;
-  }
-};
-
-const send: EngineClient['send'] = async (order, { fencing, deadlineMs, signal }) => {
-  const { kind, model, version, adapter, role, upstream } = order;
-  const body = { fencing, order: kind, model, version, adapter, role, deadline_ms: deadlineMs };
-  try {
-    const response = await request(`${upstream.address}/v1/orders`, {
-      method: 'POST',
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(body),
-      headersTimeout: deadlineMs,
-      bodyTimeout: deadlineMs,
-      signal: AbortSignal.any([signal, AbortSignal.timeout(deadlineMs)]),
-    });
-    await response.body.dump();
-    if (response.statusCode === STALE_STATUS) return OrderOutcome.Stale;
-    return response.statusCode === 200 ? OrderOutcome.Done : OrderOutcome.Failed;
-  } catch {
-    return OrderOutcome.Failed;
-  }
-};
-
 /**
  * Makes the client of the engines' order interface.
  *
+ * @param connectTimeoutMs - longest wait for a connection; an order must not go out much later than it
+ * was checked against the lease, however long it may take to be carried out
  * @returns the client
  */
-export const createEngineClient = (): EngineClient => ({ readState, send });
+export const createEngineClient = (connectTimeoutMs: number): EngineClient => {
+  const dispatcher = new Agent({ connect: { timeout: connectTimeoutMs } });
+
+  const readState: EngineClient['readState'] = async (address, timeoutMs) => {
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const response = await request(`${address}/v1/orders`, { dispatcher, signal });
+      const body = await response.body.json();
+      if (response.statusCode !== 200) return undefined;
+      const { role, ...state } = STATE_SCHEMA.parse(body);
+      return { ...state, role };
+    } catch {
+      return undefined;
+    }
+  };
+
+  const send: EngineClient['send'] = async (order, { fencing, deadlineMs, signal }) => {
+    const { kind, model, version, adapter, role, upstream } = order;
+    const body = { fencing, order: kind, model, version, adapter, role, deadline_ms: deadlineMs };
+    try {
+      const response = await request(`${upstream.address}/v1/orders`, {
+        dispatcher,
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+        headersTimeout: deadlineMs,
+        bodyTimeout: deadlineMs,
+        signal: AbortSignal.any([signal, AbortSignal.timeout(deadlineMs)]),
+      });
+      await response.body.dump();
+      if (response.statusCode === STALE_STATUS) return OrderOutcome.Stale;
+      return response.statusCode === 200 ? OrderOutcome.Done : OrderOutcome.Failed;
+    } catch {
+      return OrderOutcome.Failed;
+    }
+  };
+
+  return { readState, send, close: () => dispatcher.destroy() };
+};
--- a/packages/controller/src/runController.ts
+++ b/packages/controller/src/runController.ts
@@ -11,6 +11,7 @@
 import { startStatusServer } from './startStatusServer.js';
 
 import type { Clock } from '@sardinegrade/common';
+import type { OrderKeeperOptions } from './OrderKeeper.js';
 import type { ControllerSettings } from './settings/index.js';
 
 /** A controller that runs. */
@@ -26,13 +27,12 @@
 
 const createKeeper = (
   settings: ControllerSettings,
-  shared: Pick<ConstructorParameters<typeof OrderKeeper>[0], 'platform' | 'lease' | 'logger'>,
+  shared: Pick<OrderKeeperOptions, 'platform' | 'lease' | 'logger' | 'engines'>,
 ): OrderKeeper => {
   const { orders, vm } = settings;
   return new OrderKeeper({
     ...shared,
     dataCentre: toBranded(vm.data_centre),
-    engines: createEngineClient(),
     clock: MONOTONIC_CLOCK,
     deadlineMs: orders.deadline,
     loadDeadlineMs: orders.load_deadline,
@@ -66,7 +66,8 @@
     holder: vm.id,
     timings: createLeaseTimings(settings),
   });
-  const keeper = createKeeper(settings, { platform, lease, logger });
+  const engines = createEngineClient(settings.orders.deadline);
+  const keeper = createKeeper(settings, { platform, lease, logger, engines });
   const status = await startStatusServer(settings.administration.listen, () => ({
     phase: lease.getPhase(),
     fencing: lease.getFencing(),
@@ -96,6 +97,7 @@
       await finished;
       status.server.close();
       status.server.closeAllConnections();
+      await engines.close();
       await platform.close();
     },
   };
