feat(entry): TLS for callers and mutual TLS between daemons

Cause: the settings named certificate files that nothing used, so traffic went in clear. Change: callers' server and peer port take the reloading certificates of packages/fleet and packages/peer; a half-named pair of files is a settings error.

--- a/packages/entry/src/callers/CallerServer.ts
+++ b/packages/entry/src/callers/CallerServer.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 
 import {
   Hop,
@@ -21,7 +22,7 @@
 import { sendError } from './errorAnswer.js';
 import { ErrorFormat } from './types.js';
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import type {
   Clock,
   Configuration,
@@ -31,6 +32,7 @@
   Tracing,
 } from '@sardinegrade/common';
 import type { RequestJournal } from '../administration/index.js';
+import type { ReloadingCertificate } from '@sardinegrade/fleet';
 import type { CallerRequest, CallerRoute } from './types.js';
 
 /** What the server needs of its daemon. */
@@ -44,11 +46,20 @@
   /** Serves the paths that need no key; answers whether it did. */
   readonly serveOpenPath: (path: string, response: ServerResponse) => boolean;
   readonly getConfiguration: () => Configuration | undefined;
+  /** Callers connect over TLS where there is a certificate. */
+  readonly certificate: ReloadingCertificate | undefined;
 }
 
 /** Labels of requests that were refused before their service and class were known. */
 const UNKNOWN_TARGET = { service: 'unknown', className: 'unknown' };
 
+const SERVER_LIMITS = {
+  maxHeaderSize: HEADER_LIMIT_BYTES,
+  headersTimeout: HEADERS_TIMEOUT_MS,
+  requestTimeout: BODY_TIMEOUT_MS,
+  keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+} as const;
+
 const REQUEST_ID = /^[\x21-\x7e]+$/;
 
 const getHeader = (request: IncomingMessage, name: string): string | undefined => {
@@ -79,20 +90,21 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
-    this.server = createServer(
-      {
-        maxHeaderSize: HEADER_LIMIT_BYTES,
-        headersTimeout: HEADERS_TIMEOUT_MS,
-        requestTimeout: BODY_TIMEOUT_MS,
-        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      },
-      (request, response) => void this.#handle(request, response),
-    );
+    this.server = this.#createServer();
     this.server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
     });
   }
 
+  readonly #createServer = (): Server => {
+    const handle: RequestListener = (request, response) => void this.#handle(request, response);
+    const { certificate } = this.#options;
+    if (certificate === undefined) return createServer(SERVER_LIMITS, handle);
+    const server = createTlsServer({ ...SERVER_LIMITS, ...certificate.getCertificate() }, handle);
+    certificate.attach(server);
+    return server;
+  };
+
   /** @returns requests that have not been answered to the end */
   readonly countOpen = (): number => this.#open;
 
--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -1,9 +1,14 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 
-import { credentials, ServerCredentials } from '@grpc/grpc-js';
 import { createLogger, createMetrics, startTracing, SYSTEM_CLOCK } from '@sardinegrade/common';
-import { createFleetAgent, DrainScope, MemberState } from '@sardinegrade/fleet';
+import {
+  createFleetAgent,
+  DrainScope,
+  MemberState,
+  ReloadingCertificate,
+} from '@sardinegrade/fleet';
+import { createPeerCredentials } from '@sardinegrade/peer';
 import { createPlatformClient } from '@sardinegrade/platform';
 import { EngineClient } from '@sardinegrade/upstream';
 
@@ -36,6 +41,7 @@
   VmId,
 } from '@sardinegrade/common';
 import type { FleetAgent } from '@sardinegrade/fleet';
+import type { PeerCredentials, PeerTlsFiles } from '@sardinegrade/peer';
 import type { PlatformClient } from '@sardinegrade/platform';
 import type { CallerRequest, CallerRoute } from '../callers/index.js';
 import type { DispatchMember } from '../grants/index.js';
@@ -61,6 +67,8 @@
   readonly #metrics: Metrics = createMetrics();
   readonly #journal = createRequestJournal(SYSTEM_CLOCK);
   readonly #platform: PlatformClient;
+  readonly #credentials: PeerCredentials;
+  readonly #certificate: ReloadingCertificate | undefined;
   readonly #fleet: FleetAgent;
   readonly #engines = new EngineClient(SYSTEM_CLOCK);
   readonly #host: DispatchHost;
@@ -89,6 +97,8 @@
       metrics: this.#metrics,
       tracing: this.tracing,
     });
+    this.#credentials = createPeerCredentials(getPeerTls(settings));
+    this.#certificate = this.#createCertificate();
     this.#fleet = this.#createFleet();
     this.#host = this.#createHost();
     this.#broker = this.#createBroker();
@@ -113,7 +123,7 @@
   readonly start = async (): Promise<DaemonAddresses> => {
     const { peer, callers } = this.#settings;
     this.#followFleet();
-    const peerAddress = await this.#peers.listen(peer.listen, ServerCredentials.createInsecure());
+    const peerAddress = await this.#peers.listen(peer.listen, this.#credentials.server);
     this.#fleet.start(peer.advertise ?? peerAddress);
     this.#prober.start();
     this.#desk.start();
@@ -158,12 +168,21 @@
     this.#fleet.stop();
     this.#peers.stop();
     this.#callers.server.closeAllConnections();
+    this.#certificate?.stop();
     this.#administration.close();
     this.#administration.closeAllConnections();
     await this.#engines.close();
     await this.tracing.stop();
   };
 
+  readonly #createCertificate = (): ReloadingCertificate | undefined => {
+    const { tls_certificate: certificate, tls_key: key } = this.#settings.callers;
+    if (certificate === undefined || key === undefined) return undefined;
+    return new ReloadingCertificate({ certificate, key }, (error) =>
+      this.logger.error('The certificate for callers cannot be replaced.', { error }),
+    );
+  };
+
   readonly #createFleet = (): FleetAgent =>
     createFleetAgent({
       settings: {
@@ -174,6 +193,7 @@
       platform: this.#platform,
       clock: this.#clock,
       random: Math.random,
+      credentials: this.#credentials,
     });
 
   readonly #createHost = (): DispatchHost =>
@@ -198,7 +218,7 @@
       random: Math.random,
       host: this.#host,
       openSession: (member, listener) =>
-        new PeerSession(member, this.#vm, credentials.createInsecure(), this.#clock, listener),
+        new PeerSession(member, this.#vm, this.#credentials.channel, this.#clock, listener),
     });
 
   readonly #createProber = (): UpstreamProber =>
@@ -223,6 +243,7 @@
       routes: [...this.#createModelRoutes(), ...this.#desk.routes],
       serveOpenPath: createOpenPaths({ isReady: this.isReady }),
       getConfiguration: this.#fleet.getConfiguration,
+      certificate: this.#certificate,
     });
 
   readonly #createModelRoutes = (): readonly CallerRoute[] =>
@@ -304,5 +325,11 @@
       .map(({ vm, dataCentre, address }) => ({ vm, dataCentre, address }));
 }
 
+const getPeerTls = ({ peer }: EntrySettings): PeerTlsFiles | undefined => {
+  const { tls_certificate: certificate, tls_key: key, tls_authority: authority } = peer;
+  if (certificate === undefined || key === undefined || authority === undefined) return undefined;
+  return { certificate, key, authority };
+};
+
 const sleepMs = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
--- a/packages/entry/src/settings/entrySettings.ts
+++ b/packages/entry/src/settings/entrySettings.ts
@@ -28,12 +28,17 @@
     id: z.string().min(1).max(64),
     data_centre: z.string().min(1).max(64),
   }),
-  callers: z.strictObject({
-    listen: addressSchema,
-    body_limit: createIntegerSchema(1_024, MAX_BODY_BYTES).default(DEFAULT_BODY_BYTES),
-    tls_certificate: z.string().optional(),
-    tls_key: z.string().optional(),
-  }),
+  callers: z
+    .strictObject({
+      listen: addressSchema,
+      body_limit: createIntegerSchema(1_024, MAX_BODY_BYTES).default(DEFAULT_BODY_BYTES),
+      tls_certificate: z.string().optional(),
+      tls_key: z.string().optional(),
+    })
+    .refine(
+      (callers) => (callers.tls_certificate === undefined) === (callers.tls_key === undefined),
+      'tls_certificate and tls_key go together',
+    ),
   administration: z.strictObject({ listen: addressSchema }),
   administrator: z
     .record(
@@ -46,14 +51,24 @@
       }),
     )
     .default({}),
-  peer: z.strictObject({
-    listen: addressSchema,
-    advertise: addressSchema.optional(),
-    seeds: createListSchema(addressSchema).default([]),
-    tls_certificate: z.string().optional(),
-    tls_key: z.string().optional(),
-    tls_authority: z.string().optional(),
-  }),
+  peer: z
+    .strictObject({
+      listen: addressSchema,
+      advertise: addressSchema.optional(),
+      seeds: createListSchema(addressSchema).default([]),
+      tls_certificate: z.string().optional(),
+      tls_key: z.string().optional(),
+      tls_authority: z.string().optional(),
+    })
+    .refine(
+      (peer) =>
+        new Set(
+          [peer.tls_certificate, peer.tls_key, peer.tls_authority].map(
+            (file) => file === undefined,
+          ),
+        ).size === 1,
+      'tls_certificate, tls_key and tls_authority go together',
+    ),
   platform: z.strictObject({ address: z.url() }),
   dispatch: z
     .strictObject({
--- a/packages/lab/src/demo/DemoSystem.ts
+++ b/packages/lab/src/demo/DemoSystem.ts
@@ -16,6 +16,15 @@
   /** Port of the first daemon's callers; 0 lets the system choose. */
   readonly port: number;
   readonly logLevel: string;
+  /** Files for TLS with callers and between the daemons; plain connections without. */
+  readonly tls?: DemoTlsFiles;
+}
+
+/** Paths of the files for TLS. */
+export interface DemoTlsFiles {
+  readonly certificate: string;
+  readonly key: string;
+  readonly authority: string;
 }
 
 interface DemoVm {
@@ -31,13 +40,23 @@
 ) =>
   formatIni({
     vm: { id: vm, data_centre: 'hobart' },
-    callers: { listen: `127.0.0.1:${seeds.length === 0 ? options.port : 0}` },
+    callers: {
+      listen: `127.0.0.1:${seeds.length === 0 ? options.port : 0}`,
+      tls_certificate: options.tls?.certificate,
+      tls_key: options.tls?.key,
+    },
     administration: { listen: '127.0.0.1:0' },
     'administrator.demo': {
       roles: Object.values(AdministratorRole),
       key_sha256: [hashKey(SAMPLE_KEYS.administrator)],
     },
-    peer: { listen: '127.0.0.1:0', ...(seeds.length === 0 ? {} : { seeds }) },
+    peer: {
+      listen: '127.0.0.1:0',
+      ...(seeds.length === 0 ? {} : { seeds }),
+      tls_certificate: options.tls?.certificate,
+      tls_key: options.tls?.key,
+      tls_authority: options.tls?.authority,
+    },
     platform: { address: platform },
     log: { level: options.logLevel },
   });
