fix(dispatch): name culprits whose engines restart fast, and trust a whole answer over old claims

Cause: a probe that found the engine up again dropped the connections that had died, so that a request whose engines restart within moments was never convicted; daemons call a fingerprint a suspect for ten minutes, though a whole answer has cleared it, which ran copies of a common prompt one at a time. Change: died connections are judged after half a second: where nothing outlived them the engine died and came back; claims about a cleared fingerprint are ignored until an engine dies under it again; a refused grant asks for a probe. Two lines of the entry package: a call that was never sent is released as refused and a crossed answer as silent, since neither ran on an engine that died, and both could convict an innocent.

--- a/packages/dispatch/src/quarantine/SuspicionTable.ts
+++ b/packages/dispatch/src/quarantine/SuspicionTable.ts
@@ -22,6 +22,8 @@
 /** What is held against each fingerprint. */
 export class SuspicionTable {
   private readonly suspicions = new Map<Fingerprint, Suspicion>();
+  /** Fingerprints that a whole answer cleared: daemons may call them suspects for some time yet. */
+  private readonly cleared = new Map<Fingerprint, number>();
 
   /** @returns the state of a fingerprint */
   getState(fingerprint: Fingerprint): SuspicionState {
@@ -35,6 +37,7 @@
 
   /** Marks a fingerprint whose daemon says that it ran on an engine that died. */
   suspect(fingerprint: Fingerprint, nowMs: number): void {
+    if ((this.cleared.get(fingerprint) ?? 0) > nowMs) return;
     this.apply(fingerprint, SuspicionEvent.Suspect, nowMs);
   }
 
@@ -46,6 +49,8 @@
   /** Clears a suspect whose retry ran to its end. */
   finishRetry(fingerprint: Fingerprint, nowMs: number): void {
     this.apply(fingerprint, SuspicionEvent.Finish, nowMs);
+    if (!this.suspicions.has(fingerprint))
+      this.cleared.set(fingerprint, nowMs + SUSPECT_LIFETIME_MS);
   }
 
   /** Records that a retry ended without a verdict. */
@@ -74,6 +79,7 @@
     wasSuspect: boolean,
     nowMs: number,
   ): boolean {
+    this.cleared.delete(fingerprint);
     const before = this.getState(fingerprint);
     if (before === SuspicionState.Quarantined) return false;
     if (before === SuspicionState.Clear) this.apply(fingerprint, SuspicionEvent.Crash, nowMs);
@@ -100,6 +106,9 @@
     for (const [fingerprint, suspicion] of this.suspicions) {
       if (suspicion.untilMs <= nowMs) this.apply(fingerprint, SuspicionEvent.Expire, nowMs);
     }
+    for (const [fingerprint, untilMs] of this.cleared) {
+      if (untilMs <= nowMs) this.cleared.delete(fingerprint);
+    }
   }
 
   /** @returns when a fingerprint's quarantine or suspicion ends */
--- a/packages/dispatch/src/testing/InvariantObserver.ts
+++ b/packages/dispatch/src/testing/InvariantObserver.ts
@@ -49,6 +49,8 @@
   private readonly lost = new Set<UpstreamId>();
   /** Requests that ran on an engine or connection that died: they may have to wait for an engine of their own. */
   private readonly suspects = new Set<Fingerprint>();
+  /** Suspects that a whole answer has cleared. */
+  private readonly cleared = new Set<Fingerprint>();
 
   constructor(private readonly dispatcher: Dispatcher) {}
 
@@ -129,8 +131,12 @@
   private removeReleased(release: GrantRelease): void {
     const holder = this.holders.get(release.askId);
     this.holders.delete(release.askId);
-    if (holder !== undefined && release.reason === ReleaseReason.UpstreamDied)
-      this.suspects.add(holder.ask.fingerprint);
+    if (holder === undefined) return;
+    const { fingerprint } = holder.ask;
+    if (release.reason === ReleaseReason.UpstreamDied) this.suspects.add(fingerprint);
+    if (holder.isSuspect && release.reason === ReleaseReason.Finished)
+      this.cleared.add(fingerprint);
+    if (release.reason === ReleaseReason.UpstreamDied) this.cleared.delete(fingerprint);
   }
 
   /** A grant whose end is never reported may be forgotten well after its deadline. */
@@ -144,6 +150,7 @@
     for (const [askId, holder] of this.holders) {
       if (holder.upstream !== upstream) continue;
       this.suspects.add(holder.ask.fingerprint);
+      this.cleared.delete(holder.ask.fingerprint);
       this.holders.delete(askId);
     }
   }
@@ -189,12 +196,13 @@
     this.outcomes.set(action.askId, action);
     this.checkOpenToWork(action.upstream);
     assert.ok(!ask.excludedUpstreams.includes(action.upstream), 'granted an excluded engine');
-    if (ask.isSuspect) this.checkSuspect(ask, action.upstream);
+    const isSuspect = ask.isSuspect && !this.cleared.has(ask.fingerprint);
+    if (isSuspect) this.checkSuspect(ask, action.upstream);
     this.holders.set(action.askId, {
       ask,
       upstream: action.upstream,
       isPaused: false,
-      isSuspect: ask.isSuspect,
+      isSuspect,
       wasHeld: false,
     });
   }
--- a/packages/dispatch/src/tiered/feedback.ts
+++ b/packages/dispatch/src/tiered/feedback.ts
@@ -127,6 +127,7 @@
 const handleRefused: ReleaseHandler = (state, record, engine, nowMs) => {
   engine.blockedUntilMs = nowMs + REFUSED_HOLD_MS;
   releaseSuspect(state, record, nowMs);
+  requestProbe(state, engine, nowMs);
 };
 
 const handleSilent: ReleaseHandler = (state, record, engine, nowMs) => {
--- a/packages/dispatch/src/tiered/health.ts
+++ b/packages/dispatch/src/tiered/health.ts
@@ -29,6 +29,9 @@
 /** A probe whose result has not come by then counts as failed. */
 const PROBE_TIMEOUT_MS = 5_000;
 
+/** Other connections to the engine have died too by then, if it did. */
+const DEATH_REVIEW_MS = 500;
+
 /** How long after a connection's death the loss of its engine counts against what ran over it. */
 const DEATH_LIFETIME_MS = 10_000;
 
@@ -161,10 +164,7 @@
 ): void => {
   const engine = state.engineById.get(upstream);
   if (engine === undefined) return;
-  if (isHealthy) {
-    engine.recentDeaths = [];
-    engine.blockedUntilMs = nowMs;
-  }
+  if (isHealthy) engine.blockedUntilMs = nowMs;
   const isInDoubt =
     engine.health === EngineHealth.Healthy || engine.health === EngineHealth.Reduced;
   if (isInDoubt && !isHealthy) updateHealth(state, engine, EngineHealthEvent.Stall, nowMs);
@@ -189,6 +189,18 @@
     updateHealth(state, engine, EngineHealthEvent.Return, nowMs);
 };
 
+/**
+ * Judges connections that died on an engine that is up: where nothing outlived them, it died and came back.
+ */
+const checkDeaths = (state: TieredState, engine: EngineState, nowMs: number): void => {
+  const first = engine.recentDeaths[0];
+  if (first === undefined || nowMs - first.atMs < DEATH_REVIEW_MS) return;
+  const { recentDeaths } = engine;
+  engine.recentDeaths = [];
+  for (const { placedAtMs } of engine.running) if (placedAtMs < first.atMs) return;
+  recordCrashes(state, engine, recentDeaths, nowMs);
+};
+
 const probeEngine = (state: TieredState, engine: EngineState, nowMs: number): void => {
   if (engine.health === EngineHealth.Probing) {
     const isOver = nowMs - engine.healthSinceMs > PROBE_TIMEOUT_MS;
@@ -210,7 +222,10 @@
  * @param nowMs - the present
  */
 export const checkEngines = (state: TieredState, nowMs: number): void => {
-  for (const engine of state.engines) probeEngine(state, engine, nowMs);
+  for (const engine of state.engines) {
+    checkDeaths(state, engine, nowMs);
+    probeEngine(state, engine, nowMs);
+  }
   if (!state.tuning.detectsStragglers) return;
   const { changed, medianIntervalMs } = checkStragglers(state.engines, nowMs);
   state.medianIntervalMs = medianIntervalMs;
--- a/packages/dispatch/src/tiered/records.ts
+++ b/packages/dispatch/src/tiered/records.ts
@@ -127,7 +127,6 @@
  * @returns whether it must run as the only suspect of its engine
  */
 export const isUnderSuspicion = (state: TieredState, record: AskRecord): boolean =>
-  record.ask.isSuspect ||
   state.suspicions.getState(record.ask.fingerprint) !== SuspicionState.Clear;
 
 /**
--- a/packages/entry/src/models/ChatCall.ts
+++ b/packages/entry/src/models/ChatCall.ts
@@ -62,10 +62,10 @@
   [AttemptEnd.Finished]: ReleaseReason.Finished,
   [AttemptEnd.Refused]: ReleaseReason.UpstreamRefused,
   [AttemptEnd.Rejected]: ReleaseReason.Finished,
-  [AttemptEnd.NotSent]: ReleaseReason.UpstreamDied,
+  [AttemptEnd.NotSent]: ReleaseReason.UpstreamRefused,
   [AttemptEnd.Died]: ReleaseReason.UpstreamDied,
   [AttemptEnd.Silent]: ReleaseReason.UpstreamSilent,
-  [AttemptEnd.Crossed]: ReleaseReason.UpstreamDied,
+  [AttemptEnd.Crossed]: ReleaseReason.UpstreamSilent,
   [AttemptEnd.Aborted]: ReleaseReason.CallerGone,
 };
 
