--- a/packages/common/src/administration/resultAdvice.ts
+++ b/packages/common/src/administration/resultAdvice.ts
@@ -95,7 +95,7 @@
   },
   [ResultCode.PlatformUnavailable]: {
     meaning: 'The platform is down or refuses calls, and the request needs it.',
-    nextStep: 'Ask again after Retry-After. Operators: see docs/operations on platform outages.',
+    nextStep: 'Ask again after Retry-After. Operators: docs/operations/platform-outage.md.',
   },
   [ResultCode.NotReady]: {
     meaning: 'The VM has no configuration yet.',
--- a/packages/lab/src/bin/runLab.ts
+++ b/packages/lab/src/bin/runLab.ts
@@ -4,7 +4,7 @@
 import { cac } from 'cac';
 
 import { LAB_COMMANDS } from './commands/index.js';
-import { formatFlag } from './options.js';
+import { formatFlag, OPTION_SCHEMAS } from './options.js';
 
 import type { CAC } from 'cac';
 import type { LabCommand } from './types.js';
@@ -22,8 +22,9 @@
   const name = [command.name, command.positionals ?? ''].join(' ').trim();
   const registered = program.command(name, command.description);
   registered.option('--config <file>', `settings file; its section [${command.name}] is read`);
-  for (const [option, { description }] of Object.entries(command.options)) {
-    registered.option(`--${formatFlag(option)} <value>`, description);
+  for (const [option, { schema, description }] of Object.entries(command.options)) {
+    const value = schema === OPTION_SCHEMAS.flag ? '[value]' : '<value>';
+    registered.option(`--${formatFlag(option)} ${value}`, description);
   }
   registered.action((...parameters: readonly unknown[]) => {
     const flags = (parameters.at(-1) ?? {}) as Readonly<Record<string, unknown>>;
--- a/packages/lab/src/bin/types.ts
+++ b/packages/lab/src/bin/types.ts
@@ -1,10 +1,13 @@
+import type { z } from 'zod';
 /** A subcommand of `sardinegrade-lab`. */
 export interface LabCommand {
   readonly name: string;
   /** Positional arguments in cac's notation. */
   readonly positionals?: string;
   readonly description: string;
-  readonly options: Readonly<Record<string, { readonly description: string }>>;
+  readonly options: Readonly<
+    Record<string, { readonly schema: z.ZodType; readonly description: string }>
+  >;
   /**
    * Runs the subcommand.
    *
--- a/packages/lab/src/demo/runDemo.ts
+++ b/packages/lab/src/demo/runDemo.ts
@@ -54,7 +54,8 @@
 
 const printCurlLines = (system: DemoSystem, print: PrintLine): void => {
   const callers = system.getCallersAddress(0);
-  const administration = system.getAdministrationAddress(0);
+  const administration = system.vms.map((_vm, index) => system.getAdministrationAddress(index));
+  const engine = `${system.engines[0]?.address ?? ''}/control`;
   const chat =
     '{"model":"drill-7b","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Hello"}]}';
   print(`\nThe system stays up; Ctrl+C ends it. Keys: ${JSON.stringify(SAMPLE_KEYS)}`);
@@ -64,7 +65,10 @@
   print(
     `curl -i -X POST ${callers}/services/booking/bits -H 'Authorization: Bearer ${SAMPLE_KEYS.counter}' -H 'Idempotency-Key: bit-1' -d '{}'`,
   );
-  print(`curl ${administration}/v1/status -H 'Authorization: Bearer ${SAMPLE_KEYS.administrator}'`);
+  print(`export SARDINEGRADE_ADDRESS=${administration.join(',')}`);
+  print(`export SARDINEGRADE_KEY=${SAMPLE_KEYS.administrator}`);
+  print('npx sardinegrade status          # then: upstreams, show, apply FILE, explain REQUEST-ID');
+  print(`curl -X POST ${engine} -d '{"mute": true}'   # an engine falls silent`);
 };
 
 const waitForInterrupt = (): Promise<void> =>
