fix(entry): an order's deadline no longer keeps an ended daemon's loop alive

Cause: each order leaves a timer of its whole deadline, two minutes by default; the demo's test passed in 2 s and its process ended 120 s later, which was most of npm test's time. Change: the sleeps of the order desk do not hold the loop; open ports do while the daemon runs.

--- a/packages/entry/src/daemon/OrderDesk.ts
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -49,8 +49,11 @@
   readonly checkDependencies: (caller: CallerRequest, service: ServiceConfiguration) => void;
 }
 
+// The open ports keep a running daemon's loop alive; an order's long deadline must not keep an ended one.
 const sleepMs = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, durationMs));
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs).unref();
+  });
 
 const getClassHeader = ({ request }: CallerRequest): string | undefined => {
   const value = request.headers['sardinegrade-class'];
