--- a/packages/lab/src/bench/crash/crash.ts
+++ b/packages/lab/src/bench/crash/crash.ts
@@ -8,6 +8,7 @@
   countOutcome,
   describeScenario,
   runComparison,
+  toRuns,
   waitWithin,
 } from '../support/index.js';
 
@@ -89,6 +90,7 @@
         requireAtMost('false "not run"', product.falseNotRun, 0),
         requireAtMost('wasted tokens, as a part of all', product.wastedPart, 0.02),
       ],
+      runs: toRuns([product, naive]),
       figures: {
         product: { ...describeScenario(product), broken: countBroken(product) },
         naive: { ...describeScenario(naive), broken: countBroken(naive) },
--- a/packages/lab/src/bench/overload/overload.ts
+++ b/packages/lab/src/bench/overload/overload.ts
@@ -16,6 +16,7 @@
   QUERY,
   REPORT,
   runScenario,
+  toRuns,
   WORKSPACES,
 } from '../support/index.js';
 
@@ -117,6 +118,7 @@
         requireAtMost('wrong answers', countOutcome(product, CallerOutcome.Wrong), 0),
         requireAtMost('false "not run"', product.falseNotRun, 0),
       ],
+      runs: toRuns([product, naive]),
       figures: {
         product: { ...describeScenario(product), ...figures },
         naive: { ...describeScenario(naive), ...computeFigures(naive) },
--- a/packages/lab/src/bench/poison/poison.ts
+++ b/packages/lab/src/bench/poison/poison.ts
@@ -7,6 +7,7 @@
   computePayingAttainment,
   describeScenario,
   runComparison,
+  toRuns,
   waitWithin,
   WORKSPACES,
 } from '../support/index.js';
@@ -84,6 +85,7 @@
         requireAtLeast('engines lost to the naive policy', naive.engineCrashes, 1),
         requireAtMost('false "not run"', product.falseNotRun, 0),
       ],
+      runs: toRuns([product, naive]),
       figures: { product: describeScenario(product), naive: describeScenario(naive) },
     };
   },
--- a/packages/lab/src/bench/runner/runBench.test.ts
+++ b/packages/lab/src/bench/runner/runBench.test.ts
@@ -26,13 +26,13 @@
     [0.9899, false],
   ] as const) {
     const lines: string[] = [];
-    const met = await runBench(
+    const run = await runBench(
       createBench(attainment),
       7,
       (line) => lines.push(line),
       () => 0,
     );
-    assert.equal(met, ok);
+    assert.equal(run.ok, ok);
     const last: unknown = JSON.parse(lines.at(-1) ?? '');
     assert.deepEqual(last, {
       bench: 'sample',
--- a/packages/lab/src/bench/runner/types.ts
+++ b/packages/lab/src/bench/runner/types.ts
@@ -1,3 +1,5 @@
+import type { LabelledRun } from '../../report/index.js';
+
 /** How a bench is run. */
 export interface BenchOptions {
   readonly seed: number;
@@ -27,6 +29,8 @@
   readonly targets: readonly BenchTarget[];
   /** Figures for the last line, by name. */
   readonly figures: Readonly<Record<string, unknown>>;
+  /** Runs whose requests a report plots. */
+  readonly runs?: readonly LabelledRun[];
 }
 
 /** A benchmark that can be run by its name. */
--- a/packages/lab/src/bench/silent/silent.ts
+++ b/packages/lab/src/bench/silent/silent.ts
@@ -7,6 +7,7 @@
   countOutcome,
   describeScenario,
   runComparison,
+  toRuns,
   waitWithin,
 } from '../support/index.js';
 
@@ -77,6 +78,7 @@
         requireAtMost('cut answers', countOutcome(product, CallerOutcome.Cut), 0),
         requireAtMost('false "not run"', product.falseNotRun, 0),
       ],
+      runs: toRuns([product, naive]),
       figures: { product: describeScenario(product), naive: describeScenario(naive) },
     };
   },
--- a/packages/lab/src/bench/straggler/straggler.ts
+++ b/packages/lab/src/bench/straggler/straggler.ts
@@ -6,6 +6,7 @@
   computePayingAttainment,
   describeScenario,
   runComparison,
+  toRuns,
   waitWithin,
 } from '../support/index.js';
 
@@ -42,6 +43,7 @@
         requireAtLeast('paying attainment', computePayingAttainment(product), 0.97),
         requireAtMost('false "not run"', product.falseNotRun, 0),
       ],
+      runs: toRuns([product, naive]),
       figures: { product: describeScenario(product), naive: describeScenario(naive) },
     };
   },
--- a/packages/lab/src/bench/support/tables.ts
+++ b/packages/lab/src/bench/support/tables.ts
@@ -1,6 +1,7 @@
 import { CallerOutcome } from '../../load/index.js';
 
 import type { ClassSummary } from '../../load/index.js';
+import type { LabelledRun } from '../../report/index.js';
 import type { BenchTable } from '../runner/index.js';
 import type { ScenarioResult } from './runScenario.js';
 
@@ -73,6 +74,17 @@
 export const countOutcome = (scenario: ScenarioResult, outcome: CallerOutcome): number =>
   scenario.summaries.reduce((sum, summary) => sum + summary.outcomes[outcome], 0);
 
+/** Requests without a whole answer, by class, outcome and result code. */
+const countFailures = (scenario: ScenarioResult): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {};
+  for (const { request, outcome, code } of scenario.results) {
+    if (outcome === CallerOutcome.Whole) continue;
+    const key = `${request.loadClass.name} ${outcome} ${code ?? 'no code'}`;
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
+  return counts;
+};
+
 /**
  * Describes a policy's run for the last line of a bench.
  *
@@ -88,4 +100,14 @@
   wasted_part: scenario.wastedPart,
   false_not_run: scenario.falseNotRun,
   engine_crashes: scenario.engineCrashes,
+  not_whole: countFailures(scenario),
 });
+
+/**
+ * Labels runs by their policy, for a report's plots.
+ *
+ * @param scenarios - what came of each policy
+ * @returns the runs
+ */
+export const toRuns = (scenarios: readonly ScenarioResult[]): readonly LabelledRun[] =>
+  scenarios.map(({ policy, results }) => ({ label: policy, results }));
--- a/packages/lab/src/bin/commands/bench.ts
+++ b/packages/lab/src/bin/commands/bench.ts
@@ -1,12 +1,16 @@
+import { writeFileSync } from 'node:fs';
+
 import { ResultCode, SardinegradeError } from '@sardinegrade/common';
 
-import { BENCHES, runBench } from '../../bench/index.js';
+import { BENCHES, listTables, runBench } from '../../bench/index.js';
+import { renderReport } from '../../report/index.js';
 import { OPTION_SCHEMAS, readOptions } from '../options.js';
 
 import type { LabCommand } from '../types.js';
 
 const BENCH_OPTIONS = {
   seed: { schema: OPTION_SCHEMAS.count, description: 'seed of all chances (1)' },
+  report: { schema: OPTION_SCHEMAS.text, description: 'HTML file to write tables and plots to' },
 } as const;
 
 const DEFAULT_SEED = 1;
@@ -26,7 +30,7 @@
   description: 'Run a benchmark; without a name, list them',
   options: BENCH_OPTIONS,
   run: async (flags, [name]) => {
-    const { seed = DEFAULT_SEED } = readOptions('bench', BENCH_OPTIONS, flags);
+    const { seed = DEFAULT_SEED, report } = readOptions('bench', BENCH_OPTIONS, flags);
     const print = writeLine(process.stdout);
     if (name === undefined) {
       print(`Benches:\n${describeBenches()}`);
@@ -40,7 +44,12 @@
         `No bench '${name}'; there are ${known}.`,
       );
     }
-    const ok = await runBench(bench, seed, print, writeLine(process.stderr));
+    const { outcome, ok } = await runBench(bench, seed, print, writeLine(process.stderr));
+    if (report !== undefined) {
+      const title = `${bench.name}, seed ${seed}`;
+      const { runs = [] } = outcome;
+      writeFileSync(report, renderReport({ title, tables: listTables(outcome), runs }));
+    }
     if (!ok) process.exitCode = MISSED_EXIT_CODE;
   },
 };
--- a/packages/lab/src/bin/commands/index.ts
+++ b/packages/lab/src/bin/commands/index.ts
@@ -1,5 +1,6 @@
 import { BENCH_COMMAND } from './bench.js';
 import { DEMO_COMMAND } from './demo.js';
+import { LOAD_COMMAND } from './load.js';
 import { PROXY_COMMAND } from './proxy.js';
 import { STAND_IN_COMMANDS } from './standIns.js';
 
@@ -10,5 +11,6 @@
   ...STAND_IN_COMMANDS,
   PROXY_COMMAND,
   BENCH_COMMAND,
+  LOAD_COMMAND,
   DEMO_COMMAND,
 ];
