feat(lab): tell the waste of a killed daemon's streams apart in the bench crash

Cause: a daemon that is killed takes its callers' connections with it; that part of the waste depends on the number of daemons alone.

--- a/packages/lab/src/bench/crash/crash.ts
+++ b/packages/lab/src/bench/crash/crash.ts
@@ -57,14 +57,36 @@
   scenario.results.filter((result) => BROKEN.has(result.outcome) && !isOnKilledDaemon(result))
     .length;
 
+/** Tokens of answers that were cut because their daemon was killed, as a part of all tokens made. */
+const computeDaemonWaste = (scenario: ScenarioResult): number => {
+  const cut = scenario.results.filter(
+    (result) => result.outcome === CallerOutcome.Cut && isOnKilledDaemon(result),
+  );
+  return cut.reduce((sum, { tokens }) => sum + tokens, 0) / scenario.engineTokens;
+};
+
+const describeRun = (scenario: ScenarioResult): Readonly<Record<string, unknown>> => ({
+  ...describeScenario(scenario),
+  broken: countBroken(scenario),
+  wasted_with_daemon: computeDaemonWaste(scenario),
+});
+
 const buildTable = (scenarios: readonly ScenarioResult[]): BenchTable => ({
   title: 'Together',
-  columns: ['policy', 'paying attained', 'broken on living daemons', 'wasted', 'false not run'],
+  columns: [
+    'policy',
+    'paying attained',
+    'broken on living daemons',
+    'wasted',
+    'of it, with the killed daemon',
+    'false not run',
+  ],
   rows: scenarios.map((scenario) => [
     scenario.policy,
     computePayingAttainment(scenario),
     countBroken(scenario),
     scenario.wastedPart,
+    computeDaemonWaste(scenario),
     scenario.falseNotRun,
   ]),
 });
@@ -92,8 +114,8 @@
       ],
       runs: toRuns([product, naive]),
       figures: {
-        product: { ...describeScenario(product), broken: countBroken(product) },
-        naive: { ...describeScenario(naive), broken: countBroken(naive) },
+        product: describeRun(product),
+        naive: describeRun(naive),
       },
     };
   },
