--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -252,11 +252,8 @@
       writesPerSecond: this.#settings.orders.writes_per_second,
       getConfiguration: this.#fleet.getConfiguration,
       isUpstreamDown: (upstream) => this.#facts.isDown(upstream),
-      isVmGone: (vm) =>
-        this.#fleet
-          .getMembers()
-          .some((member) => member.vm === vm && member.state === MemberState.Dead),
-      listVms: () => this.#listDispatchMembers().map(({ vm }) => vm),
+      isVmGone: this.#facts.isVmGone,
+      listNeighbours: this.#listNeighbours,
       checkDependencies: this.#checkDependencies,
     });
 
@@ -295,6 +292,12 @@
     this.#broker.updateMembers(this.#listDispatchMembers());
   };
 
+  /** Lists the daemons of this data centre, this one among them. */
+  readonly #listNeighbours = (): readonly VmId[] =>
+    this.#listDispatchMembers()
+      .filter(({ dataCentre }) => dataCentre === this.#dataCentre)
+      .map(({ vm }) => vm);
+
   /** Lists the daemons that can be dispatchers; one that leaves hands its part on. */
   readonly #listDispatchMembers = (): readonly DispatchMember[] =>
     this.#fleet
--- a/packages/entry/src/daemon/FleetFacts.ts
+++ b/packages/entry/src/daemon/FleetFacts.ts
@@ -1,10 +1,10 @@
 import { DispatchEventKind } from '@sardinegrade/dispatch';
-import { NewsKind } from '@sardinegrade/fleet';
+import { MemberState, NewsKind } from '@sardinegrade/fleet';
 
 import { DOWN_NEWS_TTL_MS, FactTable, SUSPECT_TTL_MS } from '../health/index.js';
 
-import type { Clock, Fingerprint, UpstreamId } from '@sardinegrade/common';
-import type { FleetAgent, News } from '@sardinegrade/fleet';
+import type { Clock, Fingerprint, UpstreamId, VmId } from '@sardinegrade/common';
+import type { FleetAgent, Member, News } from '@sardinegrade/fleet';
 import type { DispatchHost } from '../grants/index.js';
 
 type NewsHandler = (facts: FleetFacts, news: News) => void;
@@ -32,6 +32,7 @@
   readonly suspects = new FactTable<Fingerprint>();
   readonly downUpstreams = new FactTable<UpstreamId>();
   readonly host: DispatchHost;
+  readonly #goneVms = new Set<VmId>();
   readonly #fleet: FleetAgent;
   readonly #clock: Clock;
 
@@ -40,8 +41,12 @@
     this.#clock = clock;
     this.host = host;
     void fleet.news.observe((news) => NEWS_HANDLERS[news.kind](this, news));
+    void fleet.memberChanges.observe(({ member }) => this.#noteMember(member));
   }
 
+  /** Whether the membership has seen the VM die, and not come back. */
+  readonly isVmGone = (vm: VmId): boolean => this.#goneVms.has(vm);
+
   readonly isSuspect = (fingerprint: Fingerprint): boolean =>
     this.suspects.has(fingerprint, this.#clock.getNowMs());
 
@@ -58,6 +63,11 @@
   readonly spreadDown = (upstream: UpstreamId): void =>
     this.#spread(NewsKind.UpstreamDead, upstream, DOWN_NEWS_TTL_MS);
 
+  readonly #noteMember = ({ vm, state }: Member): void => {
+    if (state === MemberState.Dead) this.#goneVms.add(vm);
+    else this.#goneVms.delete(vm);
+  };
+
   readonly #spread = (kind: NewsKind, subject: string, ttlMs: number): void => {
     const nowMs = this.#clock.getNowMs();
     // The time serves as the count, so that the latest news of a subject holds.
--- a/packages/entry/src/daemon/OrderDesk.ts
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -44,7 +44,8 @@
   readonly getConfiguration: () => Configuration | undefined;
   readonly isUpstreamDown: (upstream: UpstreamId) => boolean;
   readonly isVmGone: (vm: VmId) => boolean;
-  readonly listVms: () => readonly VmId[];
+  /** The daemons of this data centre, one of which sweeps: a data centre may be cut off. */
+  readonly listNeighbours: () => readonly VmId[];
   /** Throws where something that the service depends on cannot serve. */
   readonly checkDependencies: (caller: CallerRequest, service: ServiceConfiguration) => void;
 }
@@ -161,7 +162,8 @@
   };
 
   readonly #isOnDuty = (): boolean =>
-    this.#isActive && rankByRendezvous(SWEEP_KEY, this.#options.listVms())[0] === this.#options.vm;
+    this.#isActive &&
+    rankByRendezvous(SWEEP_KEY, this.#options.listNeighbours())[0] === this.#options.vm;
 }
 
 const decodeName = (name: string | undefined): string => {
