--- a/packages/fleet/src/membership/ticking.ts
+++ b/packages/fleet/src/membership/ticking.ts
@@ -12,7 +12,7 @@
 import { computeSuspicionMs } from './limits.js';
 import {
   isDelegate,
-  hashMembership,
+  hashBuckets,
   listOtherDataCentres,
   listOthers,
   listOthersIn,
@@ -132,7 +132,7 @@
   kind: MembershipActionKind.Sync,
   address,
   members: [],
-  digest: hashMembership(state),
+  digests: hashBuckets(state),
   isPush: false,
 });
 
