refactor(entry): one retry budget, one body reader and one problem answer for models and plain services

Cause: services had a second retry budget and back-off, a second body reader and a second problem writer; and a chunked body over the limit ended the connection before its refusal was sent, since leaving the loop destroyed it.

--- /dev/null
+++ b/packages/entry/src/callers/CallerServer.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  createLogger,
+  createMetrics,
+  LogFormat,
+  LogLevel,
+  ResultCode,
+  startTracing,
+  SYSTEM_CLOCK,
+} from '@sardinegrade/common';
+import { hashKey, parseConfiguration } from '@sardinegrade/fleet';
+import { Client } from 'undici';
+
+import { createRequestJournal } from '../administration/index.js';
+import { listenOn } from '../daemon/addresses.js';
+import { CallerServer } from './CallerServer.js';
+import { readBody } from './readBody.js';
+import { ErrorFormat } from './types.js';
+
+import type { TestContext } from 'node:test';
+import type { Dispatcher } from 'undici';
+import type { CallerRoute } from './types.js';
+
+const KEY = 'a-key';
+const BODY_LIMIT_BYTES = 1_024;
+
+const ROUTE: CallerRoute = {
+  pattern: /^\/echo$/,
+  methods: ['POST'],
+  errorFormat: ErrorFormat.OpenAi,
+  serve: async ({ request, response, workspace }) => {
+    const body = await readBody(request, BODY_LIMIT_BYTES);
+    response.end(`${workspace.name} ${body.length}`);
+  },
+};
+
+const startServer = async (context: TestContext): Promise<Client> => {
+  const configuration = parseConfiguration(`[workspace.desk]\nkey_sha256[] = ${hashKey(KEY)}\n`, 1);
+  const { server } = new CallerServer({
+    clock: SYSTEM_CLOCK,
+    tracing: startTracing({ vm: 'vm-1', dataCentre: 'dc-a' }),
+    logger: createLogger({ level: LogLevel.Error, format: LogFormat.Text }),
+    routes: [ROUTE],
+    serveOpenPath: () => false,
+    getConfiguration: () => configuration,
+    certificate: undefined,
+    metrics: createMetrics(),
+    journal: createRequestJournal(SYSTEM_CLOCK),
+  });
+  const client = new Client(`http://${await listenOn(server, '127.0.0.1:0')}`);
+  context.after(async () => {
+    await client.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
+  return client;
+};
+
+const send = async (client: Client, change: Partial<Dispatcher.RequestOptions>) => {
+  const { statusCode, headers, body } = await client.request({
+    method: 'POST',
+    path: '/echo',
+    headers: { authorization: `Bearer ${KEY}` },
+    ...change,
+  });
+  const text = await body.text();
+  const error =
+    statusCode < 300
+      ? undefined
+      : (JSON.parse(text) as { error: { code: ResultCode; run: string } }).error;
+  return { statusCode, headers, text, error };
+};
+
+const generateBody = async function* (chunks: number) {
+  for (let chunk = 0; chunk < chunks; chunk += 1) {
+    await Promise.resolve();
+    yield Buffer.alloc(16_384, 'x');
+  }
+};
+
+test('a body in chunks that grows too large is refused, not cut off', async (context) => {
+  const client = await startServer(context);
+  for (let round = 0; round < 20; round += 1) {
+    const { statusCode, error } = await send(client, { body: generateBody(8) as never });
+    assert.equal(statusCode, 413);
+    assert.deepEqual([error?.code, error?.run], [ResultCode.BodyTooLarge, 'not_run']);
+  }
+  assert.equal((await send(client, { body: 'small' })).text, 'desk 5');
+});
+
+test('each kind of bad request has its status and result code', async (context) => {
+  const client = await startServer(context);
+  const cases: readonly [Partial<Dispatcher.RequestOptions>, number, ResultCode][] = [
+    [{ headers: {} }, 401, ResultCode.MissingKey],
+    [{ headers: { authorization: 'Basic abc' } }, 401, ResultCode.MissingKey],
+    [{ headers: { authorization: 'Bearer wrong' } }, 401, ResultCode.InvalidKey],
+    [{ method: 'GET' }, 405, ResultCode.MethodNotAllowed],
+    [{ path: '/nowhere' }, 404, ResultCode.UnknownPath],
+  ];
+  for (const [change, status, code] of cases) {
+    const { statusCode, error } = await send(client, change);
+    assert.deepEqual([statusCode, error?.code, error?.run], [status, code, 'not_run']);
+  }
+});
+
+test('a request id is echoed where it is usable and made up where it is not', async (context) => {
+  const client = await startServer(context);
+  const sendId = async (id: string) => {
+    const headers = { authorization: `Bearer ${KEY}`, 'x-request-id': id };
+    return (await send(client, { headers, body: 'x' })).headers['x-request-id'];
+  };
+  assert.equal(await sendId('r-17'), 'r-17');
+  for (const id of ['', 'with space', 'x'.repeat(200)]) assert.notEqual(await sendId(id), id);
+});
--- a/packages/entry/src/callers/errorAnswer.ts
+++ b/packages/entry/src/callers/errorAnswer.ts
@@ -1,10 +1,11 @@
+import { STATUS_CODES } from 'node:http';
+
 import { ErrorFormat } from './types.js';
 
 import type { ServerResponse } from 'node:http';
 import type { SardinegradeError } from '@sardinegrade/common';
 
 const MS_PER_SECOND = 1_000;
-const STATUS_BAD_REQUEST = 400;
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_FORBIDDEN = 403;
 const STATUS_NOT_FOUND = 404;
@@ -42,7 +43,7 @@
 
 const buildProblem = (error: SardinegradeError): object => ({
   type: 'about:blank',
-  title: error.httpStatus < STATUS_SERVER_ERROR ? 'Request refused' : 'Request failed',
+  title: STATUS_CODES[error.httpStatus] ?? 'Error',
   status: error.httpStatus,
   detail: error.message,
   code: error.code,
@@ -83,7 +84,7 @@
   }
   // A body that was not read to its end would be taken for the next request.
   if (!response.req.complete) response.setHeader('connection', 'close');
-  response.writeHead(error.httpStatus || STATUS_BAD_REQUEST, {
+  response.writeHead(error.httpStatus, {
     'content-type': renderer.contentType,
     'content-length': Buffer.byteLength(body),
   });
--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -20,7 +20,8 @@
 import { CallerServer } from '../callers/index.js';
 import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
 import { DependencyCheck, UpstreamProber, VmListWatcher } from '../health/index.js';
-import { createModelRoutes, RetryBudgets } from '../models/index.js';
+import { createModelRoutes } from '../models/index.js';
+import { RetryBudgets } from '../retries/index.js';
 import { observePlatform, registerGauges } from '../observation/index.js';
 import { listenOn } from './addresses.js';
 import { FleetFacts, toDispatchEvent } from './FleetFacts.js';
@@ -81,6 +82,7 @@
   readonly #callers: CallerServer;
   readonly #peers: PeerServer;
   readonly #administration: Server;
+  readonly #budgets = new RetryBudgets(SYSTEM_CLOCK);
   #isLeaving = false;
 
   constructor(settings: EntrySettings) {
@@ -271,7 +273,7 @@
       engines: this.#engines,
       tracing: this.tracing,
       metrics: this.#metrics,
-      retries: new RetryBudgets(this.#clock),
+      retries: this.#budgets,
       random: Math.random,
       bodyLimitBytes: this.#settings.callers.body_limit,
       checkDependencies: this.#checkDependencies,
@@ -282,6 +284,7 @@
 
   readonly #createDesk = (): OrderDesk =>
     new OrderDesk({
+      budgets: this.#budgets,
       vm: this.#vm,
       clock: this.#clock,
       logger: this.logger,
--- a/packages/entry/src/daemon/OrderDesk.ts
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -23,6 +23,7 @@
 import type { OrderService } from '@sardinegrade/orders';
 import type { PlatformClient } from '@sardinegrade/platform';
 import type { CallerRequest, CallerRoute } from '../callers/index.js';
+import type { RetryBudgets } from '../retries/index.js';
 import type { HandleServiceCall } from '../services/index.js';
 
 const SWEEP_INTERVAL_MS = 5_000;
@@ -33,6 +34,7 @@
 
 /** What the order desk needs of its daemon. */
 export interface OrderDeskOptions {
+  readonly budgets: RetryBudgets;
   readonly vm: VmId;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -93,6 +95,7 @@
       orders: this.orders,
       findUpstreams: this.#findUpstreams,
       getRandom: Math.random,
+      budgets: options.budgets,
       onEnd: this.#observer.finish,
     });
     const errorFormat = ErrorFormat.Problem;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,5 +4,6 @@
 export * from './grants/index.js';
 export * from './health/index.js';
 export * from './models/index.js';
+export * from './retries/index.js';
 export * from './settings/index.js';
 export * from './services/index.js';
--- a/packages/entry/src/models/ChatCall.ts
+++ b/packages/entry/src/models/ChatCall.ts
@@ -30,9 +30,9 @@
 } from '@sardinegrade/upstream';
 import type { CallerRequest } from '../callers/index.js';
 import type { GrantBroker, GrantTicket } from '../grants/index.js';
+import type { RetryBudgets } from '../retries/index.js';
 import type { AnswerSink } from './AnswerSink.js';
 import type { ChatObserverServices } from './ChatObserver.js';
-import type { RetryBudgets } from './RetryBudgets.js';
 import type { ChatRequest, ChatTarget } from './types.js';
 
 /** What all calls of a daemon share. */
--- /dev/null
+++ b/packages/entry/src/retries/index.ts
@@ -0,0 +1,2 @@
+/** Retry budgets of services. */
+export * from './RetryBudgets.js';
--- a/packages/entry/src/services/constants.ts
+++ b/packages/entry/src/services/constants.ts
@@ -7,11 +7,8 @@
 /** How long a status look-up may take. */
 export const LOOKUP_TIMEOUT_MS = 2_000;
 
-/** Retries saved up for a service at most. */
-export const RETRY_BURST = 10;
-
-export const RETRY_FIRST_MS = 20;
-export const RETRY_LONGEST_MS = 1_000;
+/** When a caller may ask again after a service failed. */
+export const RETRY_LATER_MS = 1_000;
 
 /** Headers of a caller's request that its service receives. Keys of workspaces are never passed on. */
 export const REQUEST_HEADERS = [
--- a/packages/entry/src/services/handleServiceCall.test.ts
+++ b/packages/entry/src/services/handleServiceCall.test.ts
@@ -12,6 +12,7 @@
 } from '@sardinegrade/common';
 import { request } from 'undici';
 
+import { RetryBudgets } from '../retries/index.js';
 import { createServiceHandler } from './handleServiceCall.js';
 import { createServiceCaller } from './serviceCaller.js';
 
@@ -90,6 +91,7 @@
     clock: SYSTEM_CLOCK,
     sleep: () => Promise.resolve(),
     getRandom: () => 0,
+    budgets: new RetryBudgets(SYSTEM_CLOCK),
     newId: () => `attempt-${(ids += 1)}`,
   });
   const address = await openServer((incoming, response) => {
--- a/packages/entry/src/services/handleServiceCall.ts
+++ b/packages/entry/src/services/handleServiceCall.ts
@@ -1,10 +1,10 @@
 import { ResultCode, RunState, SardinegradeError, toSardinegradeError } from '@sardinegrade/common';
 import { deriveScopedKey, KEY_LENGTH_LIMIT } from '@sardinegrade/orders';
 
+import { readBody } from '../callers/index.js';
 import { IDEMPOTENCY_KEY_HEADER, REQUEST_HEADERS } from './constants.js';
 import { pickHeaders } from './pickHeaders.js';
 import { createRepeatableRunner } from './repeatableCall.js';
-import { readRequestBody } from './requestBody.js';
 import { respondAnswer, respondProblem } from './serviceResponse.js';
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -80,7 +80,7 @@
     method: request.method ?? 'GET',
     path: context.path,
     headers: pickHeaders(request.headers, REQUEST_HEADERS),
-    body: await readRequestBody(request, context.bodyLimitBytes),
+    body: await readBody(request, context.bodyLimitBytes),
   });
 
   const handle = async (
--- a/packages/entry/src/services/repeatableCall.ts
+++ b/packages/entry/src/services/repeatableCall.ts
@@ -1,9 +1,10 @@
 import { ResultCode, RunState, SardinegradeError, toBranded } from '@sardinegrade/common';
+import { decideRetry, RetryVerdict } from '@sardinegrade/dispatch';
 import { CallOutcome } from '@sardinegrade/orders';
 
-import { RETRY_FIRST_MS, RETRY_LONGEST_MS } from './constants.js';
-import { createRetryBudget } from './retryBudget.js';
+import { RETRY_LATER_MS } from './constants.js';
 
+import type { RetryDecision } from '@sardinegrade/dispatch';
 import type { CallResult, OrderResult, ServiceRequest } from '@sardinegrade/orders';
 import type { RepeatableOptions, ServiceCallContext } from './types.js';
 
@@ -16,7 +17,7 @@
 
 const createFailure = (result: CallResult, isMaybeRun: boolean): SardinegradeError => {
   const cause = 'cause' in result ? result.cause : undefined;
-  const options = { cause, retryAfterMs: RETRY_LONGEST_MS };
+  const options = { cause, retryAfterMs: RETRY_LATER_MS };
   if (isMaybeRun) {
     const message = 'The service gave no whole answer.';
     return new SardinegradeError(ResultCode.UpstreamFailed, message, {
@@ -54,27 +55,37 @@
  */
 export const createRepeatableRunner = (options: RepeatableOptions): RunRepeatable => {
   const { caller, clock } = options;
-  const budget = createRetryBudget();
-
   const estimateLeftMs = (context: ServiceCallContext): number =>
     context.deadlineAtMs - clock.getNowMs();
 
-  const canRetry = (context: ServiceCallContext, attempts: number, delayMs: number): boolean =>
-    attempts < context.service.retry.attemptLimit &&
-    !context.signal.aborted &&
-    estimateLeftMs(context) > delayMs &&
-    budget.acquire(context.service);
-
-  /** Decorrelated jitter: up to three times the delay before. */
-  const computeDelayMs = (lastMs: number): number => {
-    const spanMs = 3 * lastMs - RETRY_FIRST_MS;
-    return Math.min(RETRY_LONGEST_MS, RETRY_FIRST_MS + options.getRandom() * spanMs);
-  };
+  const decide = (
+    { service, deadlineAtMs }: ServiceCallContext,
+    attempts: number,
+    mayHaveStarted: boolean,
+    previousDelayMs: number,
+  ): RetryDecision =>
+    decideRetry(
+      {
+        mayHaveStarted,
+        isRepeatable: true,
+        canResume: false,
+        attempts,
+        attemptLimit: service.retry.attemptLimit,
+        deadlineAtMs,
+        previousDelayMs,
+        code: ResultCode.UpstreamFailed,
+      },
+      {
+        budget: options.budgets.getBudget(service),
+        nowMs: clock.getNowMs(),
+        random: options.getRandom,
+      },
+    );
 
   return async (context, request, scopedKey) => {
     const { service, requestId, traceparent } = context;
-    budget.recordAttempt(service);
-    let delayMs = RETRY_FIRST_MS;
+    options.budgets.getBudget(service).recordFirstAttempt();
+    let delayMs = 0;
     let isMaybeRun = false;
     for (let attempts = 1; ; attempts += 1) {
       const result = await caller.callService({
@@ -88,10 +99,10 @@
         canStart: () => estimateLeftMs(context) > 0,
       });
       isMaybeRun ||= result.outcome === CallOutcome.Unknown;
-      delayMs = computeDelayMs(delayMs);
-      if (!hasFailed(result) || !canRetry(context, attempts, delayMs)) {
-        return toOrderResult(result, isMaybeRun);
-      }
+      if (!hasFailed(result) || context.signal.aborted) return toOrderResult(result, isMaybeRun);
+      const decision = decide(context, attempts, isMaybeRun, delayMs);
+      if (decision.verdict === RetryVerdict.Stop) return toOrderResult(result, isMaybeRun);
+      ({ delayMs } = decision);
       await options.sleep(delayMs);
     }
   };
--- a/packages/entry/src/services/serviceResponse.ts
+++ b/packages/entry/src/services/serviceResponse.ts
@@ -1,5 +1,4 @@
-import { STATUS_CODES } from 'node:http';
-
+import { ErrorFormat, sendError } from '../callers/index.js';
 import { REQUEST_ID_HEADER } from './constants.js';
 
 import type { ServerResponse } from 'node:http';
@@ -7,8 +6,6 @@
 import type { ServiceAnswer } from '@sardinegrade/orders';
 import type { ServiceCallContext } from './types.js';
 
-const SECOND_MS = 1_000;
-
 const setCommonHeaders = (response: ServerResponse, context: ServiceCallContext) => {
   response.setHeader(REQUEST_ID_HEADER, context.requestId);
   response.setHeader('traceparent', context.traceparent);
@@ -48,19 +45,5 @@
   error: SardinegradeError,
 ): void => {
   setCommonHeaders(response, context);
-  const status = error.httpStatus;
-  if (error.retryAfterMs !== undefined) {
-    response.setHeader('retry-after', String(Math.ceil(error.retryAfterMs / SECOND_MS)));
-  }
-  response.writeHead(status, { 'content-type': 'application/problem+json' });
-  const problem = {
-    type: 'about:blank',
-    title: STATUS_CODES[status] ?? 'Error',
-    status,
-    detail: error.message,
-    code: error.code,
-    run: error.run,
-    request_id: context.requestId,
-  };
-  response.end(JSON.stringify(problem));
+  sendError(response, ErrorFormat.Problem, error);
 };
--- a/packages/entry/src/services/types.ts
+++ b/packages/entry/src/services/types.ts
@@ -8,6 +8,7 @@
   WorkspaceName,
 } from '@sardinegrade/common';
 import type { OrderService, ServiceCaller } from '@sardinegrade/orders';
+import type { RetryBudgets } from '../retries/index.js';
 
 /** What is known of a call to a plain service once its caller was authenticated. */
 export interface ServiceCallContext {
@@ -44,6 +45,7 @@
   /** Between 0 and 1. */
   readonly getRandom: () => number;
   readonly newId: () => string;
+  readonly budgets: RetryBudgets;
   /** Told how each call ended. */
   readonly onEnd?: (context: ServiceCallContext, end: ServiceCallEnd) => void;
 }
--- a/packages/lab/src/bench/orders/runOutage.ts
+++ b/packages/lab/src/bench/orders/runOutage.ts
@@ -1,5 +1,5 @@
 import { RunState, ServiceKind, Tier, toBranded } from '@sardinegrade/common';
-import { createRepeatableRunner } from '@sardinegrade/entry';
+import { createRepeatableRunner, RetryBudgets } from '@sardinegrade/entry';
 import {
   CallOutcome,
   createOrderService,
@@ -78,6 +78,7 @@
     sleep: (durationMs) => world.sleep(durationMs),
     getRandom: world.getRandom,
     newId: createIds(),
+    budgets: new RetryBudgets(world.clock),
   });
   return (submission) =>
     run(
