--- a/packages/dispatch/src/tiered/admit.ts
+++ b/packages/dispatch/src/tiered/admit.ts
@@ -117,8 +117,8 @@
   const { ask, owner } = record;
   state.records.set(ask.askId, record);
   state.deadlines.add(record);
-  const isConstrained = isUnderSuspicion(state, record) || ask.excludedUpstreams.length > 0;
-  if (isConstrained) owner.constrained.add(record);
+  const isSpecial = ask.resumeAt > 0 || ask.excludedUpstreams.length > 0;
+  if (isSpecial || isUnderSuspicion(state, record)) owner.constrained.add(record);
   else owner.queue.add(record);
 };
 
@@ -168,8 +168,7 @@
   const next = findNext(state, owner, nowMs) ?? record;
   const bounds = { paying: owner.isPaying, guaranteed: owner.isPaying };
   if (takePlace(state, next, bounds, nowMs)) return;
-  const isConstrained = owner.constrained.has(record);
-  const excess = isConstrained ? record : (owner.queue.peekExcess() ?? record);
+  const excess = owner.queue.peekExcess() ?? record;
   refuseQueued(state, displaced ?? excess, nowMs);
 };
 
--- a/packages/dispatch/src/tiered/tiers.test.ts
+++ b/packages/dispatch/src/tiered/tiers.test.ts
@@ -213,3 +213,14 @@
   assert.deepEqual(shard.release('paying', 600), []);
   assert.deepEqual(listKinds(shard.tick(700)), ['preempt:cancel free']);
 });
+
+test('an answer to resume goes before new asks of its class and is not refused in their place', () => {
+  const classes = [{ name: toBranded<never>('query'), queueLimit: 2 }];
+  const shard = createTestShard({ engines: 1, slots: 1, classes });
+  shard.ask({ askId: 'running' });
+  shard.ask({ askId: 'new-1' });
+  shard.ask({ askId: 'new-2' });
+  const actions = shard.ask({ askId: 'resumed', resumeAt: 40, attempt: 2 });
+  assert.deepEqual(listKinds(actions), ['refuse new-2']);
+  assert.deepEqual(listKinds(shard.release('running', 100)), ['grant resumed']);
+});
--- a/packages/dispatch/src/tiered/types.ts
+++ b/packages/dispatch/src/tiered/types.ts
@@ -24,7 +24,7 @@
   /** False once the configuration no longer has the class; it is kept while its asks run. */
   isConfigured: boolean;
   readonly queue: ClassQueue<AskRecord>;
-  /** Waiting asks that not every engine may serve: retries, suspects and asks with exclusions. */
+  /** Waiting asks that go first: answers to resume, and asks that not every engine may serve. */
   readonly constrained: Set<AskRecord>;
   readonly running: Set<AskRecord>;
   readonly paused: Set<AskRecord>;
