--- a/packages/entry/src/daemon/OrderDesk.ts
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -44,13 +44,17 @@
   readonly getConfiguration: () => Configuration | undefined;
   readonly isUpstreamDown: (upstream: UpstreamId) => boolean;
   readonly isVmGone: (vm: VmId) => boolean;
-  readonly listVms: () => readonly VmId[];
+  /** The daemons of this data centre, one of which sweeps: a data centre may be cut off. */
+  readonly listNeighbours: () => readonly VmId[];
   /** Throws where something that the service depends on cannot serve. */
   readonly checkDependencies: (caller: CallerRequest, service: ServiceConfiguration) => void;
 }
 
+// The open ports keep a running daemon's loop alive; an order's long deadline must not keep an ended one.
 const sleepMs = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, durationMs));
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs).unref();
+  });
 
 const getClassHeader = ({ request }: CallerRequest): string | undefined => {
   const value = request.headers['sardinegrade-class'];
@@ -161,7 +165,8 @@
   };
 
   readonly #isOnDuty = (): boolean =>
-    this.#isActive && rankByRendezvous(SWEEP_KEY, this.#options.listVms())[0] === this.#options.vm;
+    this.#isActive &&
+    rankByRendezvous(SWEEP_KEY, this.#options.listNeighbours())[0] === this.#options.vm;
 }
 
 const decodeName = (name: string | undefined): string => {
