--- a/packages/lab/src/integration/orders/orderFleet.ts
+++ b/packages/lab/src/integration/orders/orderFleet.ts
@@ -19,6 +19,10 @@
 
 const WORKSPACE = 'rig-desk';
 const SERVICE = 'booking';
+
+/** The same upstream, as a service that is said to de-duplicate. */
+const DEDUPLICATING_SERVICE = 'ledger';
+
 const DEADLINE_MS = 4_000;
 
 /** What a caller is told of an order. */
@@ -78,8 +82,29 @@
 
   /** Counts how often the service has carried an order out. */
   async countExecutions(key: string): Promise<number> {
+    return this.pickExecutions(await this.readExecutions(), key);
+  }
+
+  /** Reads how often the service has carried out each order. */
+  async readExecutions(): Promise<ServiceCounts['byKey']> {
     const counts = (await readControl(this.serviceAddress)) as unknown as ServiceCounts;
-    return counts.byKey[`${WORKSPACE}/${key}`] ?? 0;
+    return counts.byKey;
+  }
+
+  /** Picks one order out of all executions. */
+  pickExecutions(executions: ServiceCounts['byKey'], key: string): number {
+    return executions[`${WORKSPACE}/${key}`] ?? 0;
+  }
+
+  /** Calls the service as a daemon would, without a daemon. */
+  async callServiceDirectly(): Promise<void> {
+    const headers = { 'x-attempt-id': 'direct' };
+    const response = await fetch(`${this.serviceProxy.address}/orders`, {
+      method: 'POST',
+      headers,
+      body: 'bit',
+    });
+    await response.text();
   }
 
   async readRecord(key: string): Promise<OrderRecord | undefined> {
@@ -96,9 +121,14 @@
   }
 
   /** Sends an order; a broken connection counts as status 0. */
-  async sendOrder(entry: EntryProcess, key: string, body = 'bit'): Promise<OrderReply> {
+  async sendOrder(
+    entry: EntryProcess,
+    key: string,
+    body = 'bit',
+    service = SERVICE,
+  ): Promise<OrderReply> {
     try {
-      const response = await fetch(`${entry.callers}/services/${SERVICE}/orders`, {
+      const response = await fetch(`${entry.callers}/services/${service}/orders`, {
         method: 'POST',
         headers: {
           authorization: `Bearer ${getWorkspaceKey(WORKSPACE)}`,
@@ -146,6 +176,16 @@
 
 const RESEND_TIMEOUT_MS = 120_000;
 
+const CLASS = {
+  tier: Tier.Paying,
+  priority: 0,
+  first_token_target: '1s',
+  token_interval_target: '1s',
+  deadline: `${DEADLINE_MS}ms`,
+  minimum_share: 0.1,
+  queue_limit: 100,
+};
+
 const buildConfiguration = (serviceAddress: string, hasLookup: boolean) => ({
   [`service.${SERVICE}`]: {
     kind: 'plain',
@@ -154,15 +194,14 @@
     order_retention: '1h',
     ...(hasLookup ? { status_lookup: '/status/{key}' } : {}),
   },
-  [`service.${SERVICE}.class.order`]: {
-    tier: Tier.Paying,
-    priority: 0,
-    first_token_target: '1s',
-    token_interval_target: '1s',
-    deadline: `${DEADLINE_MS}ms`,
-    minimum_share: 0.1,
-    queue_limit: 100,
+  [`service.${SERVICE}.class.order`]: CLASS,
+  [`service.${DEDUPLICATING_SERVICE}`]: {
+    kind: 'plain',
+    pool: 'desk',
+    default_class: 'order',
+    upstream_deduplicates: 'true',
   },
+  [`service.${DEDUPLICATING_SERVICE}.class.order`]: CLASS,
   'upstream.desk-1': {
     pool: 'desk',
     data_centre: 'a',
