--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 /** The entry daemon. */
+export * from './administration/journal/index.js';
 export * from './callers/index.js';
 export * from './daemon/index.js';
 export * from './grants/index.js';
--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -3,6 +3,7 @@
 import { CONTROL_BENCH } from './control/index.js';
 import { CRASH_BENCH } from './crash/index.js';
 import { DECIDE_BENCH } from './decide/index.js';
+import { OBSERVE_BENCH } from './observe/index.js';
 import { OVERLOAD_BENCH } from './overload/index.js';
 import { POISON_BENCH } from './poison/index.js';
 import { RELAY_BENCH } from './relay/index.js';
@@ -23,4 +24,5 @@
   DECIDE_BENCH,
   CONFIG_BENCH,
   CONTROL_BENCH,
+  OBSERVE_BENCH,
 ];
