--- a/packages/lab/src/bench/crash/crash.ts
+++ b/packages/lab/src/bench/crash/crash.ts
@@ -8,6 +8,7 @@
   countOutcome,
   describeScenario,
   runComparison,
+  toRuns,
   waitWithin,
 } from '../support/index.js';
 
@@ -56,14 +57,36 @@
   scenario.results.filter((result) => BROKEN.has(result.outcome) && !isOnKilledDaemon(result))
     .length;
 
+/** Tokens of answers that were cut because their daemon was killed, as a part of all tokens made. */
+const computeDaemonWaste = (scenario: ScenarioResult): number => {
+  const cut = scenario.results.filter(
+    (result) => result.outcome === CallerOutcome.Cut && isOnKilledDaemon(result),
+  );
+  return cut.reduce((sum, { tokens }) => sum + tokens, 0) / scenario.engineTokens;
+};
+
+const describeRun = (scenario: ScenarioResult): Readonly<Record<string, unknown>> => ({
+  ...describeScenario(scenario),
+  broken: countBroken(scenario),
+  wasted_with_daemon: computeDaemonWaste(scenario),
+});
+
 const buildTable = (scenarios: readonly ScenarioResult[]): BenchTable => ({
   title: 'Together',
-  columns: ['policy', 'paying attained', 'broken on living daemons', 'wasted', 'false not run'],
+  columns: [
+    'policy',
+    'paying attained',
+    'broken on living daemons',
+    'wasted',
+    'of it, with the killed daemon',
+    'false not run',
+  ],
   rows: scenarios.map((scenario) => [
     scenario.policy,
     computePayingAttainment(scenario),
     countBroken(scenario),
     scenario.wastedPart,
+    computeDaemonWaste(scenario),
     scenario.falseNotRun,
   ]),
 });
@@ -89,9 +112,10 @@
         requireAtMost('false "not run"', product.falseNotRun, 0),
         requireAtMost('wasted tokens, as a part of all', product.wastedPart, 0.02),
       ],
+      runs: toRuns([product, naive]),
       figures: {
-        product: { ...describeScenario(product), broken: countBroken(product) },
-        naive: { ...describeScenario(naive), broken: countBroken(naive) },
+        product: describeRun(product),
+        naive: describeRun(naive),
       },
     };
   },
