feat(entry): count grants, preemptions, retries and attempts; drop metrics that nothing recorded

Cause: docs/METRICS.md named metrics that no code recorded, so that an operator would wait for them in vain. Change: the chat path counts decisions, preemptions, retries and attempts by outcome; running requests, peer bytes and control processor time leave the list until something measures them.

--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -50,7 +50,7 @@
   },
   [MetricName.Grants]: {
     kind: Counter,
-    help: 'Grants that this daemon asked for, by how they were decided.',
+    help: 'Asks of this daemon for an engine, by decision (granted, refused).',
     labels: [...TRAFFIC, 'decision'],
   },
   [MetricName.Preemptions]: {
@@ -60,7 +60,7 @@
   },
   [MetricName.Retries]: {
     kind: Counter,
-    help: 'Attempts after the first, by cause.',
+    help: 'Asks after the first, by cause (retried, resumed).',
     labels: ['service', 'cause'],
   },
   [MetricName.UpstreamAttempts]: {
@@ -78,11 +78,6 @@
     help: 'Calls to the platform, by method and outcome.',
     labels: ['method', 'outcome'],
   },
-  [MetricName.PeerBytes]: {
-    kind: Counter,
-    help: 'Bytes sent to other daemons, by kind (membership, dispatch, configuration).',
-    labels: ['kind'],
-  },
   [MetricName.FirstToken]: {
     kind: Summary,
     help: 'Time from arrival to the first token.',
@@ -113,11 +108,6 @@
     help: 'Requests that wait at dispatchers of this daemon.',
     labels: TRAFFIC,
   },
-  [MetricName.Running]: {
-    kind: Gauge,
-    help: 'Requests of this daemon that run on upstreams.',
-    labels: ['service'],
-  },
   [MetricName.Generation]: {
     kind: Gauge,
     help: 'Configuration generation in force.',
@@ -133,11 +123,6 @@
     help: 'Upstreams by pool and health.',
     labels: ['pool', 'health'],
   },
-  [MetricName.ControlCpu]: {
-    kind: Counter,
-    help: 'Processor time spent on control (membership, configuration, dispatch).',
-    labels: ['kind'],
-  },
   [MetricName.DroppedLabels]: {
     kind: Counter,
     help: 'Label sets counted under other because a metric had reached its bound.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -14,18 +14,15 @@
   UpstreamAttempts = 'sardinegrade_upstream_attempts_total',
   OrderWrites = 'sardinegrade_order_writes_total',
   PlatformCalls = 'sardinegrade_platform_calls_total',
-  PeerBytes = 'sardinegrade_peer_bytes_total',
   FirstToken = 'sardinegrade_first_token_seconds',
   TokenInterval = 'sardinegrade_token_interval_seconds',
   QueueWait = 'sardinegrade_queue_wait_seconds',
   RequestDuration = 'sardinegrade_request_seconds',
   Attainment = 'sardinegrade_attainment_ratio',
   Queued = 'sardinegrade_queued_requests',
-  Running = 'sardinegrade_running_requests',
   Generation = 'sardinegrade_configuration_generation',
   Members = 'sardinegrade_members',
   Upstreams = 'sardinegrade_upstreams',
-  ControlCpu = 'sardinegrade_control_cpu_seconds_total',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
 }
 
--- a/packages/entry/src/models/ChatObserver.ts
+++ b/packages/entry/src/models/ChatObserver.ts
@@ -1,4 +1,5 @@
-import { Hop, ResultCode } from '@sardinegrade/common';
+import { Hop, MetricName, ResultCode } from '@sardinegrade/common';
+import { AttemptEnd } from '@sardinegrade/upstream';
 
 import { DecisionKind } from '../administration/index.js';
 
@@ -33,6 +34,7 @@
   #waitSpan: HopSpan | undefined;
   #attemptSpan: HopSpan | undefined;
   #askedAtMs = 0;
+  #upstream: UpstreamId | undefined;
   #firstTokenAtMs: number | undefined;
   #lastTokenAtMs = 0;
 
@@ -58,6 +60,7 @@
 
   readonly recordRefusal = (code: ResultCode): void => {
     this.#waitSpan?.finish({ code });
+    this.#countDecision('refused');
     this.#trail.record(DecisionKind.Refused, 'The dispatcher refused the request.', { code });
   };
 
@@ -73,6 +76,8 @@
     const { service, serviceClass } = this.#target;
     const waitMs = this.#services.clock.getNowMs() - this.#askedAtMs;
     this.#services.metrics.recordQueueWait(service.name, serviceClass.name, waitMs);
+    this.#countDecision('granted');
+    this.#upstream = upstream;
     this.#waitSpan?.finish({ attributes: { upstream } });
     const detail = `Granted after ${waitMs} ms, priority ${priority}, from token ${resumeAt}.`;
     this.#trail.record(DecisionKind.Granted, detail, { upstream });
@@ -100,18 +105,24 @@
     tokens: number,
   ): void => {
     this.#attemptSpan?.finish({ attributes: { end, tokens } });
+    this.#countAttempt(upstream, end);
     const detail = `The attempt ended as ${end} after ${tokens} tokens. ${message}`.trim();
     this.#trail.record(DecisionKind.AttemptFailed, detail, { upstream });
   };
 
-  readonly recordPreemption = (upstream: UpstreamId, mode: PreemptionMode): void =>
+  readonly recordPreemption = (upstream: UpstreamId, mode: PreemptionMode): void => {
+    const { service, className } = this.#getLabels();
+    const labels = { service, class: className, mode };
+    this.#services.metrics.addCount(MetricName.Preemptions, labels);
     this.#trail.record(DecisionKind.Preempted, `Preempted: ${mode}.`, { upstream });
+  };
 
-  readonly recordRetry = (failures: number, resumeAt: number): void =>
-    this.#trail.record(
-      resumeAt > 0 ? DecisionKind.Resumed : DecisionKind.Retried,
-      `Asks again after ${failures} failures, from token ${resumeAt}.`,
-    );
+  readonly recordRetry = (failures: number, resumeAt: number): void => {
+    const cause = resumeAt > 0 ? DecisionKind.Resumed : DecisionKind.Retried;
+    const { service } = this.#getLabels();
+    this.#services.metrics.addCount(MetricName.Retries, { service, cause });
+    this.#trail.record(cause, `Asks again after ${failures} failures, from token ${resumeAt}.`);
+  };
 
   readonly recordWaste = (cause: WasteCause, tokens: number): void => {
     if (tokens > 0) this.#services.metrics.recordWaste(this.#target.service.name, cause, tokens);
@@ -125,6 +136,7 @@
         : this.#firstTokenAtMs - this.#caller.arrivedAtMs;
     const tokenIntervalMs = this.#getIntervalMs(tokens);
     this.#attemptSpan?.finish({ attributes: { tokens } });
+    if (this.#upstream !== undefined) this.#countAttempt(this.#upstream, AttemptEnd.Finished);
     this.#services.metrics.recordAnswer({
       ...this.#getLabels(),
       firstTokenMs,
@@ -147,6 +159,14 @@
     this.#trail.finish(code);
   };
 
+  readonly #countDecision = (decision: string): void => {
+    const { service, className } = this.#getLabels();
+    this.#services.metrics.addCount(MetricName.Grants, { service, class: className, decision });
+  };
+
+  readonly #countAttempt = (upstream: UpstreamId, outcome: string): void =>
+    this.#services.metrics.addCount(MetricName.UpstreamAttempts, { upstream, outcome });
+
   readonly #startSpan = (hop: Hop, attributes: Record<string, string | number>): HopSpan =>
     this.#services.tracing.startSpan(hop, {
       parent: this.#caller.span.context,
--- a/packages/lab/src/operations/TestFleet.ts
+++ b/packages/lab/src/operations/TestFleet.ts
@@ -144,6 +144,19 @@
       body: key,
     });
 
+  /**
+   * Reads a daemon's metrics.
+   *
+   * @param index - the daemon
+   * @returns Prometheus text
+   */
+  readonly readMetrics = async (index: number): Promise<string> => {
+    const response = await fetch(`${this.getVm(index).getAddress('administration')}/metrics`, {
+      headers: { authorization: `Bearer ${READER_KEY}` },
+    });
+    return response.text();
+  };
+
   readonly #require = <Value>(value: Value | undefined): Value => {
     if (value === undefined) throw new Error('The fleet has not been started so far.');
     return value;
--- a/packages/lab/src/operations/operations.test.ts
+++ b/packages/lab/src/operations/operations.test.ts
@@ -48,6 +48,16 @@
     assert.match(served.out, /granted +e1/);
     assert.match(served.out, /Answered whole/);
 
+    const metrics = await fleet.readMetrics(1);
+    for (const line of [
+      'sardinegrade_grants_total{service="counter",class="query",decision="granted"} 1',
+      'sardinegrade_upstream_attempts_total{upstream="e1",outcome="finished"} 1',
+      'sardinegrade_attained_total{service="counter",class="query"} 1',
+      'sardinegrade_configuration_generation 1',
+    ]) {
+      assert.ok(metrics.split('\n').includes(line), `${line} is missing in:\n${metrics}`);
+    }
+
     assert.equal((await fleet.complete(0, 'bad-class', { className: 'x' })).status, 400);
     const refused = await fleet.run(['explain', 'bad-class']);
     assert.match(refused.out, /UnknownClass \(1010\)/);
