refactor: one place for the worse of two service states

Cause: the daemon's status and the command line's merge each had the ranking. Change: pickWorseState in common; both use it. Tests of both pass.

--- a/packages/cli/src/mergeStatuses.ts
+++ b/packages/cli/src/mergeStatuses.ts
@@ -1,4 +1,4 @@
-import { ServiceState } from '@sardinegrade/common';
+import { pickWorseState } from '@sardinegrade/common';
 
 import type {
   AttainmentView,
@@ -9,12 +9,6 @@
   VmView,
 } from '@sardinegrade/common';
 
-const STATE_RANK: Readonly<Record<ServiceState, number>> = {
-  [ServiceState.Serving]: 0,
-  [ServiceState.Degraded]: 1,
-  [ServiceState.Down]: 2,
-};
-
 const mergeAttainment = (a: AttainmentView, b: AttainmentView): AttainmentView => {
   const requests = a.requests + b.requests;
   const attained = a.attained + b.attained;
@@ -47,7 +41,7 @@
   const classes = new Map(b.classes.map((view) => [view.name, view]));
   return {
     ...a,
-    state: STATE_RANK[a.state] >= STATE_RANK[b.state] ? a.state : b.state,
+    state: pickWorseState(a.state, b.state),
     reasons: [...new Set([...a.reasons, ...b.reasons])],
     upstreams_in_use: Math.min(a.upstreams_in_use, b.upstreams_in_use),
     classes: a.classes.map((view) => mergeClass(view, classes.get(view.name))),
--- a/packages/common/src/administration/index.ts
+++ b/packages/common/src/administration/index.ts
@@ -3,4 +3,5 @@
 export * from './enums.js';
 export * from './resultAdvice.js';
 export * from './schemas.js';
+export * from './serviceState.js';
 export type * from './types.js';
--- a/packages/entry/src/administration/views/describeServices.ts
+++ b/packages/entry/src/administration/views/describeServices.ts
@@ -1,4 +1,4 @@
-import { MetricName, ServiceState } from '@sardinegrade/common';
+import { MetricName, pickWorseState, ServiceState } from '@sardinegrade/common';
 
 import type {
   AttainmentView,
@@ -80,15 +80,6 @@
   return inUse < total ? ServiceState.Degraded : ServiceState.Serving;
 };
 
-const STATE_RANK: Readonly<Record<ServiceState, number>> = {
-  [ServiceState.Serving]: 0,
-  [ServiceState.Degraded]: 1,
-  [ServiceState.Down]: 2,
-};
-
-const pickWorse = (a: ServiceState, b: ServiceState): ServiceState =>
-  STATE_RANK[a] >= STATE_RANK[b] ? a : b;
-
 const describeService = (
   context: AdministrationContext,
   configuration: Configuration,
@@ -99,7 +90,7 @@
   const pool = measurePool(configuration, service, states);
   const failing = dependencies.filter(({ state }) => state !== ServiceState.Serving);
   const reasons = failing.map(({ name, state }) => `depends on ${name}, which is ${state}`);
-  const state = failing.map((view) => view.state).reduce(pickWorse, deriveOwnState(pool));
+  const state = failing.map((view) => view.state).reduce(pickWorseState, deriveOwnState(pool));
   return {
     name: service.name,
     kind: service.kind,
