--- a/packages/lab/src/bench/index.ts
+++ b/packages/lab/src/bench/index.ts
@@ -4,6 +4,7 @@
 import { CRASH_BENCH } from './crash/index.js';
 import { DECIDE_BENCH } from './decide/index.js';
 import { ORDERS_BENCH } from './orders/index.js';
+import { OBSERVE_BENCH } from './observe/index.js';
 import { OVERLOAD_BENCH } from './overload/index.js';
 import { POISON_BENCH } from './poison/index.js';
 import { RELAY_BENCH } from './relay/index.js';
@@ -25,4 +26,5 @@
   CONFIG_BENCH,
   CONTROL_BENCH,
   ORDERS_BENCH,
+  OBSERVE_BENCH,
 ];
