--- a/packages/orders/src/recordStore.ts
+++ b/packages/orders/src/recordStore.ts
@@ -54,6 +54,15 @@
 const toStored = (object: PlatformObject | undefined): StoredOrder | undefined =>
   object === undefined ? undefined : parseStoredOrder(object);
 
+/** What stands in the way of a write need not be a record; the write has had no effect all the same. */
+const findReadable = (object: PlatformObject | undefined): StoredOrder | undefined => {
+  try {
+    return toStored(object);
+  } catch {
+    return undefined;
+  }
+};
+
 /** How the platform has answered lately, over all writes of a daemon. */
 interface PlatformHealth {
   /** Failed writes since the last answered one. */
@@ -133,7 +142,7 @@
 
   private compareCurrent(current: PlatformObject | undefined): SaveResult {
     if (current?.changeId === this.write.changeId) return this.buildSaved(current.version);
-    return { outcome: SaveOutcome.Conflict, current: toStored(current) };
+    return { outcome: SaveOutcome.Conflict, current: findReadable(current) };
   }
 
   private buildSaved(version: number): SaveResult {
