fix(entry): an ask that ends before it was sent is not sent

Ruled out: taking asks first, which breaks a withdrawal followed by the same ask when a request moves back. Change: the sender drops the unsent ask instead.

--- a/packages/entry/src/grants/PeerSession.ts
+++ b/packages/entry/src/grants/PeerSession.ts
@@ -74,6 +74,7 @@
 
   readonly withdraw = (askId: string): void => {
     this.#waiting.delete(askId);
+    if (this.#removeUnsentAsk(askId)) return;
     this.#getOutgoing().withdrawals.push({ askId });
   };
 
@@ -83,6 +84,7 @@
 
   readonly release = (release: GrantRelease): void => {
     this.#waiting.delete(release.askId);
+    if (this.#removeUnsentAsk(release.askId)) return;
     this.#getOutgoing().releases.push(encodeRelease(release));
   };
 
@@ -104,6 +106,14 @@
     if (actions.length > 0) this.#listener.onActions(this.#vm, actions);
   };
 
+  /** A receiver takes the ends in a message before its asks, so an ask that ended unsent must not be sent. */
+  readonly #removeUnsentAsk = (askId: string): boolean => {
+    const asks = this.#outgoing?.asks ?? [];
+    const index = asks.findIndex((ask) => ask.askId === askId);
+    if (index >= 0) asks.splice(index, 1);
+    return index >= 0;
+  };
+
   readonly #getOutgoing = (): DispatchProtocol.EntryMessage => {
     if (this.#outgoing !== undefined) return this.#outgoing;
     this.#outgoing = createEntryMessage();
