refactor(entry): split the daemon's wiring into base, dispatch, serving and the fleet's view

Change: what all parts share, what decides, what serves and the view of the fleet are modules of their own; EntryDaemon keeps start and shutdown. Behaviour as it was.

--- /dev/null
+++ b/packages/entry/src/daemon/ServingParts.ts
@@ -0,0 +1,122 @@
+import { randomUUID } from 'node:crypto';
+import { createServer } from 'node:http';
+
+import { ReloadingCertificate } from '@sardinegrade/fleet';
+
+import {
+  createAdministrationContext,
+  createAdministrationHandler,
+} from '../administration/index.js';
+import { CallerServer } from '../callers/index.js';
+import { createModelRoutes } from '../models/index.js';
+import { registerGauges } from '../observation/index.js';
+import { createOpenPaths } from './openPaths.js';
+import { OrderDesk } from './OrderDesk.js';
+
+import type { Server } from 'node:http';
+import type { AttemptId, ServiceConfiguration } from '@sardinegrade/common';
+import type { CallerRequest, CallerRoute } from '../callers/index.js';
+import type { DaemonBase } from './daemonBase.js';
+import type { DispatchParts } from './DispatchParts.js';
+import type { FleetView } from './FleetView.js';
+
+/** What the serving parts need besides the base. */
+export interface ServingOptions {
+  readonly fleet: FleetView;
+  readonly dispatch: DispatchParts;
+  readonly isReady: () => boolean;
+}
+
+/** The parts that serve callers and administrators. */
+export class ServingParts {
+  readonly desk: OrderDesk;
+  readonly callers: CallerServer;
+  readonly administration: Server;
+  readonly #base: DaemonBase;
+  readonly #options: ServingOptions;
+  readonly #certificate: ReloadingCertificate | undefined;
+
+  constructor(base: DaemonBase, options: ServingOptions) {
+    this.#base = base;
+    this.#options = options;
+    this.#certificate = this.#createCertificate();
+    this.desk = this.#createDesk();
+    this.callers = this.#createCallers();
+    this.administration = this.#createAdministration();
+  }
+
+  /** Closes the ports and cuts what is still open. */
+  readonly stop = (): void => {
+    this.#certificate?.stop();
+    this.callers.server.closeAllConnections();
+    this.administration.close();
+    this.administration.closeAllConnections();
+  };
+
+  readonly #createCertificate = (): ReloadingCertificate | undefined => {
+    const { settings, logger } = this.#base;
+    const { tls_certificate: certificate, tls_key: key } = settings.callers;
+    if (certificate === undefined || key === undefined) return undefined;
+    return new ReloadingCertificate({ certificate, key }, (error) =>
+      logger.error('The certificate for callers cannot be replaced.', { error }),
+    );
+  };
+
+  readonly #createCallers = (): CallerServer =>
+    new CallerServer({
+      ...this.#base,
+      routes: [...this.#createModelRoutes(), ...this.desk.routes],
+      serveOpenPath: createOpenPaths({ isReady: this.#options.isReady }),
+      getConfiguration: this.#options.fleet.agent.getConfiguration,
+      certificate: this.#certificate,
+    });
+
+  readonly #createModelRoutes = (): readonly CallerRoute[] => {
+    const { broker, engines, facts } = this.#options.dispatch;
+    return createModelRoutes({
+      ...this.#base,
+      broker,
+      engines,
+      retries: this.#base.budgets,
+      bodyLimitBytes: this.#base.settings.callers.body_limit,
+      checkDependencies: this.#checkDependencies,
+      isSuspect: facts.isSuspect,
+      onUpstreamDied: (_upstream, fingerprint) => facts.spreadSuspect(fingerprint),
+      createAttemptId: () => randomUUID() as AttemptId,
+    });
+  };
+
+  readonly #createDesk = (): OrderDesk => {
+    const { fleet, dispatch } = this.#options;
+    const { settings } = this.#base;
+    return new OrderDesk({
+      ...this.#base,
+      bodyLimitBytes: settings.callers.body_limit,
+      writesPerSecond: settings.orders.writes_per_second,
+      getConfiguration: fleet.agent.getConfiguration,
+      isUpstreamDown: dispatch.facts.isDown,
+      isVmGone: dispatch.facts.isVmGone,
+      listNeighbours: fleet.listLocalVms,
+      checkDependencies: this.#checkDependencies,
+    });
+  };
+
+  readonly #createAdministration = (): Server => {
+    const { fleet, dispatch, isReady } = this.#options;
+    const context = createAdministrationContext({
+      ...this.#base,
+      administrators: this.#base.settings.administrator,
+      fleet: fleet.agent,
+      orders: this.desk.orders,
+      traces: this.#base.tracing.recent,
+      describeDispatchers: () => dispatch.host.describe().values(),
+      isUpstreamDown: dispatch.facts.isDown,
+      isReady,
+    });
+    registerGauges(this.#base.metrics, context);
+    return createServer(createAdministrationHandler(context));
+  };
+
+  readonly #checkDependencies = (caller: CallerRequest, service: ServiceConfiguration): void =>
+    this.#options.dispatch.dependencies.requireDependencies(caller.configuration, service);
+}
--- /dev/null
+++ b/packages/entry/src/daemon/daemonBase.ts
@@ -0,0 +1,73 @@
+import { createLogger, createMetrics, startTracing, SYSTEM_CLOCK } from '@sardinegrade/common';
+import { createPeerCredentials } from '@sardinegrade/peer';
+import { createPlatformClient } from '@sardinegrade/platform';
+
+import { createRequestJournal } from '../administration/index.js';
+import { observePlatform } from '../observation/index.js';
+import { RetryBudgets } from '../retries/index.js';
+
+import type { Clock, DataCentreName, Logger, Metrics, Tracing, VmId } from '@sardinegrade/common';
+import type { PeerCredentials, PeerTlsFiles } from '@sardinegrade/peer';
+import type { PlatformClient } from '@sardinegrade/platform';
+import type { RequestJournal } from '../administration/index.js';
+import type { EntrySettings } from '../settings/index.js';
+
+/** What all parts of a daemon work with. */
+export interface DaemonBase {
+  readonly settings: EntrySettings;
+  readonly vm: VmId;
+  readonly dataCentre: DataCentreName;
+  readonly clock: Clock;
+  /** Uniform numbers from 0 up to but without 1. */
+  readonly random: () => number;
+  readonly logger: Logger;
+  readonly tracing: Tracing;
+  readonly metrics: Metrics;
+  readonly journal: RequestJournal;
+  readonly platform: PlatformClient;
+  readonly credentials: PeerCredentials;
+  readonly budgets: RetryBudgets;
+}
+
+const getPeerTls = ({ peer }: EntrySettings): PeerTlsFiles | undefined => {
+  const { tls_certificate: certificate, tls_key: key, tls_authority: authority } = peer;
+  if (certificate === undefined || key === undefined || authority === undefined) return undefined;
+  return { certificate, key, authority };
+};
+
+const startDaemonTracing = (settings: EntrySettings, logger: Logger): Tracing =>
+  startTracing({
+    vm: settings.vm.id,
+    dataCentre: settings.vm.data_centre,
+    otlpAddress: settings.traces.otlp_address,
+    onExportError: (error) => logger.warn('Traces were not exported.', { error }),
+  });
+
+/**
+ * Creates what all parts of a daemon work with; nothing is connected yet.
+ *
+ * @param settings - the daemon's settings
+ * @returns the base
+ * @throws Error where a certificate file cannot be used
+ */
+export const createDaemonBase = (settings: EntrySettings): DaemonBase => {
+  const clock = SYSTEM_CLOCK;
+  const logger = createLogger({ ...settings.log, fields: { vm: settings.vm.id } });
+  const tracing = startDaemonTracing(settings, logger);
+  const metrics = createMetrics();
+  const client = createPlatformClient({ address: settings.platform.address });
+  return {
+    settings,
+    vm: settings.vm.id as VmId,
+    dataCentre: settings.vm.data_centre as DataCentreName,
+    clock,
+    random: Math.random,
+    logger,
+    tracing,
+    metrics,
+    journal: createRequestJournal(clock),
+    platform: observePlatform(client, { metrics, tracing }),
+    credentials: createPeerCredentials(getPeerTls(settings)),
+    budgets: new RetryBudgets(clock),
+  };
+};
