--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -1,9 +1,14 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 
-import { credentials, ServerCredentials } from '@grpc/grpc-js';
 import { createLogger, createMetrics, startTracing, SYSTEM_CLOCK } from '@sardinegrade/common';
-import { createFleetAgent, DrainScope, MemberState } from '@sardinegrade/fleet';
+import {
+  createFleetAgent,
+  DrainScope,
+  MemberState,
+  ReloadingCertificate,
+} from '@sardinegrade/fleet';
+import { createPeerCredentials } from '@sardinegrade/peer';
 import { createPlatformClient } from '@sardinegrade/platform';
 import { EngineClient } from '@sardinegrade/upstream';
 
@@ -14,11 +19,11 @@
 } from '../administration/index.js';
 import { CallerServer } from '../callers/index.js';
 import { createDispatchService, DispatchHost, GrantBroker, PeerSession } from '../grants/index.js';
-import { DependencyCheck, UpstreamProber } from '../health/index.js';
+import { DependencyCheck, UpstreamProber, VmListWatcher } from '../health/index.js';
 import { createModelRoutes, RetryBudgets } from '../models/index.js';
 import { observePlatform, registerGauges } from '../observation/index.js';
 import { listenOn } from './addresses.js';
-import { FleetFacts } from './FleetFacts.js';
+import { FleetFacts, toDispatchEvent } from './FleetFacts.js';
 import { OrderDesk } from './OrderDesk.js';
 import { createOpenPaths } from './openPaths.js';
 import { PeerServer } from './PeerServer.js';
@@ -36,6 +41,7 @@
   VmId,
 } from '@sardinegrade/common';
 import type { FleetAgent } from '@sardinegrade/fleet';
+import type { PeerCredentials, PeerTlsFiles } from '@sardinegrade/peer';
 import type { PlatformClient } from '@sardinegrade/platform';
 import type { CallerRequest, CallerRoute } from '../callers/index.js';
 import type { DispatchMember } from '../grants/index.js';
@@ -61,6 +67,8 @@
   readonly #metrics: Metrics = createMetrics();
   readonly #journal = createRequestJournal(SYSTEM_CLOCK);
   readonly #platform: PlatformClient;
+  readonly #credentials: PeerCredentials;
+  readonly #certificate: ReloadingCertificate | undefined;
   readonly #fleet: FleetAgent;
   readonly #engines = new EngineClient(SYSTEM_CLOCK);
   readonly #host: DispatchHost;
@@ -68,6 +76,7 @@
   readonly #facts: FleetFacts;
   readonly #dependencies: DependencyCheck;
   readonly #prober: UpstreamProber;
+  readonly #vmList: VmListWatcher;
   readonly #desk: OrderDesk;
   readonly #callers: CallerServer;
   readonly #peers: PeerServer;
@@ -89,12 +98,15 @@
       metrics: this.#metrics,
       tracing: this.tracing,
     });
+    this.#credentials = createPeerCredentials(getPeerTls(settings));
+    this.#certificate = this.#createCertificate();
     this.#fleet = this.#createFleet();
     this.#host = this.#createHost();
     this.#broker = this.#createBroker();
     this.#facts = new FleetFacts(this.#fleet, this.#host, this.#clock);
     this.#dependencies = new DependencyCheck(this.#facts.downUpstreams, this.#clock);
     this.#prober = this.#createProber();
+    this.#vmList = this.#createVmList();
     this.#desk = this.#createDesk();
     this.#callers = this.#createCallers();
     this.#peers = new PeerServer(
@@ -113,9 +125,10 @@
   readonly start = async (): Promise<DaemonAddresses> => {
     const { peer, callers } = this.#settings;
     this.#followFleet();
-    const peerAddress = await this.#peers.listen(peer.listen, ServerCredentials.createInsecure());
+    const peerAddress = await this.#peers.listen(peer.listen, this.#credentials.server);
     this.#fleet.start(peer.advertise ?? peerAddress);
     this.#prober.start();
+    this.#vmList.start();
     this.#desk.start();
     const callersAddress = await listenOn(this.#callers.server, callers.listen);
     const administration = await listenOn(
@@ -131,6 +144,7 @@
     this.#isLeaving = true;
     this.logger.info('Shutting down.', { count: this.#callers.countOpen() });
     this.#prober.stop();
+    this.#vmList.stop();
     await this.#fleet.leave();
     // The balancer goes on sending requests until it has seen that this VM is not ready.
     await sleepMs(this.#settings.shutdown.settle_time);
@@ -158,12 +172,21 @@
     this.#fleet.stop();
     this.#peers.stop();
     this.#callers.server.closeAllConnections();
+    this.#certificate?.stop();
     this.#administration.close();
     this.#administration.closeAllConnections();
     await this.#engines.close();
     await this.tracing.stop();
   };
 
+  readonly #createCertificate = (): ReloadingCertificate | undefined => {
+    const { tls_certificate: certificate, tls_key: key } = this.#settings.callers;
+    if (certificate === undefined || key === undefined) return undefined;
+    return new ReloadingCertificate({ certificate, key }, (error) =>
+      this.logger.error('The certificate for callers cannot be replaced.', { error }),
+    );
+  };
+
   readonly #createFleet = (): FleetAgent =>
     createFleetAgent({
       settings: {
@@ -174,6 +197,7 @@
       platform: this.#platform,
       clock: this.#clock,
       random: Math.random,
+      credentials: this.#credentials,
     });
 
   readonly #createHost = (): DispatchHost =>
@@ -184,6 +208,7 @@
       engines: this.#engines,
       tracing: this.tracing,
       onQuarantine: (fingerprint, untilMs) => this.#facts.spreadQuarantine(fingerprint, untilMs),
+      listKnownFacts: () => this.#fleet.getNews().flatMap((news) => toDispatchEvent(news) ?? []),
       onProbe: (upstream, isHealthy) => {
         if (!isHealthy) this.logger.warn('An upstream did not answer a probe.', { upstream });
       },
@@ -198,7 +223,7 @@
       random: Math.random,
       host: this.#host,
       openSession: (member, listener) =>
-        new PeerSession(member, this.#vm, credentials.createInsecure(), this.#clock, listener),
+        new PeerSession(member, this.#vm, this.#credentials.channel, this.#clock, listener),
     });
 
   readonly #createProber = (): UpstreamProber =>
@@ -206,13 +231,26 @@
       vm: this.#vm,
       dataCentre: this.#dataCentre,
       getConfiguration: this.#fleet.getConfiguration,
-      listLocalVms: () =>
-        this.#listDispatchMembers()
-          .filter(({ dataCentre }) => dataCentre === this.#dataCentre)
-          .map(({ vm }) => vm),
+      listLocalVms: this.#listLocalVms,
       onDown: (upstream) => this.#facts.spreadDown(upstream),
     });
 
+  readonly #createVmList = (): VmListWatcher =>
+    new VmListWatcher({
+      vm: this.#vm,
+      dataCentre: this.#dataCentre,
+      clock: this.#clock,
+      platform: this.#platform,
+      getConfiguration: this.#fleet.getConfiguration,
+      listLocalVms: this.#listLocalVms,
+      onLeaving: (upstream) => this.#facts.spreadLeaving(upstream),
+    });
+
+  readonly #listLocalVms = (): readonly VmId[] =>
+    this.#listDispatchMembers()
+      .filter(({ dataCentre }) => dataCentre === this.#dataCentre)
+      .map(({ vm }) => vm);
+
   readonly #createCallers = (): CallerServer =>
     new CallerServer({
       clock: this.#clock,
@@ -223,6 +261,7 @@
       routes: [...this.#createModelRoutes(), ...this.#desk.routes],
       serveOpenPath: createOpenPaths({ isReady: this.isReady }),
       getConfiguration: this.#fleet.getConfiguration,
+      certificate: this.#certificate,
     });
 
   readonly #createModelRoutes = (): readonly CallerRoute[] =>
@@ -307,5 +346,11 @@
       .map(({ vm, dataCentre, address }) => ({ vm, dataCentre, address }));
 }
 
+const getPeerTls = ({ peer }: EntrySettings): PeerTlsFiles | undefined => {
+  const { tls_certificate: certificate, tls_key: key, tls_authority: authority } = peer;
+  if (certificate === undefined || key === undefined || authority === undefined) return undefined;
+  return { certificate, key, authority };
+};
+
 const sleepMs = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
