--- a/packages/lab/src/bench/poison/poison.ts
+++ b/packages/lab/src/bench/poison/poison.ts
@@ -26,9 +26,16 @@
 const RESTART_AFTER_MS = 1_000;
 const ENGINES_LOST_LIMIT = 2;
 
+/** Waits until an engine dies; false where the run ends before. */
+const waitExit = (engine: EngineProcess, signal: AbortSignal): Promise<boolean> =>
+  new Promise((resolve) => {
+    if (signal.aborted) resolve(false);
+    signal.addEventListener('abort', () => resolve(false), { once: true });
+    void engine.process.exited.then(() => resolve(!signal.aborted));
+  });
+
 const keepEngineRunning = async (engine: EngineProcess, signal: AbortSignal): Promise<void> => {
-  for (;;) {
-    await engine.process.exited;
+  while (await waitExit(engine, signal)) {
     if (!(await waitWithin(RESTART_AFTER_MS, signal))) return;
     await engine.start();
   }
@@ -73,8 +80,8 @@
       cluster: buildCluster(VMS, ENGINES, { flags: { 'crash-marker': MARKER } }),
       profile: buildProfile(seed, DURATION_MS, ENGINES, DEMAND),
       disturb: async (cluster, signal) => {
-        for (const engine of cluster.engines) void keepEngineRunning(engine, signal);
-        await sendPoison(cluster, signal);
+        const kept = cluster.engines.map((engine) => keepEngineRunning(engine, signal));
+        await Promise.all([sendPoison(cluster, signal), ...kept]);
       },
       report,
     });
--- a/packages/lab/src/bench/silent/silent.ts
+++ b/packages/lab/src/bench/silent/silent.ts
@@ -76,6 +76,7 @@
         ),
         requireAtMost('wrong answers', countOutcome(product, CallerOutcome.Wrong), 0),
         requireAtMost('cut answers', countOutcome(product, CallerOutcome.Cut), 0),
+        requireAtMost('callers who gave up', countOutcome(product, CallerOutcome.GivenUp), 0),
         requireAtMost('false "not run"', product.falseNotRun, 0),
       ],
       runs: toRuns([product, naive]),
