feat(administration): settle an order as not run with the token of the last look

Cause: packages/orders takes 'not run' only with the settlement token that showing the order gave, but the administration API and the command line neither showed nor passed it, so no operator could settle as not run.

--- a/packages/cli/src/commands/orders.ts
+++ b/packages/cli/src/commands/orders.ts
@@ -55,7 +55,8 @@
   if (reason === undefined) {
     throw new UsageError('A settlement needs --reason.', 'Say how you know; it is kept on record.');
   }
-  const body = JSON.stringify({ verdict, reason });
+  const token = readText(options, 'token');
+  const body = JSON.stringify({ verdict, reason, settlement_token: token });
   const contentType = 'application/json';
   const change = { method: 'POST', path, body, contentType } as const;
   const order = await getClient().change(orderSchema, change);
@@ -96,12 +97,14 @@
       { flags: '--after <name>', description: 'list: where the last page ended' },
       { flags: '--run', description: 'settle: the service carried the order out' },
       { flags: '--not-run', description: 'settle: the service did not, and never will' },
+      { flags: '--token <token>', description: 'settle --not-run: the token that show gave' },
       { flags: '--reason <text>', description: 'settle: how you know; kept on record' },
     ],
     examples: [
       'sardinegrade orders list --state unknown',
       'sardinegrade orders show rig-desk booking bit-17',
       'sardinegrade orders settle rig-desk booking bit-17 --run --reason "in the ledger"',
+      'sardinegrade orders settle rig-desk booking bit-17 --not-run --token settleable-42 --reason "not in the ledger"',
     ],
     isWatchable: true,
     run: runOrders,
--- a/packages/cli/src/output/renderOrder.ts
+++ b/packages/cli/src/output/renderOrder.ts
@@ -3,6 +3,8 @@
 
 import type { OrderView } from '@sardinegrade/common';
 
+const MS_PER_SECOND = 1_000;
+
 /**
  * Renders a list of orders.
  *
@@ -22,6 +24,17 @@
     ]),
   );
 
+const renderSettlement = (order: OrderView): readonly string[] => {
+  if (order.settlement_token !== undefined) {
+    return [
+      `May be settled as not run with --token ${order.settlement_token}, after a look into the service now.`,
+    ];
+  }
+  if (order.not_run_wait_ms === undefined) return [];
+  const seconds = Math.ceil(order.not_run_wait_ms / MS_PER_SECOND);
+  return [`May be settled as not run in ${seconds} s at the earliest; show it again then.`];
+};
+
 /**
  * Renders one order.
  *
@@ -38,6 +51,7 @@
     `Request ${order.request_id}, owner ${order.owner}, answer ${answer}`,
     `Accepted ${formatTime(order.accepted_at_ms)}, settled ${formatTime(order.settled_at_ms) || 'not yet'}`,
   ];
+  head.push(...renderSettlement(order));
   if (order.audit.length === 0) return head.join('\n');
   const rows = order.audit.map(({ at_ms: atMs, by, event, to, reason }) => [
     formatTime(atMs),
--- a/packages/common/src/administration/schemas.ts
+++ b/packages/common/src/administration/schemas.ts
@@ -189,6 +189,10 @@
   settled_at_ms: z.number().optional(),
   answer_status: z.number().optional(),
   answer_bytes: z.number().optional(),
+  /** Until the order may be settled as not run; absent where it is not open. */
+  not_run_wait_ms: z.number().optional(),
+  /** Needed to settle the order as not run; given once no call can still be on its way. */
+  settlement_token: z.string().optional(),
   audit: z.array(auditSchema),
 });
 
@@ -203,6 +207,8 @@
   verdict: z.enum(['run', 'not_run']),
   /** How the operator knows; kept in the order's audit trail. */
   reason: z.string().trim().min(3).max(500),
+  /** From the order as last shown; needed to settle it as not run. */
+  settlement_token: z.string().max(200).optional(),
 });
 
 export const decisionSchema = z.object({
--- a/packages/entry/src/administration/context/context.test.ts
+++ b/packages/entry/src/administration/context/context.test.ts
@@ -6,6 +6,7 @@
 import { OrderState } from '@sardinegrade/orders';
 
 import { TEST_TEXT } from '../testing/createTestContext.js';
+import { describeOrder } from '../views/index.js';
 import { listQueues, listUpstreamStates } from './dispatchStates.js';
 import { createOrderAdministration } from './orderAdministration.js';
 
@@ -109,3 +110,25 @@
     { service: 'counter', className: 'query', queued: 4 },
   ]);
 });
+
+test('an order is settled as not run with the token that showing it gave', async () => {
+  const stored = createOrder(1);
+  const settled: (string | undefined)[] = [];
+  const orders = createOrderAdministration({
+    ...createOperations(0),
+    showOrder: () => Promise.resolve({ stored, notRunWaitMs: 0, settlementToken: 'settleable-1' }),
+    settleOrder: ({ settlementToken }) => {
+      settled.push(settlementToken);
+      return Promise.resolve(stored);
+    },
+  });
+  const { workspace, service, key } = stored.record;
+  const reference = { workspace, service, key };
+  const shown = await orders.show(reference);
+  assert.ok(shown !== undefined);
+  const view = describeOrder(shown);
+  assert.equal(view.settlement_token, 'settleable-1');
+  const settlement = { wasRun: false, reason: 'not in the ledger', operator: 'ann' };
+  await orders.settle(reference, { ...settlement, settlementToken: view.settlement_token });
+  assert.deepEqual(settled, ['settleable-1']);
+});
--- a/packages/entry/src/administration/routes/orders.ts
+++ b/packages/entry/src/administration/routes/orders.ts
@@ -51,11 +51,20 @@
   context: AdministrationContext,
   request: RouteInput,
 ): Promise<RouteReply> => {
-  const { verdict, reason } = readJson(request, settlementSchema);
+  const {
+    verdict,
+    reason,
+    settlement_token: settlementToken,
+  } = readJson(request, settlementSchema);
   const operator = request.administrator?.name ?? '';
   const reference = readReference(request);
   const wasRun = verdict === 'run';
-  const order = await context.orders.settle(reference, { wasRun, reason, operator });
+  const order = await context.orders.settle(reference, {
+    wasRun,
+    reason,
+    operator,
+    settlementToken,
+  });
   context.logger.info('order settled', {
     operator,
     workspace: reference.workspace,
--- a/packages/entry/src/administration/views/describeOrder.ts
+++ b/packages/entry/src/administration/views/describeOrder.ts
@@ -19,6 +19,8 @@
   settled_at_ms: order.settledAtMs,
   answer_status: order.answer?.status,
   answer_bytes: order.answer?.bytes,
+  not_run_wait_ms: order.notRunWaitMs,
+  settlement_token: order.settlementToken,
   audit: order.audit.map(({ atMs, by, event, to, reason }) => ({
     at_ms: atMs,
     by,
