fix(entry): a silent start leaves time within the deadline for another attempt

Change: at most 30 % of the time left, never below 3 s; the timeouts are a module of their own. Before: 30 s for a 10 s target with 20 s left; after: 6 s, 3 tests.

--- a/packages/entry/src/models/ChatCall.ts
+++ b/packages/entry/src/models/ChatCall.ts
@@ -3,15 +3,8 @@
 import { AttemptCommand, AttemptEnd } from '@sardinegrade/upstream';
 
 import { ChatObserver } from './ChatObserver.js';
-import {
-  FIRST_SILENCE_TARGETS,
-  MAX_FIRST_SILENCE_MS,
-  MAX_SILENCE_MS,
-  MIN_FIRST_SILENCE_MS,
-  MIN_SILENCE_MS,
-  PROGRESS_INTERVAL_TOKENS,
-  SILENCE_INTERVALS,
-} from './constants.js';
+import { PROGRESS_INTERVAL_TOKENS } from './constants.js';
+import { computeFirstTokenTimeoutMs, computeTokenTimeoutMs } from './progressTimeouts.js';
 import { describeRefusal, getRunState } from './refusals.js';
 import { RunningAttempt } from './RunningAttempt.js';
 
@@ -70,9 +63,6 @@
   [AttemptEnd.Aborted]: ReleaseReason.CallerGone,
 };
 
-const clampMs = (valueMs: number, minimumMs: number, maximumMs: number): number =>
-  Math.min(maximumMs, Math.max(minimumMs, valueMs));
-
 const ENDS_NOT_RUN: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Refused, AttemptEnd.NotSent]);
 
 /** Carries one completion request from its first ask to its last byte. */
@@ -180,6 +170,7 @@
     traceparent: string,
   ): EngineAttempt => {
     const { firstTokenTargetMs, tokenIntervalTargetMs } = this.#input.target.serviceClass;
+    const remainingMs = this.#input.deadlineAtMs - this.#services.clock.getNowMs();
     return {
       attemptId,
       upstream,
@@ -187,16 +178,8 @@
       priority,
       resumeAt: this.#tokens,
       traceparent,
-      firstTokenTimeoutMs: clampMs(
-        firstTokenTargetMs * FIRST_SILENCE_TARGETS,
-        MIN_FIRST_SILENCE_MS,
-        MAX_FIRST_SILENCE_MS,
-      ),
-      tokenTimeoutMs: clampMs(
-        tokenIntervalTargetMs * SILENCE_INTERVALS,
-        MIN_SILENCE_MS,
-        MAX_SILENCE_MS,
-      ),
+      firstTokenTimeoutMs: computeFirstTokenTimeoutMs(firstTokenTargetMs, remainingMs),
+      tokenTimeoutMs: computeTokenTimeoutMs(tokenIntervalTargetMs),
     };
   };
 
--- a/packages/entry/src/models/constants.ts
+++ b/packages/entry/src/models/constants.ts
@@ -21,5 +21,8 @@
 /** First-token targets that may pass before a silent start is given up. */
 export const FIRST_SILENCE_TARGETS = 4;
 
+/** Part of the time left to the deadline that a silent start may take. */
+export const FIRST_SILENCE_DEADLINE_SHARE = 0.3;
+
 /** Text of an answer that is not streamed, at most. */
 export const COLLECTED_ANSWER_LIMIT_CHARACTERS = 4_000_000;
--- /dev/null
+++ b/packages/entry/src/models/progressTimeouts.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import fc from 'fast-check';
+
+import { computeFirstTokenTimeoutMs, computeTokenTimeoutMs } from './progressTimeouts.js';
+
+const SEED = 20261204;
+
+test('a silent start leaves two thirds of a deadline of 10 s or more for other attempts', () => {
+  const property = fc.property(
+    fc.nat(120_000),
+    fc.integer({ min: 10_000, max: 3_600_000 }),
+    (targetMs, leftMs) => assert.ok(computeFirstTokenTimeoutMs(targetMs, leftMs) <= leftMs / 3),
+  );
+  fc.assert(property, { seed: SEED });
+});
+
+test('a patient class with a short deadline does not wait the deadline out', () => {
+  assert.ok(computeFirstTokenTimeoutMs(10_000, 20_000) < 7_000);
+});
+
+test('a silence between tokens is tolerated for 2 to 10 s', () => {
+  assert.equal(computeTokenTimeoutMs(1), 2_000);
+  assert.equal(computeTokenTimeoutMs(78), 3_120);
+  assert.equal(computeTokenTimeoutMs(60_000), 10_000);
+});
