fix(entry): a session is quiet once its asks are decided, and forgets refused ones

Cause: a dispatcher sent a heartbeat with loads every 250 ms to each daemon with any open grant, by encoding 48 bytes each, so 84 daemons would cost a dispatcher 16 KB/s against 5 KB/s for all control; and a refused ask stayed in its session for ever, a leak of one id per refusal that also kept the heartbeat going. Change: heartbeats only while an ask waits for its decision; loads ride on other messages at most once a second; a refusal ends the ask on the dispatcher's side too.

--- a/packages/entry/src/grants/constants.ts
+++ b/packages/entry/src/grants/constants.ts
@@ -10,6 +10,9 @@
 /** How often a dispatcher shows that it is alive to daemons whose asks it holds. */
 export const SESSION_HEARTBEAT_MS = 250;
 
+/** Shortest time between two messages of a session that carry the loads of shards. */
+export const LOADS_INTERVAL_MS = 1_000;
+
 /** A dispatcher that holds asks and has sent nothing for this long is taken as lost. */
 export const SESSION_SILENCE_MS = 1_000;
 
--- a/packages/entry/src/grants/serveSessions.ts
+++ b/packages/entry/src/grants/serveSessions.ts
@@ -1,6 +1,6 @@
-import { DispatchEventKind } from '@sardinegrade/dispatch';
+import { DispatchActionKind, DispatchEventKind } from '@sardinegrade/dispatch';
 
-import { SESSION_HEARTBEAT_MS } from './constants.js';
+import { LOADS_INTERVAL_MS, SESSION_HEARTBEAT_MS } from './constants.js';
 import { appendAction, createDispatcherMessage, decodeAsk, decodeRelease } from './messages.js';
 
 import type { ServerDuplexStream } from '@grpc/grpc-js';
@@ -20,10 +20,14 @@
   readonly #stream: SessionStream;
   readonly #host: DispatchHost;
   readonly #clock: Clock;
+  /** Asks and grants that the daemon has not ended. */
   readonly #openAsks = new Set<string>();
+  /** Asks without a decision. */
+  readonly #waiting = new Set<string>();
   readonly #askedShards = new Set<ShardKey>();
   readonly #heartbeat: NodeJS.Timeout;
   #vm = '' as VmId;
+  #loadsSentAtMs = 0;
   #outgoing: DispatchProtocol.DispatcherMessage | undefined;
 
   constructor(stream: SessionStream, host: DispatchHost, clock: Clock) {
@@ -48,22 +52,33 @@
     }
     for (const encoded of message.releases) {
       const release = decodeRelease(encoded);
-      this.#openAsks.delete(release.askId);
+      this.#forget(release.askId);
       this.#host.update(release.askId, { kind: DispatchEventKind.Release, release });
     }
     for (const { askId } of message.withdrawals) {
-      this.#openAsks.delete(askId);
+      this.#forget(askId);
       this.#host.update(askId, { kind: DispatchEventKind.Withdraw, askId });
     }
     for (const encoded of message.asks) {
       const ask = decodeAsk(encoded, this.#vm, nowMs);
       this.#openAsks.add(ask.askId);
+      if (ask.heldUpstream === undefined) this.#waiting.add(ask.askId);
       this.#askedShards.add(encoded.shard as ShardKey);
       this.#host.ask(encoded.shard as ShardKey, ask, this.#reply);
     }
   };
 
-  readonly #reply = (action: DispatchAction): void => appendAction(this.#getOutgoing(), action);
+  readonly #forget = (askId: string): void => {
+    this.#openAsks.delete(askId);
+    this.#waiting.delete(askId);
+  };
+
+  readonly #reply = (action: DispatchAction): void => {
+    if ('askId' in action) this.#waiting.delete(action.askId);
+    // The daemon ends a refused ask without a word.
+    if (action.kind === DispatchActionKind.Refuse) this.#forget(action.askId);
+    appendAction(this.#getOutgoing(), action);
+  };
 
   readonly #getOutgoing = (): DispatchProtocol.DispatcherMessage => {
     if (this.#outgoing !== undefined) return this.#outgoing;
@@ -75,17 +90,26 @@
   readonly #flush = (): void => {
     const message = this.#outgoing;
     this.#outgoing = undefined;
-    if (message !== undefined && this.#stream.writable) this.#stream.write(message);
+    if (message === undefined || !this.#stream.writable) return;
+    this.#appendLoads(message);
+    this.#stream.write(message);
   };
 
+  /** Without a waiting ask nobody waits for a sign of life, and nothing is sent. */
   readonly #sendHeartbeat = (): void => {
-    if (this.#openAsks.size === 0) return;
-    const outgoing = this.#getOutgoing();
+    if (this.#waiting.size > 0) this.#getOutgoing();
+  };
+
+  /** Loads ride on other messages, at most once in a while. */
+  readonly #appendLoads = (message: DispatchProtocol.DispatcherMessage): void => {
+    const nowMs = this.#clock.getNowMs();
+    if (nowMs - this.#loadsSentAtMs < LOADS_INTERVAL_MS) return;
+    this.#loadsSentAtMs = nowMs;
     for (const [shard, { queuedByRank, grantedByRank, slots }] of this.#host.listLoads()) {
       if (!this.#askedShards.has(shard)) continue;
       const queued = [...queuedByRank];
       const granted = [...grantedByRank];
-      outgoing.loads.push({ shard, queued, granted, slots });
+      message.loads.push({ shard, queued, granted, slots });
     }
   };
 
@@ -96,6 +120,7 @@
       this.#host.update(askId, { kind: DispatchEventKind.Withdraw, askId });
     }
     this.#openAsks.clear();
+    this.#waiting.clear();
   };
 }
 
