refactor: call the pieces that stand already

Cause: a read of the whole change found twins. A session described every shard of its host, once a second, to keep the few that it asks. Ruled out: merging OrderDesk's pause too, whose timer is unreferenced on purpose. Behaviour is the same, no test changed its assertions.

--- a/packages/entry/src/daemon/EntryDaemon.ts
+++ b/packages/entry/src/daemon/EntryDaemon.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { createDispatchService } from '../grants/index.js';
 import { listenOn } from './addresses.js';
 import { createDaemonBase } from './daemonBase.js';
@@ -76,10 +78,10 @@
     this.#dispatch.stopWatching();
     await this.#fleet.agent.leave();
     // The balancer goes on sending requests until it has seen that this VM is not ready.
-    await sleepMs(this.#base.settings.shutdown.settle_time);
+    await sleep(this.#base.settings.shutdown.settle_time);
     callers.server.close();
     callers.server.closeIdleConnections();
-    while (callers.countOpen() > 0) await sleepMs(SHUTDOWN_POLL_MS);
+    while (callers.countOpen() > 0) await sleep(SHUTDOWN_POLL_MS);
     await desk.drain();
     await this.#stop();
   };
@@ -95,6 +97,3 @@
     await this.tracing.stop();
   };
 }
-
-const sleepMs = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, durationMs));
--- a/packages/entry/src/daemon/OrderDesk.ts
+++ b/packages/entry/src/daemon/OrderDesk.ts
@@ -4,7 +4,7 @@
 import { createOrderService, createWriteBudget, DEFAULT_ORDER_TIMINGS } from '@sardinegrade/orders';
 
 import { ErrorFormat } from '../callers/index.js';
-import { findClass } from '../models/index.js';
+import { findClass, readClassHeader } from '../models/index.js';
 import { observeServiceCaller, ServiceObserver } from '../observation/index.js';
 import { createServiceCaller, createServiceHandler } from '../services/index.js';
 
@@ -58,11 +58,6 @@
     setTimeout(resolve, durationMs).unref();
   });
 
-const getClassHeader = ({ request }: CallerRequest): string | undefined => {
-  const value = request.headers['sardinegrade-class'];
-  return typeof value === 'string' ? value : undefined;
-};
-
 /** Serves calls to plain services and looks after the orders among them. */
 export class OrderDesk {
   readonly orders: OrderService;
@@ -120,7 +115,7 @@
     if (service?.kind !== ServiceKind.Plain) {
       throw new SardinegradeError(ResultCode.UnknownService, `No plain service '${name ?? ''}'.`);
     }
-    const serviceClass = findClass(service, caller.workspace, getClassHeader(caller));
+    const serviceClass = findClass(service, caller.workspace, readClassHeader(caller.request));
     caller.trail.setTarget({
       service: service.name,
       className: serviceClass.name,
--- a/packages/entry/src/grants/DispatchHost.ts
+++ b/packages/entry/src/grants/DispatchHost.ts
@@ -130,16 +130,23 @@
     for (const hosted of this.#hosted.values()) this.#handle(hosted, event);
   };
 
-  /** @returns the load of each shard hosted here */
-  readonly listLoads = (): ReadonlyMap<ShardKey, ShardLoad> => {
+  /**
+   * Lists the load of shards hosted here.
+   *
+   * @param keys - the shards wanted
+   * @returns the load of those that are hosted here
+   */
+  readonly listLoads = (keys: ReadonlySet<ShardKey>): ReadonlyMap<ShardKey, ShardLoad> => {
     const configuration = this.#configuration;
     if (configuration === undefined) return new Map();
     const atMs = this.#options.clock.getNowMs();
     return new Map(
-      [...this.#hosted].map(([key, { dispatcher }]) => [
-        key,
-        buildShardLoad(dispatcher.describe(), configuration, atMs),
-      ]),
+      [...this.#hosted]
+        .filter(([key]) => keys.has(key))
+        .map(([key, { dispatcher }]) => [
+          key,
+          buildShardLoad(dispatcher.describe(), configuration, atMs),
+        ]),
     );
   };
 
--- a/packages/entry/src/grants/serveSessions.ts
+++ b/packages/entry/src/grants/serveSessions.ts
@@ -105,8 +105,9 @@
     const nowMs = this.#clock.getNowMs();
     if (nowMs - this.#loadsSentAtMs < LOADS_INTERVAL_MS) return;
     this.#loadsSentAtMs = nowMs;
-    for (const [shard, { queuedByRank, grantedByRank, slots }] of this.#host.listLoads()) {
-      if (!this.#askedShards.has(shard)) continue;
+    for (const [shard, { queuedByRank, grantedByRank, slots }] of this.#host.listLoads(
+      this.#askedShards,
+    )) {
       const queued = [...queuedByRank];
       const granted = [...grantedByRank];
       message.loads.push({ shard, queued, granted, slots });
--- a/packages/entry/src/models/findTarget.ts
+++ b/packages/entry/src/models/findTarget.ts
@@ -1,5 +1,6 @@
 import { ResultCode, SardinegradeError, ServiceKind } from '@sardinegrade/common';
 
+import type { IncomingMessage } from 'node:http';
 import type {
   ClassConfiguration,
   ClassName,
@@ -10,6 +11,8 @@
 } from '@sardinegrade/common';
 import type { ChatTarget } from './types.js';
 
+const CLASS_HEADER = 'sardinegrade-class';
+
 /**
  * Whether a workspace may use a class.
  *
@@ -32,6 +35,17 @@
   throw new SardinegradeError(ResultCode.UnknownModel, `No model or model service '${model}'.`);
 };
 
+/**
+ * Reads which class a caller asks for.
+ *
+ * @param request - the caller's request
+ * @returns the header's value; undefined for the service's default class
+ */
+export const readClassHeader = (request: IncomingMessage): string | undefined => {
+  const value = request.headers[CLASS_HEADER];
+  return typeof value === 'string' ? value : undefined;
+};
+
 /**
  * Finds the class that a request runs under.
  *
--- a/packages/entry/src/models/routes.ts
+++ b/packages/entry/src/models/routes.ts
@@ -6,7 +6,7 @@
 import { ErrorFormat, readBody } from '../callers/index.js';
 import { CollectedAnswer, StreamedAnswer } from './AnswerSink.js';
 import { ChatCall } from './ChatCall.js';
-import { canUseClass, findTarget } from './findTarget.js';
+import { canUseClass, findTarget, readClassHeader } from './findTarget.js';
 import { parseChatRequest } from './parseChatRequest.js';
 
 import type { Fingerprint, ServiceConfiguration } from '@sardinegrade/common';
@@ -14,7 +14,6 @@
 import type { ChatCallServices } from './ChatCall.js';
 
 const FINGERPRINT_LENGTH = 16;
-const CLASS_HEADER = 'sardinegrade-class';
 const MS_PER_SECOND = 1_000;
 
 /** What the model routes need of their daemon. */
@@ -32,16 +31,11 @@
     .digest('hex')
     .slice(0, FINGERPRINT_LENGTH) as Fingerprint;
 
-const getClassHeader = ({ request }: CallerRequest): string | undefined => {
-  const value = request.headers[CLASS_HEADER];
-  return typeof value === 'string' ? value : undefined;
-};
-
 const serveChat = async (options: ModelRouteOptions, caller: CallerRequest): Promise<void> => {
   const body = await readBody(caller.request, options.bodyLimitBytes);
   const chat = parseChatRequest(body);
   const { configuration, workspace } = caller;
-  const target = findTarget(configuration, workspace, chat.model, getClassHeader(caller));
+  const target = findTarget(configuration, workspace, chat.model, readClassHeader(caller.request));
   caller.trail.setTarget({
     service: target.service.name,
     className: target.serviceClass.name,
--- a/packages/lab/src/demo/DemoSystem.ts
+++ b/packages/lab/src/demo/DemoSystem.ts
@@ -1,9 +1,10 @@
 import { AdministratorRole, parseIniDocument, validateIni } from '@sardinegrade/common';
 import { ENTRY_SETTINGS_SCHEMA, EntryDaemon } from '@sardinegrade/entry';
+import { hashKey } from '@sardinegrade/fleet';
 
 import { formatIni, waitUntil } from '../harness/index.js';
 import { startEngine, startPlatform, startService } from '../standins/index.js';
-import { buildSampleText, hashKey, SAMPLE_KEYS } from './sample.js';
+import { buildSampleText, SAMPLE_KEYS } from './sample.js';
 
 import type { DaemonAddresses } from '@sardinegrade/entry';
 import type { EngineStandIn, PlatformStandIn, ServiceStandIn } from '../standins/index.js';
--- a/packages/lab/src/demo/sample.ts
+++ b/packages/lab/src/demo/sample.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { hashKey } from '@sardinegrade/fleet';
 
 import { formatIni } from '../harness/index.js';
 
@@ -17,14 +17,6 @@
   readonly service: string;
 }
 
-/**
- * Hashes a key as configurations and settings hold it.
- *
- * @param key - the key
- * @returns its SHA-256 in hex
- */
-export const hashKey = (key: string): string => createHash('sha256').update(key).digest('hex');
-
 const buildEngines = (addresses: readonly string[]): IniSections =>
   Object.fromEntries(
     addresses.map((address, index) => [
--- a/packages/lab/src/harness/cluster/configurationText.ts
+++ b/packages/lab/src/harness/cluster/configurationText.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { hashKey } from '@sardinegrade/fleet';
 
 import { formatIni } from '../formatIni.js';
 
@@ -45,7 +45,7 @@
 });
 
 const buildWorkspace = (name: string): IniSection => ({
-  key_sha256: [createHash('sha256').update(getWorkspaceKey(name)).digest('hex')],
+  key_sha256: [hashKey(getWorkspaceKey(name))],
 });
 
 /**
--- a/packages/lab/src/operations/TestFleet.ts
+++ b/packages/lab/src/operations/TestFleet.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { hashKey } from '@sardinegrade/fleet';
 
 import { formatIni, ProcessGroup } from '../harness/index.js';
 import { runCommand } from './runCommand.js';
@@ -14,8 +14,6 @@
 const MODEL = 'drill-7b';
 const DATA_CENTRE = 'hobart';
 
-const hashKey = (key: string): string => createHash('sha256').update(key).digest('hex');
-
 /** How large a fleet is. */
 export interface FleetSize {
   readonly vms: number;
