feat(forwarder): serve the users' platform by a routed forwarder

Cause: the product had no path on the users' platform: routes by host and prefix, workers that register in the store, tenant keys, own headers.

RetryBudget takes its limits as an option, log lines take the inputs of a decision.

--- a/packages/common/src/logs/toRecord.ts
+++ b/packages/common/src/logs/toRecord.ts
@@ -4,9 +4,9 @@
 import type { LogFields } from './types.js';
 
 /** One log line's content, in the order in which it is written. */
-export type LogRecord = Readonly<Record<string, string | number>>;
+export type LogRecord = Readonly<Record<string, string | number | boolean>>;
 
-type FieldName = Exclude<keyof LogFields, 'error'>;
+type FieldName = Exclude<keyof LogFields, 'error' | 'inputs'>;
 
 /** The names under which fields are written. A field without an entry is not written. */
 const FIELD_NAMES: Readonly<Record<FieldName, string>> = {
@@ -42,12 +42,15 @@
  * @returns names and sanitized values
  */
 export const toRecord = (fields: LogFields, withStack: boolean): LogRecord => {
-  const record: Record<string, string | number> = {};
+  const record: Record<string, string | number | boolean> = {};
   for (const [field, name] of Object.entries(FIELD_NAMES)) {
     const value = fields[field as FieldName];
     if (value === undefined) continue;
     record[name] = typeof value === 'number' ? value : sanitizeText(value);
   }
+  for (const [name, value] of Object.entries(fields.inputs ?? {})) {
+    if (value !== undefined) record[name] = typeof value === 'string' ? sanitizeText(value) : value;
+  }
   if (fields.error === undefined) return record;
   return { ...toErrorRecord(fields.error, withStack), ...record };
 };
--- a/packages/common/src/logs/types.ts
+++ b/packages/common/src/logs/types.ts
@@ -16,6 +16,8 @@
   readonly durationMs?: number | undefined;
   readonly count?: number | undefined;
   readonly operator?: string | undefined;
+  /** What a decision depended on, and its outcome; never keys or bodies. */
+  readonly inputs?: Readonly<Record<string, string | number | boolean | undefined>> | undefined;
   /** Anything thrown; its name, message, code and, in JSON, its stack are written. */
   readonly error?: unknown;
 }
--- /dev/null
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -0,0 +1,96 @@
+import { RetryBudget } from '@sardinegrade/dispatch';
+import { RouteTable } from '@sardinegrade/routing';
+
+import { WorkerFleet } from './workers/index.js';
+
+import type { DataCentreName, Logger, ServiceName } from '@sardinegrade/common';
+import type { RandomSource } from '@sardinegrade/dispatch';
+import type { RoutingConfiguration } from '@sardinegrade/routing';
+import type { ForwardProtocol } from './types.js';
+
+/** Limits of the retries that all VMs share for a service. */
+export interface SharedRetryLimits {
+  /** Retries for each request of callers. */
+  readonly share: number;
+  /** Retries beyond that, within the window. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** What the forwarder runs with. */
+export interface ForwarderOptions {
+  readonly protocol: ForwardProtocol;
+  readonly dataCentre: DataCentreName;
+  readonly retries: SharedRetryLimits;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  /** Milliseconds of a clock that never goes back. */
+  readonly getNowMs: () => number;
+}
+
+/** VMs that may share a retry budget while nobody has counted them. */
+const ASSUMED_VMS = 12;
+
+/** Part of the shared budget that is used: requests in flight at the window's edge are counted by others. */
+const BUDGET_USE = 0.8;
+
+/** What the forwarder believes: the configuration in force, the workers and the budgets. */
+export class ForwarderState {
+  readonly fleet = new WorkerFleet();
+  #configuration: RoutingConfiguration | undefined;
+  #routes = new RouteTable([]);
+  #isDraining = false;
+  readonly #budgets = new Map<ServiceName, RetryBudget>();
+
+  /** @param options - what it runs with */
+  constructor(readonly options: ForwarderOptions) {}
+
+  /** The configuration in force; undefined until the first is known. */
+  get configuration(): RoutingConfiguration | undefined {
+    return this.#configuration;
+  }
+
+  get routes(): RouteTable {
+    return this.#routes;
+  }
+
+  /** Whether the process is to end: it serves what comes, and asks callers to go elsewhere. */
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
+  /** Begins to drain. */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /**
+   * Puts a configuration in force, unless a newer one is.
+   *
+   * @param configuration - what was read
+   * @returns whether it is in force now
+   */
+  apply(configuration: RoutingConfiguration): boolean {
+    if (this.#configuration !== undefined && configuration.version <= this.#configuration.version) {
+      return false;
+    }
+    this.#configuration = configuration;
+    this.#routes = new RouteTable(configuration.routes);
+    return true;
+  }
+
+  /** @returns the retry budget of a service */
+  getBudget(service: ServiceName): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const { share, slack, windowMs } = this.options.retries;
+    // Half may be spent at once and half is earned within the window, so no window sees more than the slack.
+    const part = (slack * BUDGET_USE) / ASSUMED_VMS / 2;
+    const budget = new RetryBudget(share * BUDGET_USE, this.options.getNowMs(), {
+      tokenLimit: part,
+      tokensPerSecond: part / (windowMs / 1_000),
+    });
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/forwarder/src/channels/WorkerChannel.ts
@@ -0,0 +1,62 @@
+import { Client } from 'undici';
+
+import { ANSWER_HEAD_LIMIT_BYTES, CONNECT_TIMEOUT_MS } from '../constants.js';
+
+import type { Dispatcher } from 'undici';
+
+const MS_PER_DAY = 86_400_000;
+
+/** One connection to a worker, which carries one request at a time. */
+export class WorkerChannel {
+  readonly #client: Client;
+  #isOpen = true;
+  /** When the last answer ended; undefined until then. */
+  idleSinceMs: number | undefined;
+
+  /**
+   * @param address - `ip:port` of the worker
+   * @param onClose - called once, when the connection is gone
+   */
+  constructor(address: string, onClose: () => void) {
+    this.#client = new Client(`http://${address}`, {
+      pipelining: 1,
+      maxHeaderSize: ANSWER_HEAD_LIMIT_BYTES,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      // The exchange has time limits of its own, and the pool its own limits of age.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: MS_PER_DAY,
+      keepAliveMaxTimeout: MS_PER_DAY,
+      keepAliveTimeoutThreshold: 500,
+    });
+    const close = (): void => {
+      if (!this.#isOpen) return;
+      this.#isOpen = false;
+      onClose();
+    };
+    this.#client.on('disconnect', close);
+    this.#client.on('connectionError', close);
+  }
+
+  /** Whether the connection stands, or has not been opened yet. */
+  get isOpen(): boolean {
+    return this.#isOpen;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param options - method, path, headers and body
+   * @param handler - receives the answer
+   */
+  send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.idleSinceMs = undefined;
+    this.#client.dispatch(options, handler);
+  }
+
+  /** Closes the connection, with whatever runs on it. */
+  close(): void {
+    this.#isOpen = false;
+    void this.#client.destroy();
+  }
+}
--- /dev/null
+++ b/packages/forwarder/src/channels/index.ts
@@ -0,0 +1,3 @@
+/** Connections to workers. */
+export * from './ChannelPool.js';
+export * from './WorkerChannel.js';
--- /dev/null
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -0,0 +1,97 @@
+import { ResultCode } from '@sardinegrade/common';
+
+import { BodyEnd, readBody } from '../front/readBody.js';
+import { sendOwnReply } from '../front/replies.js';
+
+import type { KeyHolder, Route, RoutingConfiguration } from '@sardinegrade/routing';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { OwnReply } from '../front/replies.js';
+import type { ForwarderState } from '../ForwarderState.js';
+import type { CallerRequest } from '../types.js';
+import type { AdmittedRequest } from './Exchange.js';
+
+/** Pause before callers come back while no configuration is known, in milliseconds. */
+const NOT_READY_RETRY_MS = 500;
+
+interface Permission {
+  readonly route: Route;
+  readonly holder: KeyHolder | undefined;
+}
+
+const NOT_READY: OwnReply = {
+  code: ResultCode.NotReady,
+  message: 'No configuration is known yet.',
+  retryAfterMs: NOT_READY_RETRY_MS,
+};
+
+const isReply = (result: Permission | OwnReply): result is OwnReply => 'code' in result;
+
+const checkRequest = (
+  state: ForwarderState,
+  configuration: RoutingConfiguration,
+  request: IncomingMessage,
+  caller: CallerRequest,
+): Permission | OwnReply => {
+  const route = state.routes.find(request.headers.host ?? '', request.url ?? '/');
+  if (route === undefined) return { code: ResultCode.UnknownPath, message: 'No route matches.' };
+  const { keyHolders } = configuration;
+  if (keyHolders === undefined) return { route, holder: undefined };
+  const holder = caller.key === undefined ? undefined : keyHolders.get(caller.key);
+  if (holder === undefined && !route.isPublic) {
+    return { code: ResultCode.InvalidKey, message: 'The key is not known.' };
+  }
+  return { route, holder };
+};
+
+const refuse = (
+  state: ForwarderState,
+  response: ServerResponse,
+  caller: CallerRequest,
+  reply: OwnReply,
+): void => {
+  state.options.logger.info('request refused at arrival', {
+    requestId: caller.requestId,
+    code: reply.code,
+    generation: state.configuration?.version,
+  });
+  if (state.isDraining) response.shouldKeepAlive = false;
+  sendOwnReply(response, reply);
+};
+
+/**
+ * Reads a request and checks it against the configuration in force; answers it where it may not be served.
+ *
+ * @param state - what the forwarder believes
+ * @param request - the caller's request
+ * @param response - its response
+ * @returns the request, or undefined where it has been answered or its caller is gone
+ */
+export const admitRequest = async (
+  state: ForwarderState,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<AdmittedRequest | undefined> => {
+  const arrivedAtMs = state.options.getNowMs();
+  const caller = state.options.protocol.decodeRequest(request.headers);
+  const { configuration } = state;
+  if (configuration === undefined) {
+    refuse(state, response, caller, NOT_READY);
+    return undefined;
+  }
+  const read = await readBody(request, configuration.limits.bodyBytes);
+  if (read.end === BodyEnd.Broken) return undefined;
+  if (read.end === BodyEnd.TooLarge) {
+    response.shouldKeepAlive = false;
+    refuse(state, response, caller, {
+      code: ResultCode.BodyTooLarge,
+      message: `The body exceeds ${configuration.limits.bodyBytes} bytes.`,
+    });
+    return undefined;
+  }
+  const permission = checkRequest(state, state.configuration ?? configuration, request, caller);
+  if (isReply(permission)) {
+    refuse(state, response, caller, permission);
+    return undefined;
+  }
+  return { caller, ...permission, body: read.body, arrivedAtMs };
+};
--- /dev/null
+++ b/packages/forwarder/src/front/index.ts
@@ -0,0 +1,2 @@
+/** The server that callers connect to. */
+export * from './FrontServer.js';
--- /dev/null
+++ b/packages/forwarder/src/front/readBody.ts
@@ -0,0 +1,44 @@
+import type { IncomingMessage } from 'node:http';
+
+/** How the reading of a body ended. */
+export enum BodyEnd {
+  Whole = 'whole',
+  TooLarge = 'too_large',
+  /** The caller left, or sent what is no body. */
+  Broken = 'broken',
+}
+
+/** A body, or why there is none. */
+export type BodyRead =
+  | { readonly end: BodyEnd.Whole; readonly body: Buffer | undefined }
+  | { readonly end: BodyEnd.TooLarge }
+  | { readonly end: BodyEnd.Broken };
+
+/**
+ * Reads the whole body of a request.
+ *
+ * @param request - the caller's request
+ * @param limitBytes - the largest body that is taken
+ * @returns the body, undefined where the request has none
+ */
+export const readBody = (request: IncomingMessage, limitBytes: number): Promise<BodyRead> => {
+  const hasBody =
+    request.headers['content-length'] !== undefined ||
+    request.headers['transfer-encoding'] !== undefined;
+  if (!hasBody) return Promise.resolve({ end: BodyEnd.Whole, body: undefined });
+  return new Promise((resolve) => {
+    const pieces: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (piece: Buffer) => {
+      bytes += piece.length;
+      if (bytes <= limitBytes) pieces.push(piece);
+      else {
+        request.pause();
+        resolve({ end: BodyEnd.TooLarge });
+      }
+    });
+    request.on('end', () => resolve({ end: BodyEnd.Whole, body: Buffer.concat(pieces) }));
+    request.on('error', () => resolve({ end: BodyEnd.Broken }));
+    request.on('close', () => resolve({ end: BodyEnd.Broken }));
+  });
+};
--- /dev/null
+++ b/packages/forwarder/src/index.ts
@@ -0,0 +1,4 @@
+/** The routed forwarder: callers' requests to workers and their answers back. */
+export * from './ForwarderState.js';
+export * from './front/index.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/forwarder/src/relay/index.ts
@@ -0,0 +1,2 @@
+/** Relaying of answers. */
+export * from './EventFramer.js';
--- /dev/null
+++ b/packages/forwarder/src/workers/index.ts
@@ -0,0 +1,2 @@
+/** Workers as this VM sees them. */
+export * from './WorkerFleet.js';
--- a/packages/platform/src/PlatformError.ts
+++ b/packages/platform/src/PlatformError.ts
@@ -10,6 +10,8 @@
   Uncertain = 'uncertain',
   /** The platform answered against its own protocol, or the value is too large. */
   Invalid = 'invalid',
+  /** The history that a watch asked for is gone: everything has to be listed anew. */
+  Truncated = 'truncated',
 }
 
 /** A failed call to the platform's object API. */
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,6 +2,7 @@
 export * from './constants.js';
 export * from './createPlatformClient.js';
 export * from './memory/index.js';
+export * from './mirror/index.js';
 export * from './PlatformError.js';
 export * from './types.js';
 export * from './writeConfirmed.js';
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,5 @@
+/** Decisions of the routed forwarder: routes, workers, placement and retries, with time and randomness passed in. */
+export * from './configuration/index.js';
+export * from './placement/index.js';
+export * from './retries/index.js';
+export * from './workers/index.js';
--- /dev/null
+++ b/packages/routing/src/placement/EngineAccount.ts
@@ -0,0 +1,67 @@
+import { PromptMemory } from './PromptMemory.js';
+
+import type { PromptShape } from './types.js';
+
+/** Prompt tokens that an engine reads in a millisecond: the sheets of both sites say 56.6. */
+export const READING_TOKENS_PER_MS = 56.6;
+
+/** One request that an engine runs or queues for this VM. */
+export interface EngineRun {
+  /** Tokens that the engine had to read when the request was sent. */
+  readonly unreadTokens: number;
+  readonly sentAtMs: number;
+  hasBegun: boolean;
+}
+
+/** What this VM has sent to one engine: work in progress, and what the engine's memory probably holds. */
+export class EngineAccount {
+  readonly memory: PromptMemory;
+  readonly #runs = new Set<EngineRun>();
+
+  /** @param cacheTokens - size of the engine's memory */
+  constructor(cacheTokens: number) {
+    this.memory = new PromptMemory(cacheTokens);
+  }
+
+  /** Requests in progress. */
+  get runCount(): number {
+    return this.#runs.size;
+  }
+
+  /**
+   * Records a request that is sent.
+   *
+   * @param prompt - its prompt
+   * @param nowMs - the present
+   * @returns the run, to be ended by `finish`
+   */
+  start(prompt: PromptShape, nowMs: number): EngineRun {
+    const unreadTokens = Math.max(0, prompt.promptTokens - this.memory.countHeld(prompt.parts));
+    this.memory.record(prompt.parts);
+    const run: EngineRun = { unreadTokens, sentAtMs: nowMs, hasBegun: false };
+    this.#runs.add(run);
+    return run;
+  }
+
+  /** Records that a run is over. */
+  finish(run: EngineRun): void {
+    this.#runs.delete(run);
+  }
+
+  /**
+   * Estimates the tokens that are still to be read before a new prompt's turn comes. Reading
+   * goes on while time passes, oldest first.
+   *
+   * @param nowMs - the present
+   * @returns tokens
+   */
+  estimateBacklogTokens(nowMs: number): number {
+    let finishedAtMs = Number.NEGATIVE_INFINITY;
+    for (const run of this.#runs) {
+      if (run.hasBegun) continue;
+      const startMs = Math.max(finishedAtMs, run.sentAtMs);
+      finishedAtMs = startMs + run.unreadTokens / READING_TOKENS_PER_MS;
+    }
+    return Math.max(0, finishedAtMs - nowMs) * READING_TOKENS_PER_MS;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/placement/PromptMemory.ts
@@ -0,0 +1,49 @@
+import type { PartId, PromptPart } from './types.js';
+
+/** Parts that an engine probably holds, least recently used first, within the engine's memory. */
+export class PromptMemory {
+  readonly #tokensByPart = new Map<PartId, number>();
+  #tokens = 0;
+
+  /** @param capacityTokens - tokens that the engine holds */
+  constructor(private readonly capacityTokens: number) {}
+
+  /** Records that the engine reads a prompt. */
+  record(parts: readonly PromptPart[]): void {
+    for (const part of parts) {
+      this.#forget(part.id);
+      this.#tokensByPart.set(part.id, part.tokens);
+      this.#tokens += part.tokens;
+    }
+    for (const id of this.#tokensByPart.keys()) {
+      if (this.#tokens <= this.capacityTokens) return;
+      this.#forget(id);
+    }
+  }
+
+  /**
+   * Counts the tokens that need not be read again: those of the leading parts that are held.
+   *
+   * @param parts - the prompt, in order
+   * @returns tokens
+   */
+  countHeld(parts: readonly PromptPart[]): number {
+    let held = 0;
+    for (const part of parts) {
+      if (!this.#tokensByPart.has(part.id)) return held;
+      held += part.tokens;
+    }
+    return held;
+  }
+
+  /** Forgets everything, as after a restart of the engine. */
+  clear(): void {
+    this.#tokensByPart.clear();
+    this.#tokens = 0;
+  }
+
+  #forget(id: PartId): void {
+    this.#tokens -= this.#tokensByPart.get(id) ?? 0;
+    this.#tokensByPart.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/placement/index.ts
@@ -0,0 +1,6 @@
+/** Which worker runs a request. */
+export * from './chooseEngine.js';
+export * from './chooseWorker.js';
+export * from './EngineAccount.js';
+export * from './PromptMemory.js';
+export type * from './types.js';
--- a/tools/eslint/importDownwards.js
+++ b/tools/eslint/importDownwards.js
@@ -3,7 +3,8 @@
   ['common'],
   ['platform', 'upstream', 'peer'],
   ['dispatch', 'orders', 'fleet'],
-  ['entry', 'controller', 'cli'],
+  ['routing'],
+  ['entry', 'controller', 'cli', 'forwarder'],
   ['lab'],
 ];
 
