fix(forwarder): an answer without length that is reset is not whole

Ruled out: a truncated body ended by FIN, which is whole by the pages.

Change: the connection notes its error before the library sees it, and an answer on such a connection counts as broken.

Test: answerFaults.test.ts, red before (200 for 502), green after.

--- a/packages/forwarder/src/channels/WorkerChannel.ts
+++ b/packages/forwarder/src/channels/WorkerChannel.ts
@@ -1,4 +1,4 @@
-import { Client } from 'undici';
+import { buildConnector, Client } from 'undici';
 
 import { ANSWER_HEAD_LIMIT_BYTES, CONNECT_TIMEOUT_MS } from '../constants.js';
 
@@ -6,10 +6,13 @@
 
 const MS_PER_DAY = 86_400_000;
 
+const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
 /** One connection to a worker, which carries one request at a time. */
 export class WorkerChannel {
   readonly #client: Client;
   #isOpen = true;
+  #wasReset = false;
   /** When the last answer ended; undefined until then. */
   idleSinceMs: number | undefined;
 
@@ -21,7 +24,13 @@
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
       maxHeaderSize: ANSWER_HEAD_LIMIT_BYTES,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, callback) => {
+        openSocket(options, (...result) => {
+          // Registered before the library's own: it takes a reset for the end of an answer without length.
+          result[1]?.on('error', () => (this.#wasReset = true));
+          callback(...result);
+        });
+      },
       // The exchange has time limits of its own, and the pool its own limits of age.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -43,6 +52,11 @@
     return this.#isOpen;
   }
 
+  /** Whether the connection ended by an error instead of an orderly close. */
+  get wasReset(): boolean {
+    return this.#wasReset;
+  }
+
   /**
    * Sends a request.
    *
--- /dev/null
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { formatAnswer, readHeader, startTestForwarder } from '../testing/index.js';
+
+import type { TestContext } from 'node:test';
+import type { TestForwarder, WorkerScript } from '../testing/index.js';
+
+const startForwarder = async (
+  context: TestContext,
+  ...scripts: readonly WorkerScript[]
+): Promise<TestForwarder> => {
+  const forwarder = await startTestForwarder(scripts);
+  context.after(() => forwarder.close());
+  return forwarder;
+};
+
+const answerUnframed: WorkerScript = (socket, head) => {
+  socket.write(
+    `HTTP/1.1 200 OK\r\nrequest-id: ${readHeader(head, 'request-id')}\r\nseal: s\r\n` +
+      'connection: close\r\n\r\nhalf of the answer',
+  );
+};
+
+const RESET_DELAY_MS = 20;
+
+test('an answer without length that is reset is not relayed as whole', async (context) => {
+  const forwarder = await startForwarder(context, (socket, head) => {
+    answerUnframed(socket, head);
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  });
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 502);
+  assert.equal(answer.headers['seal'], undefined);
+});
+
+test('an answer without length that ends with its connection is whole', async (context) => {
+  const forwarder = await startForwarder(context, (socket, head) => {
+    answerUnframed(socket, head);
+    setTimeout(() => socket.end(), RESET_DELAY_MS);
+  });
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body, 'half of the answer');
+});
+
+test('a safe request goes to another worker after a reset', async (context) => {
+  let resets = 0;
+  const script: WorkerScript = (socket, head) => {
+    if (resets > 0) socket.write(formatAnswer(head, 'done'));
+    else socket.resetAndDestroy();
+    resets += 1;
+  };
+  const forwarder = await startForwarder(context, script, script);
+  const answer = await forwarder.call('safe');
+  assert.deepEqual([answer.status, answer.body], [200, 'done']);
+  assert.equal(forwarder.workers.filter((worker) => worker.heads.length === 1).length, 2);
+});
+
+test('work that may not be repeated is sent once, and its loss is not called "not run"', async (context) => {
+  const script: WorkerScript = (socket) => {
+    socket.resetAndDestroy();
+  };
+  const forwarder = await startForwarder(context, script, script);
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 502);
+  const sends = forwarder.workers.reduce((sum, worker) => sum + worker.heads.length, 0);
+  assert.equal(sends, 1);
+});
+
+test("a second answer on a connection is never another caller's", async (context) => {
+  const forwarder = await startForwarder(context, (socket, head) => {
+    socket.write(formatAnswer(head, `for ${readHeader(head, 'request-id')}`));
+    socket.write(formatAnswer(head, `again for ${readHeader(head, 'request-id')}`));
+  });
+  for (const id of ['a', 'b', 'c', 'd']) {
+    const answer = await forwarder.call('safe', { 'request-id': id });
+    assert.equal(answer.body, `for ${id}`);
+  }
+});
+
+test('a crossed answer is dropped: its id is not the one asked for', async (context) => {
+  const forwarder = await startForwarder(context, (socket, head) => {
+    socket.write(formatAnswer(head.replace(/request-id: .*/i, 'request-id: other'), 'crossed'));
+  });
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 502);
+  assert.doesNotMatch(answer.body, /crossed/);
+});
+
+test('a success without a seal, or with an encoding, is not relayed', async (context) => {
+  const forwarder = await startForwarder(context, (socket, head) => {
+    const name = readHeader(head, 'request-id');
+    const answer = formatAnswer(head, 'bytes');
+    socket.write(
+      name === 'unsealed'
+        ? answer.replace('seal: s\r\n', '')
+        : answer.replace('seal: s', 'seal: s\r\ncontent-encoding: gzip'),
+    );
+  });
+  const unsealed = await forwarder.call('unsafe', { 'request-id': 'unsealed' }, 'body');
+  const encoded = await forwarder.call('unsafe', { 'request-id': 'encoded' }, 'body');
+  assert.deepEqual([unsealed.status, encoded.status], [502, 502]);
+});
+
+test('a request that all workers reject is refused as not run, with a time to come back', async (context) => {
+  const script: WorkerScript = (socket, head) => {
+    const answer = formatAnswer(head, '', '503 Service Unavailable');
+    socket.write(answer.replace('seal: s', 'not-run: 1'));
+  };
+  const forwarder = await startForwarder(context, script, script);
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+});
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -124,7 +124,9 @@
     onResponseEnd: () => {
       const head = this.#head;
       if (head === undefined) this.#fail(SendFailure.Broken, 'the answer has no head');
-      else if (head.facts.isNotRun || NOT_RUN_STATUSES.has(head.status)) {
+      else if (this.claimed.channel.wasReset) {
+        this.#fail(SendFailure.Broken, 'the answer was cut by a reset');
+      } else if (head.facts.isNotRun || NOT_RUN_STATUSES.has(head.status)) {
         this.#fail(SendFailure.Rejected, `rejected with ${head.status}`);
       } else this.#end({ isWhole: true, head, body: Buffer.concat(this.#pieces) });
     },
@@ -137,10 +139,7 @@
   start(): void {
     const { method, path, headers, body } = this.request;
     const { channel } = this.claimed;
-    channel.send(
-      { method: method, path, headers, body: body ?? null },
-      this.handler,
-    );
+    channel.send({ method: method, path, headers, body: body ?? null }, this.handler);
   }
 
   readonly cancel = (failure: SendFailure, reason: string): void => {
--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -6,6 +6,7 @@
 import { admitRequest, Exchange } from '../exchange/index.js';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import type { ForwarderState } from '../ForwarderState.js';
 
 /** Where a server listens. */
@@ -50,13 +51,18 @@
     return this.#openExchanges;
   }
 
-  /** Starts to listen. */
-  listen(address: ListenAddress): Promise<void> {
+  /**
+   * Starts to listen.
+   *
+   * @param address - where; port 0 takes a free one
+   * @returns the port
+   */
+  listen(address: ListenAddress): Promise<number> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
       this.#server.listen(address.port, address.host, () => {
         this.#server.off('error', reject);
-        resolve();
+        resolve((this.#server.address() as AddressInfo).port);
       });
     });
   }
--- /dev/null
+++ b/packages/forwarder/src/testing/startTestForwarder.ts
@@ -0,0 +1,176 @@
+import { request as sendHttp } from 'node:http';
+
+import { createLogger, LogFormat, LogLevel, toBranded } from '@sardinegrade/common';
+import { createRandomSource } from '@sardinegrade/dispatch';
+import { RouteKind } from '@sardinegrade/routing';
+
+import { ForwarderState } from '../ForwarderState.js';
+import { FrontServer } from '../front/index.js';
+import { TestWorker } from './TestWorker.js';
+import { TEST_PROTOCOL } from './testProtocol.js';
+
+import type { Route, RoutingConfiguration } from '@sardinegrade/routing';
+import type { IncomingHttpHeaders } from 'node:http';
+import type { WorkerScript } from './TestWorker.js';
+
+/** What a caller got. */
+export interface TestAnswer {
+  /** 0 where the connection ended before any answer. */
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly isWhole: boolean;
+}
+
+/** A forwarder with scripted workers. */
+export interface TestForwarder {
+  readonly state: ForwarderState;
+  readonly workers: readonly TestWorker[];
+  readonly lines: readonly string[];
+  readonly port: number;
+  /** Sends a request to a route by its name, and waits for its end. */
+  readonly call: (
+    route: string,
+    headers?: Readonly<Record<string, string>>,
+    body?: string,
+  ) => Promise<TestAnswer>;
+  readonly close: () => void;
+}
+
+const SEED = 7;
+
+const ROUTE: Omit<Route, 'name' | 'pathPrefix' | 'kind'> = {
+  host: 'desk.example',
+  timeoutMs: 2_000,
+  targetMs: 100,
+  priority: 1,
+  maxAttempts: 2,
+  isPublic: true,
+  isResumable: false,
+  eventGapMs: 200,
+  shares: [{ service: toBranded('desk'), weight: 1 }],
+};
+
+const buildRoute = (name: string, part: Partial<Route>): Route => ({
+  ...ROUTE,
+  name: toBranded(name),
+  pathPrefix: `/${name}/`,
+  kind: RouteKind.Safe,
+  ...part,
+});
+
+/** Routes of each kind: `safe`, `unsafe`, `stream` and `resumable`. */
+const ROUTES: readonly Route[] = [
+  buildRoute('safe', {}),
+  buildRoute('unsafe', { kind: RouteKind.Unsafe, maxAttempts: 1 }),
+  buildRoute('stream', { kind: RouteKind.Streaming, maxAttempts: 1 }),
+  buildRoute('resumable', { kind: RouteKind.Streaming, isResumable: true }),
+];
+
+/**
+ * Builds a configuration with one service.
+ *
+ * @param part - what differs
+ * @returns the configuration
+ */
+export const buildTestConfiguration = (
+  part: Partial<RoutingConfiguration> = {},
+): RoutingConfiguration => ({
+  version: 1,
+  routes: ROUTES,
+  services: new Map([
+    [toBranded('desk'), { name: toBranded('desk'), connectionLimit: 100, engine: undefined }],
+  ]),
+  limits: { headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  keyHolders: undefined,
+  ...part,
+});
+
+const callForwarder = (
+  port: number,
+  route: string,
+  headers: Readonly<Record<string, string>>,
+  body: string | undefined,
+): Promise<TestAnswer> =>
+  new Promise((resolve) => {
+    const request = sendHttp(
+      {
+        port,
+        host: '127.0.0.1',
+        path: `/${route}/x`,
+        method: body === undefined ? 'GET' : 'POST',
+        headers: { host: 'desk.example', 'request-id': 'r1', 'deadline-ms': '1900', ...headers },
+        agent: false,
+      },
+      (response) => {
+        let text = '';
+        response.on('data', (piece: Buffer) => (text += piece.toString('latin1')));
+        response.on('error', () => undefined);
+        response.on('close', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: text,
+            isWhole: response.complete,
+          }),
+        );
+      },
+    );
+    request.on('error', () => resolve({ status: 0, headers: {}, body: '', isWhole: false }));
+    request.end(body);
+  });
+
+/**
+ * Starts a forwarder in this process with one worker for each script.
+ *
+ * @param scripts - what each worker does
+ * @param configuration - the configuration in force
+ * @returns the forwarder, to be closed
+ */
+export const startTestForwarder = async (
+  scripts: readonly WorkerScript[],
+  configuration = buildTestConfiguration(),
+): Promise<TestForwarder> => {
+  const lines: string[] = [];
+  const logger = createLogger({
+    level: LogLevel.Info,
+    format: LogFormat.Json,
+    output: { write: (line) => lines.push(line) },
+  });
+  const state = new ForwarderState({
+    protocol: TEST_PROTOCOL,
+    dataCentre: toBranded('dc'),
+    retries: { share: 0.2, slack: 1_000, windowMs: 10_000 },
+    logger,
+    random: createRandomSource(SEED),
+    getNowMs: () => performance.now(),
+  });
+  const workers = scripts.map((script) => new TestWorker(script));
+  await Promise.all(workers.map((worker) => worker.listen()));
+  for (const [index, worker] of workers.entries()) {
+    state.fleet.directory.set({
+      id: toBranded(`w${index}`),
+      service: toBranded('desk'),
+      address: worker.address,
+      dataCentre: toBranded('dc'),
+      slots: 6,
+      isLeaving: false,
+      startedAtMs: 1,
+    });
+  }
+  state.apply(configuration);
+  const front = new FrontServer(state);
+  const port = await front.listen({ host: '127.0.0.1', port: 0 });
+  return {
+    state,
+    workers,
+    lines,
+    port,
+    call: (route, headers = {}, body) => callForwarder(port, route, headers, body),
+    close: () => {
+      front.close();
+      for (const worker of workers) worker.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/forwarder/src/testing/testProtocol.ts
@@ -0,0 +1,70 @@
+import { toBranded } from '@sardinegrade/common';
+
+import type { IncomingHttpHeaders } from 'node:http';
+import type { ForwardProtocol, RawHeaders } from '../types.js';
+
+const getText = (headers: IncomingHttpHeaders, name: string): string | undefined => {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+const NOT_RELAYED = new Set([
+  'connection',
+  'content-length',
+  'keep-alive',
+  'transfer-encoding',
+  'deadline-ms',
+  'last-event-id',
+]);
+
+const filterHeaders = (headers: RawHeaders): string[] => {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    if (!NOT_RELAYED.has(name.toLowerCase())) kept.push(name, headers[index + 1] ?? '');
+  }
+  return kept;
+};
+
+const toNumber = (text: string | undefined): number | undefined =>
+  text === undefined ? undefined : Number(text);
+
+/** A protocol of short header names, for tests that need no platform. */
+export const TEST_PROTOCOL: ForwardProtocol = {
+  decodeRequest: (headers) => {
+    const requestId = getText(headers, 'request-id');
+    const lastEventId = getText(headers, 'last-event-id');
+    const tokens = toNumber(getText(headers, 'tokens'));
+    return {
+      requestId: requestId === undefined ? undefined : toBranded(requestId),
+      deadlineMs: toNumber(getText(headers, 'deadline-ms')),
+      key: getText(headers, 'key'),
+      lastEventId: lastEventId === undefined ? undefined : toBranded(lastEventId),
+      prompt:
+        tokens === undefined ? undefined : { parts: [], promptTokens: tokens, maxOutputTokens: 10 },
+    };
+  },
+  encodeSend: (headers, facts) => [
+    ...filterHeaders(headers),
+    'deadline-ms',
+    String(facts.remainingMs),
+    'worker',
+    facts.worker,
+    ...(facts.workspace === undefined ? [] : ['workspace', facts.workspace]),
+    ...(facts.lastEventId === undefined ? [] : ['last-event-id', facts.lastEventId]),
+  ],
+  decodeAnswer: (headers) => {
+    const names = headers.map((text) => text.toLowerCase());
+    const find = (name: string): string | undefined => {
+      const index = names.indexOf(name);
+      return index < 0 ? undefined : headers[index + 1];
+    };
+    return {
+      requestId: find('request-id'),
+      isNotRun: find('not-run') !== undefined,
+      isSealed: find('seal') !== undefined,
+      isEncoded: find('content-encoding') !== undefined,
+    };
+  },
+  encodeAnswer: filterHeaders,
+};
--- a/packages/lab/src/standins/platform/startPlatform.ts
+++ b/packages/lab/src/standins/platform/startPlatform.ts
@@ -48,6 +48,8 @@
     response.destroy();
   },
   [PlatformFailure.Invalid]: (response, error) => sendJson(response, 400, { error: error.message }),
+  [PlatformFailure.Truncated]: (response, error) =>
+    sendJson(response, 410, { error: error.message }),
 };
 
 const withFailures =
--- a/tools/runTests.js
+++ b/tools/runTests.js
@@ -17,7 +17,9 @@
 const { positionals } = parseArgs({ allowPositionals: true });
 
 const files = readdirSync('packages')
-  .flatMap((name) => listTests(join('packages', name, 'dist')))
+  .map((name) => join('packages', name))
+  .concat('platform')
+  .flatMap((folder) => listTests(join(folder, 'dist')))
   .filter((file) => positionals.length === 0 || positionals.some((word) => file.includes(word)))
   .sort();
 
