fix(forwarder): a reset together with the last bytes is told from an end

A trace of the socket showed an orderly end for answers that the worker had reset: libuv reports EOF where a reset arrives with the last bytes of an answer without length.

Change: at an end the connection's peer is looked up; one that was reset has none.

--- a/packages/forwarder/src/channels/WorkerChannel.ts
+++ b/packages/forwarder/src/channels/WorkerChannel.ts
@@ -2,6 +2,7 @@
 
 import { ANSWER_HEAD_LIMIT_BYTES, CONNECT_TIMEOUT_MS } from '../constants.js';
 
+import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 
 const MS_PER_DAY = 86_400_000;
@@ -26,8 +27,9 @@
       maxHeaderSize: ANSWER_HEAD_LIMIT_BYTES,
       connect: (options, callback) => {
         openSocket(options, (...result) => {
-          // Registered before the library's own: it takes a reset for the end of an answer without length.
-          result[1]?.on('error', () => (this.#wasReset = true));
+          // Before the library's own listeners: it takes a reset for the end of an answer without length.
+          const socket = result[1];
+          if (socket !== null) this.#watchReset(socket);
           callback(...result);
         });
       },
@@ -57,6 +59,15 @@
     return this.#wasReset;
   }
 
+  #watchReset(socket: Socket): void {
+    socket.on('error', () => (this.#wasReset = true));
+    // libuv reports a reset that comes together with the last bytes as an orderly end. The operating system
+    // tells them apart: a connection that was reset has no peer any more. Node asks it at the first look only.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) this.#wasReset = true;
+    });
+  }
+
   /**
    * Sends a request.
    *
--- a/packages/forwarder/src/exchange/answerFaults.test.ts
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -34,6 +34,15 @@
   assert.equal(answer.headers['seal'], undefined);
 });
 
+test('an answer without length that is reset along with its last bytes is not relayed as whole', async (context) => {
+  const forwarder = await startForwarder(context, (socket, head) => {
+    answerUnframed(socket, head);
+    socket.resetAndDestroy();
+  });
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 502);
+});
+
 test('an answer without length that ends with its connection is whole', async (context) => {
   const forwarder = await startForwarder(context, (socket, head) => {
     answerUnframed(socket, head);
