fix(forwarder): a failed connection has no socket to watch

Change: the socket is watched only where the connector succeeded. Test: answerFaults.test.ts, a worker that refuses connections; red before.

--- a/packages/forwarder/src/channels/WorkerChannel.ts
+++ b/packages/forwarder/src/channels/WorkerChannel.ts
@@ -28,8 +28,7 @@
       connect: (options, callback) => {
         openSocket(options, (...result) => {
           // Before the library's own listeners: it takes a reset for the end of an answer without length.
-          const socket = result[1];
-          if (socket !== null) this.#watchReset(socket);
+          if (result[0] === null) this.#watchReset(result[1]);
           callback(...result);
         });
       },
--- a/packages/forwarder/src/exchange/answerFaults.test.ts
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -122,3 +122,15 @@
   assert.equal(answer.status, 503);
   assert.ok(Number(answer.headers['retry-after']) > 0);
 });
+
+test('a request goes on to another worker where one refuses connections', async (context) => {
+  const script: WorkerScript = (socket, head) => {
+    socket.write(formatAnswer(head, 'done'));
+  };
+  const forwarder = await startForwarder(context, script, script);
+  forwarder.workers[0]?.close();
+  for (let count = 0; count < 5; count += 1) {
+    const answer = await forwarder.call('unsafe', {}, 'body');
+    assert.deepEqual([answer.status, answer.body], [200, 'done']);
+  }
+});
