feat(routing): VMs share their engine load; tight targets keep a lane

Each VM saw a seventh of the load.

Backlog counts a prompt until its first event. Reading weighs five times a wait. A fifth of the engines is preferred for targets up to 400 ms.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,11 +1,11 @@
 import { RetryBudget } from '@sardinegrade/dispatch';
-import { RouteTable } from '@sardinegrade/routing';
+import { RouteTable, SharedLoadView } from '@sardinegrade/routing';
 
 import { WorkerFleet } from './workers/index.js';
 
-import type { DataCentreName, Logger, ServiceName } from '@sardinegrade/common';
+import type { DataCentreName, Logger, ServiceName, UpstreamId } from '@sardinegrade/common';
 import type { RandomSource } from '@sardinegrade/dispatch';
-import type { RoutingConfiguration } from '@sardinegrade/routing';
+import type { PromptPart, RoutingConfiguration } from '@sardinegrade/routing';
 import type { ForwardProtocol } from './types.js';
 
 /** Limits of the retries that all VMs share for a service. */
@@ -37,6 +37,10 @@
 /** What the forwarder believes: the configuration in force, the workers and the budgets. */
 export class ForwarderState {
   readonly fleet = new WorkerFleet();
+  /** What other VMs have sent to the engines. */
+  readonly sharedLoad = new SharedLoadView();
+  /** Hears of each prompt that is sent to an engine. */
+  onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
   #configuration: RoutingConfiguration | undefined;
   #routes = new RouteTable([]);
   #isDraining = false;
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -108,6 +108,7 @@
         state: this.state,
         service,
         prompt: this.admitted.caller.prompt,
+        targetMs: this.admitted.route.targetMs,
         tried: this.#tried,
         nowMs: this.#now(),
       });
@@ -131,6 +132,7 @@
     const claimed = record.pool.claim(nowMs, this.#isRepeatable);
     const prompt = service.engine === undefined ? undefined : caller.prompt;
     const run = prompt === undefined ? undefined : record.account.start(prompt, nowMs);
+    if (prompt !== undefined) this.state.onPlacement(record.worker.id, prompt.parts);
     const open: OpenSend = { record, claimed, run, startedAtMs: nowMs, hasBegun: false };
     this.#open = open;
     this.#sends += 1;
--- a/packages/forwarder/src/exchange/answerFaults.test.ts
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -55,22 +55,22 @@
 
 test('a safe request goes to another worker after a reset', async (context) => {
   let resets = 0;
-  const script: WorkerScript = (socket, head) => {
+  const answerHead: WorkerScript = (socket, head) => {
     if (resets > 0) socket.write(formatAnswer(head, 'done'));
     else socket.resetAndDestroy();
     resets += 1;
   };
-  const forwarder = await startForwarder(context, script, script);
+  const forwarder = await startForwarder(context, answerHead, answerHead);
   const answer = await forwarder.call('safe');
   assert.deepEqual([answer.status, answer.body], [200, 'done']);
   assert.equal(forwarder.workers.filter((worker) => worker.heads.length === 1).length, 2);
 });
 
 test('work that may not be repeated is sent once, and its loss is not called "not run"', async (context) => {
-  const script: WorkerScript = (socket) => {
+  const answerHead: WorkerScript = (socket) => {
     socket.resetAndDestroy();
   };
-  const forwarder = await startForwarder(context, script, script);
+  const forwarder = await startForwarder(context, answerHead, answerHead);
   const answer = await forwarder.call('unsafe', {}, 'body');
   assert.equal(answer.status, 502);
   const sends = forwarder.workers.reduce((sum, worker) => sum + worker.heads.length, 0);
@@ -113,21 +113,21 @@
 });
 
 test('a request that all workers reject is refused as not run, with a time to come back', async (context) => {
-  const script: WorkerScript = (socket, head) => {
+  const answerHead: WorkerScript = (socket, head) => {
     const answer = formatAnswer(head, '', '503 Service Unavailable');
     socket.write(answer.replace('seal: s', 'not-run: 1'));
   };
-  const forwarder = await startForwarder(context, script, script);
+  const forwarder = await startForwarder(context, answerHead, answerHead);
   const answer = await forwarder.call('unsafe', {}, 'body');
   assert.equal(answer.status, 503);
   assert.ok(Number(answer.headers['retry-after']) > 0);
 });
 
 test('a request goes on to another worker where one refuses connections', async (context) => {
-  const script: WorkerScript = (socket, head) => {
+  const answerHead: WorkerScript = (socket, head) => {
     socket.write(formatAnswer(head, 'done'));
   };
-  const forwarder = await startForwarder(context, script, script);
+  const forwarder = await startForwarder(context, answerHead, answerHead);
   forwarder.workers[0]?.close();
   for (let count = 0; count < 5; count += 1) {
     const answer = await forwarder.call('unsafe', {}, 'body');
--- a/packages/forwarder/src/exchange/chooseRecord.ts
+++ b/packages/forwarder/src/exchange/chooseRecord.ts
@@ -1,15 +1,20 @@
-import { chooseEngine, chooseWorker } from '@sardinegrade/routing';
+import { chooseEngine, chooseWorker, PromptLane } from '@sardinegrade/routing';
 
 import type { UpstreamId } from '@sardinegrade/common';
 import type { PromptShape, RoutedService } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { WorkerRecord } from '../workers/index.js';
 
+/** Targets for the first event up to this count as tight, in milliseconds: a long prompt takes as long to read. */
+const TIGHT_TARGET_MS = 400;
+
 /** What a choice of worker depends on. */
 export interface ChoiceContext {
   readonly state: ForwarderState;
   readonly service: RoutedService;
   readonly prompt: PromptShape | undefined;
+  /** Target of the route for the first event, in milliseconds. */
+  readonly targetMs: number;
   /** Workers that this request was sent to already. */
   readonly tried: ReadonlySet<UpstreamId>;
   readonly nowMs: number;
@@ -22,7 +27,7 @@
  * @returns the worker's record, or undefined where none may be used
  */
 export const chooseRecord = (context: ChoiceContext): WorkerRecord | undefined => {
-  const { state, service, prompt, tried, nowMs } = context;
+  const { state, service, prompt, targetMs, tried, nowMs } = context;
   const { fleet, options } = state;
   const usable = fleet.directory.listUsable(service.name, nowMs);
   const fresh = usable.filter((worker) => !tried.has(worker.id));
@@ -43,13 +48,17 @@
         )
       : chooseEngine(
           prompt,
-          records.map(({ worker, account, health }) => ({
-            id: worker.id,
-            backlogTokens: account.estimateBacklogTokens(nowMs),
-            heldTokens: account.memory.countHeld(prompt.parts),
-            runs: account.runCount,
-            isAside: health.isAside(nowMs),
-          })),
+          records.map(({ worker, account, health }) => {
+            const others = state.sharedLoad.measure(worker.id, nowMs);
+            return {
+              id: worker.id,
+              backlogTokens: account.estimateBacklogTokens(nowMs) + others.unreadTokens,
+              heldTokens: account.memory.countHeld(prompt.parts),
+              runs: account.runCount + others.runs,
+              isAside: health.isAside(nowMs),
+            };
+          }),
+          targetMs <= TIGHT_TARGET_MS ? PromptLane.Tight : PromptLane.Bulk,
         )?.id;
   return records.find((record) => record.worker.id === chosen);
 };
--- /dev/null
+++ b/packages/forwarder/src/peers/index.ts
@@ -0,0 +1,2 @@
+/** What VMs tell each other about their work. */
+export * from './LoadReporter.js';
--- a/packages/forwarder/src/workers/WorkerFleet.ts
+++ b/packages/forwarder/src/workers/WorkerFleet.ts
@@ -3,7 +3,7 @@
 import { ChannelPool } from '../channels/index.js';
 
 import type { UpstreamId } from '@sardinegrade/common';
-import type { Worker } from '@sardinegrade/routing';
+import type { EngineLoad, Worker } from '@sardinegrade/routing';
 
 /** A worker with all that this VM keeps of it. */
 export interface WorkerRecord {
@@ -48,6 +48,27 @@
     return record;
   }
 
+  /** @returns what is kept of a worker, or undefined where nothing is */
+  find(id: UpstreamId): WorkerRecord | undefined {
+    return this.#records.get(id);
+  }
+
+  /**
+   * Lists the engines at which this VM has work.
+   *
+   * @param nowMs - the present
+   * @returns each with this VM's load
+   */
+  listLoads(nowMs: number): readonly { readonly id: UpstreamId; readonly load: EngineLoad }[] {
+    const loads: { readonly id: UpstreamId; readonly load: EngineLoad }[] = [];
+    for (const [id, { account }] of this.#records) {
+      if (account.runCount === 0) continue;
+      const unreadTokens = account.estimateBacklogTokens(nowMs);
+      loads.push({ id, load: { unreadTokens, runs: account.runCount } });
+    }
+    return loads;
+  }
+
   /** Closes connections that are idle for long, and forgets workers that are gone. */
   sweep(nowMs: number): void {
     for (const [id, record] of this.#records) {
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -2,3 +2,4 @@
 export * from './fleet/index.js';
 export * as DispatchProtocol from './generated/dispatch.js';
 export * as FleetProtocol from './generated/fleet.js';
+export * as LoadProtocol from './generated/load.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 /** Decisions of the routed forwarder: routes, workers, placement and retries, with time and randomness passed in. */
 export * from './configuration/index.js';
+export * from './load/index.js';
 export * from './placement/index.js';
 export * from './retries/index.js';
 export * from './workers/index.js';
--- /dev/null
+++ b/packages/routing/src/load/index.ts
@@ -0,0 +1,2 @@
+/** What other VMs have sent to the engines. */
+export * from './SharedLoadView.js';
--- a/packages/routing/src/placement/EngineAccount.ts
+++ b/packages/routing/src/placement/EngineAccount.ts
@@ -5,6 +5,14 @@
 /** Prompt tokens that an engine reads in a millisecond: the sheets of both sites say 56.6. */
 export const READING_TOKENS_PER_MS = 56.6;
 
+/**
+ * Part of the reading rate that is taken to serve this VM's prompts while others may have theirs at the
+ * engine too, and the part of the prompts that counts in any case until their first events show that
+ * they are read.
+ */
+const OWN_READING_SHARE = 0.3;
+const LEAST_UNREAD_SHARE = 0.5;
+
 /** One request that an engine runs or queues for this VM. */
 export interface EngineRun {
   /** Tokens that the engine had to read when the request was sent. */
@@ -49,19 +57,21 @@
   }
 
   /**
-   * Estimates the tokens that are still to be read before a new prompt's turn comes. Reading
-   * goes on while time passes, oldest first.
+   * Estimates the tokens that are still to be read before a new prompt's turn comes. A prompt is known
+   * to be read by its first event; until then reading is taken to go on slowly.
    *
    * @param nowMs - the present
    * @returns tokens
    */
   estimateBacklogTokens(nowMs: number): number {
-    let finishedAtMs = Number.NEGATIVE_INFINITY;
+    let tokens = 0;
+    let oldestSentAtMs = nowMs;
     for (const run of this.#runs) {
       if (run.hasBegun) continue;
-      const startMs = Math.max(finishedAtMs, run.sentAtMs);
-      finishedAtMs = startMs + run.unreadTokens / READING_TOKENS_PER_MS;
+      tokens += run.unreadTokens;
+      oldestSentAtMs = Math.min(oldestSentAtMs, run.sentAtMs);
     }
-    return Math.max(0, finishedAtMs - nowMs) * READING_TOKENS_PER_MS;
+    const readTokens = (nowMs - oldestSentAtMs) * READING_TOKENS_PER_MS * OWN_READING_SHARE;
+    return Math.max(tokens * LEAST_UNREAD_SHARE, tokens - readTokens);
   }
 }
--- a/packages/routing/src/placement/chooseEngine.ts
+++ b/packages/routing/src/placement/chooseEngine.ts
@@ -30,9 +30,30 @@
  */
 const DELAY_PER_RUN_MS = 2;
 
+/**
+ * Weight of reading a prompt against waiting for it: what is read again takes the engine's time from others,
+ * while a wait costs only this request. The rounds of docs/design/load.md compare 1 to 8.
+ */
+const READING_WEIGHT = 5;
+
 /** Penalty of each place further down the rendezvous order, in milliseconds: only breaks near ties. */
 const RANK_PENALTY_MS = 1.5;
 
+/**
+ * Part of the engines that is kept for prompts with a tight target. Their reading takes 20 ms each, and
+ * both sites' bursts of them need less than a tenth of the engines; the rest keeps the wait short.
+ */
+const RESERVED_SHARE = 0.2;
+
+/** Fewest engines of which some are reserved. */
+const LEAST_ENGINES_TO_RESERVE = 4;
+
+/** What a prompt with a tight target risks beside long prompts of other VMs, in milliseconds. */
+const BESIDE_BULK_PENALTY_MS = 40;
+
+/** Wait that long prompts bear before they take a reserved engine, in milliseconds. */
+const RESERVED_PENALTY_MS = 20;
+
 /** Penalty of an engine that is set aside, in milliseconds: larger than any backlog worth waiting for. */
 const ASIDE_PENALTY_MS = 60_000;
 
@@ -43,6 +64,26 @@
 const countSharedTokens = (prompt: PromptShape): number =>
   prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 
+/** Whose prompts an engine is kept for. */
+export enum PromptLane {
+  /** A tight target for the first event. */
+  Tight = 'tight',
+  Bulk = 'bulk',
+}
+
+/** Splits engines into those that are kept for tight prompts and the rest; all VMs agree without talking. */
+const listReserved = (ids: readonly UpstreamId[]): ReadonlySet<UpstreamId> => {
+  if (ids.length < LEAST_ENGINES_TO_RESERVE) return new Set();
+  const count = Math.ceil(ids.length * RESERVED_SHARE);
+  return new Set(rankByRendezvous('reserved for tight prompts', ids).slice(0, count));
+};
+
+const computeLanePenaltyMs = (lane: PromptLane, isReserved: boolean, hasLanes: boolean): number => {
+  if (!hasLanes) return 0;
+  if (lane === PromptLane.Tight) return isReserved ? 0 : BESIDE_BULK_PENALTY_MS;
+  return isReserved ? RESERVED_PENALTY_MS : 0;
+};
+
 /**
  * Chooses the engine with the least expected time to the first event: what it has to read before,
  * and what it would have to read of this prompt.
@@ -53,17 +94,20 @@
  *
  * @param prompt - the request's prompt
  * @param engines - the engines that may run it
+ * @param lane - whose engines suit it
  * @returns the choice, or undefined where there is no engine
  */
 export const chooseEngine = (
   prompt: PromptShape,
   engines: readonly EngineView[],
+  lane: PromptLane,
 ): EngineChoice | undefined => {
   const part = findSharedPart(prompt);
-  const order = rankByRendezvous(
-    part ?? '',
-    engines.map((engine) => engine.id),
-  );
+  const ids = engines.map((engine) => engine.id);
+  const reserved = listReserved(ids);
+  const isSuited = (id: UpstreamId): boolean =>
+    reserved.size === 0 || reserved.has(id) === (lane === PromptLane.Tight);
+  const order = rankByRendezvous(part ?? '', ids.filter(isSuited));
   const ranks = new Map(order.map((id, rank) => [id, rank]));
   const home = order[0];
   let best: EngineChoice | undefined;
@@ -71,9 +115,11 @@
     const assumed = engine.id === home && part !== undefined ? countSharedTokens(prompt) : 0;
     const held = Math.min(prompt.promptTokens, Math.max(engine.heldTokens, assumed));
     const expectedMs =
-      (engine.backlogTokens + prompt.promptTokens - held) / READING_TOKENS_PER_MS +
+      (engine.backlogTokens + (prompt.promptTokens - held) * READING_WEIGHT) /
+        READING_TOKENS_PER_MS +
       engine.runs * DELAY_PER_RUN_MS +
-      (ranks.get(engine.id) ?? 0) * RANK_PENALTY_MS +
+      (ranks.get(engine.id) ?? order.length) * RANK_PENALTY_MS +
+      computeLanePenaltyMs(lane, reserved.has(engine.id), reserved.size > 0) +
       (engine.isAside ? ASIDE_PENALTY_MS : 0);
     if (best === undefined || expectedMs < best.expectedMs) best = { id: engine.id, expectedMs };
   }
