--- /dev/null
+++ b/packages/forwarder/src/exchange/admission.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { toBranded } from '@sardinegrade/common';
+
+import {
+  buildTestConfiguration,
+  formatAnswer,
+  readHeader,
+  startTestForwarder,
+} from '../testing/index.js';
+
+import type { RoutingConfiguration } from '@sardinegrade/routing';
+import type { TestContext } from 'node:test';
+import type { TestForwarder, WorkerScript } from '../testing/index.js';
+
+const answerDone: WorkerScript = (socket, head) => {
+  socket.write(formatAnswer(head, 'done'));
+};
+
+const startForwarder = async (
+  context: TestContext,
+  scripts: readonly WorkerScript[],
+  configuration?: RoutingConfiguration,
+): Promise<TestForwarder> => {
+  const forwarder = await startTestForwarder(scripts, configuration);
+  context.after(() => forwarder.close());
+  return forwarder;
+};
+
+const buildKeyed = (): RoutingConfiguration => {
+  const configuration = buildTestConfiguration();
+  return {
+    ...configuration,
+    routes: configuration.routes.map((route) => ({ ...route, isPublic: route.name === 'safe' })),
+    keyHolders: new Map([['k1', { workspace: toBranded('rig-desk'), priority: 0 }]]),
+  };
+};
+
+test('a request needs a key that the configuration holds, and its workspace is told to the worker', async (context) => {
+  const forwarder = await startForwarder(context, [answerDone], buildKeyed());
+  const wrong = await forwarder.call('unsafe', { key: 'other' }, 'body');
+  const missing = await forwarder.call('unsafe', {}, 'body');
+  assert.deepEqual([wrong.status, missing.status], [401, 401]);
+  const listHeads = () => forwarder.workers.flatMap((worker) => worker.heads);
+  assert.deepEqual(listHeads(), []);
+  const right = await forwarder.call('unsafe', { key: 'k1' }, 'body');
+  assert.equal(right.status, 200);
+  assert.equal(readHeader(listHeads()[0] ?? '', 'workspace'), 'rig-desk');
+  const open = await forwarder.call('safe');
+  assert.equal(open.status, 200);
+});
+
+test('a key that a newer configuration drops is refused at once; an older one changes nothing', async (context) => {
+  const forwarder = await startForwarder(context, [answerDone], buildKeyed());
+  const without = { ...buildKeyed(), version: 2, keyHolders: new Map() };
+  assert.equal(forwarder.state.apply(without), true);
+  assert.equal(forwarder.state.apply(buildKeyed()), false);
+  const answer = await forwarder.call('unsafe', { key: 'k1' }, 'body');
+  assert.equal(answer.status, 401);
+});
+
+test('a path without a route gets 404, and a body over the limit 413', async (context) => {
+  const forwarder = await startForwarder(context, [answerDone]);
+  const unknown = await forwarder.call('nowhere');
+  const large = await forwarder.call('unsafe', {}, 'x'.repeat(1_001));
+  assert.deepEqual([unknown.status, large.status], [404, 413]);
+});
+
+test('a service without workers refuses as not run, with a time to come back', async (context) => {
+  const forwarder = await startForwarder(context, []);
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+});
+
+test('a worker is told what is left of the time, not what the caller had', async (context) => {
+  const forwarder = await startForwarder(context, [answerDone]);
+  await forwarder.call('safe', { 'deadline-ms': '700' });
+  const left = Number(readHeader(forwarder.workers[0]?.heads[0] ?? '', 'deadline-ms'));
+  assert.ok(left > 0 && left <= 700, String(left));
+});
+
+test('a request without an answer ends at its limit: 504, since it may run', async (context) => {
+  const forwarder = await startForwarder(context, [() => undefined]);
+  const answer = await forwarder.call('unsafe', { 'deadline-ms': '150' }, 'body');
+  assert.equal(answer.status, 504);
+});
+
+test('a worker that is not the one expected is passed over, also for work that may not be repeated', async (context) => {
+  let isFirst = true;
+  const answerHead: WorkerScript = (socket, head) => {
+    if (!isFirst) {
+      answerDone(socket, head);
+      return;
+    }
+    isFirst = false;
+    socket.write('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n');
+  };
+  const forwarder = await startForwarder(context, [answerHead, answerHead]);
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.deepEqual([answer.status, answer.body], [200, 'done']);
+});
+
+test("a worker's own failure is relayed as it is, with its seal", async (context) => {
+  const forwarder = await startForwarder(context, [
+    (socket, head) => socket.write(formatAnswer(head, 'broken', '500 Internal Server Error')),
+  ]);
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.deepEqual([answer.status, answer.body, answer.headers.seal], [500, 'broken', 's']);
+});
+
+test('a VM that drains answers what comes, and asks callers to open no more on the connection', async (context) => {
+  const forwarder = await startForwarder(context, [answerDone]);
+  forwarder.state.startDraining();
+  const answer = await forwarder.call('safe');
+  assert.equal(answer.status, 200);
+  assert.equal(answer.headers.connection, 'close');
+});
--- /dev/null
+++ b/packages/forwarder/src/exchange/streams.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  formatEvent,
+  formatStream,
+  readHeader,
+  startTestForwarder,
+  STREAM_END,
+} from '../testing/index.js';
+
+import type { TestContext } from 'node:test';
+import type { TestForwarder, WorkerScript } from '../testing/index.js';
+
+const startForwarder = async (
+  context: TestContext,
+  ...scripts: readonly WorkerScript[]
+): Promise<TestForwarder> => {
+  const forwarder = await startTestForwarder(scripts);
+  context.after(() => forwarder.close());
+  return forwarder;
+};
+
+const EVENTS = ['a', 'b', 'c', 'd'];
+
+/** Streams the events after Last-Event-Id; breaks off in the middle of an event where nothing was streamed before. */
+const buildFailingOnce = (): WorkerScript => {
+  let isFirst = true;
+  return (socket, head) => {
+    const after = Number(readHeader(head, 'last-event-id') || 0);
+    if (!isFirst) {
+      socket.write(formatStream(head, EVENTS.slice(after)) + STREAM_END);
+      return;
+    }
+    isFirst = false;
+    socket.write(`${formatStream(head, EVENTS.slice(0, 2))}f\r\nid: 3\ndata: hal`, () =>
+      socket.destroy(),
+    );
+  };
+};
+
+const listIds = (body: string): readonly string[] =>
+  [...body.matchAll(/id: (\d+)/g)].map((match) => match[1] ?? '');
+
+test('a resumable stream goes on at the next event on another worker, with no gap and no repeat', async (context) => {
+  const answerHead = buildFailingOnce();
+  const forwarder = await startForwarder(context, answerHead, answerHead);
+  const answer = await forwarder.call('resumable', {}, 'prompt');
+  assert.equal(answer.status, 200);
+  assert.equal(answer.isWhole, true);
+  assert.deepEqual(listIds(answer.body), ['1', '2', '3', '4']);
+  const resumed = forwarder.workers.flatMap((worker) => worker.heads).at(-1) ?? '';
+  assert.ok(forwarder.workers.every((worker) => worker.heads.length === 1));
+  assert.ok(['', '2'].includes(readHeader(resumed, 'last-event-id')));
+});
+
+test('a stream that may not be resumed ends cut, and is sent once', async (context) => {
+  const answerHead = buildFailingOnce();
+  const forwarder = await startForwarder(context, answerHead, answerHead);
+  const answer = await forwarder.call('stream', {}, 'prompt');
+  assert.equal(answer.isWhole, false);
+  assert.deepEqual(listIds(answer.body), ['1', '2']);
+  const sends = forwarder.workers.reduce((sum, worker) => sum + worker.heads.length, 0);
+  assert.equal(sends, 1);
+});
+
+test('a stream that ends in the middle of an event does not look whole', async (context) => {
+  const forwarder = await startForwarder(context, (socket, head) => {
+    socket.write(`${formatStream(head, ['a'])}4\r\nid: \r\n${STREAM_END}`);
+  });
+  const answer = await forwarder.call('stream', {}, 'prompt');
+  assert.equal(answer.isWhole, false);
+});
+
+test('a stream keeps the headers of its first worker after it was resumed', async (context) => {
+  let sends = 0;
+  const answerHead: WorkerScript = (socket, head) => {
+    sends += 1;
+    const isFirst = sends === 1;
+    const after = Number(readHeader(head, 'last-event-id') || 0);
+    const text = formatStream(head, isFirst ? ['a'] : EVENTS.slice(after));
+    socket.write(text.replace('seal: s', `seal: s${sends}`) + (isFirst ? '' : STREAM_END), () => {
+      if (isFirst) setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  };
+  const forwarder = await startForwarder(context, answerHead, answerHead);
+  const answer = await forwarder.call('resumable', {}, 'prompt');
+  assert.equal(answer.headers.seal, 's1');
+  assert.equal(answer.isWhole, true);
+});
+
+test('a worker that falls silent in a resumable stream is left for another', async (context) => {
+  let isFirst = true;
+  const answerHead: WorkerScript = (socket, head) => {
+    const after = Number(readHeader(head, 'last-event-id') || 0);
+    if (!isFirst) {
+      socket.write(formatStream(head, EVENTS.slice(after)) + STREAM_END);
+      return;
+    }
+    isFirst = false;
+    socket.write(formatStream(head, ['a']));
+  };
+  const forwarder = await startForwarder(context, answerHead, answerHead);
+  const answer = await forwarder.call('resumable', {}, 'prompt');
+  assert.equal(answer.isWhole, true);
+  assert.deepEqual(listIds(answer.body), ['1', '2', '3', '4']);
+});
+
+test('a caller that leaves ends the work at its worker', async (context) => {
+  let id = 0;
+  const forwarder = await startForwarder(context, (socket, head) => {
+    socket.write(formatStream(head, []));
+    const timer = setInterval(() => socket.write(formatEvent((id += 1), 'more')), 10);
+    socket.on('close', () => clearInterval(timer));
+  });
+  await forwarder.callUntil('stream', 'prompt', () => id >= 3);
+  const worker = forwarder.workers[0];
+  for (let tries = 0; tries < 100 && worker?.closed === 0; tries += 1) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  assert.equal(worker?.closed, 1);
+});
--- a/packages/forwarder/src/testing/startTestForwarder.ts
+++ b/packages/forwarder/src/testing/startTestForwarder.ts
@@ -10,7 +10,7 @@
 import { TEST_PROTOCOL } from './testProtocol.js';
 
 import type { Route, RoutingConfiguration } from '@sardinegrade/routing';
-import type { IncomingHttpHeaders } from 'node:http';
+import type { IncomingHttpHeaders, RequestOptions } from 'node:http';
 import type { WorkerScript } from './TestWorker.js';
 
 /** What a caller got. */
@@ -35,6 +35,8 @@
     headers?: Readonly<Record<string, string>>,
     body?: string,
   ) => Promise<TestAnswer>;
+  /** Sends a request and leaves as soon as the condition holds after a piece of the answer. */
+  readonly callUntil: (route: string, body: string, isEnough: () => boolean) => Promise<void>;
   readonly close: () => void;
 }
 
@@ -87,6 +89,38 @@
   ...part,
 });
 
+const buildOptions = (
+  port: number,
+  route: string,
+  method: string,
+  headers: Readonly<Record<string, string>> = {},
+): RequestOptions => ({
+  port,
+  host: '127.0.0.1',
+  path: `/${route}/x`,
+  method,
+  headers: { host: 'desk.example', 'request-id': 'r1', 'deadline-ms': '1900', ...headers },
+  agent: false,
+});
+
+const callUntil = (
+  port: number,
+  route: string,
+  body: string,
+  isEnough: () => boolean,
+): Promise<void> =>
+  new Promise((resolve) => {
+    const request = sendHttp(buildOptions(port, route, 'POST'), (response) => {
+      response.on('data', () => {
+        if (isEnough()) request.destroy();
+      });
+      response.on('error', () => undefined);
+    });
+    request.on('error', () => undefined);
+    request.on('close', resolve);
+    request.end(body);
+  });
+
 const callForwarder = (
   port: number,
   route: string,
@@ -95,14 +129,7 @@
 ): Promise<TestAnswer> =>
   new Promise((resolve) => {
     const request = sendHttp(
-      {
-        port,
-        host: '127.0.0.1',
-        path: `/${route}/x`,
-        method: body === undefined ? 'GET' : 'POST',
-        headers: { host: 'desk.example', 'request-id': 'r1', 'deadline-ms': '1900', ...headers },
-        agent: false,
-      },
+      buildOptions(port, route, body === undefined ? 'GET' : 'POST', headers),
       (response) => {
         let text = '';
         response.on('data', (piece: Buffer) => (text += piece.toString('latin1')));
@@ -168,6 +195,7 @@
     lines,
     port,
     call: (route, headers = {}, body) => callForwarder(port, route, headers, body),
+    callUntil: (route, body, isEnough) => callUntil(port, route, body, isEnough),
     close: () => {
       front.close();
       for (const worker of workers) worker.close();
--- /dev/null
+++ b/packages/routing/src/load/SharedLoadView.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { toBranded } from '@sardinegrade/common';
+
+import { PEER_SILENCE_MS, SharedLoadView } from './SharedLoadView.js';
+
+import type { UpstreamId } from '@sardinegrade/common';
+import type { LoadReport } from './SharedLoadView.js';
+
+const ENGINE = toBranded<UpstreamId>('e1');
+
+const buildReport = (part: Partial<LoadReport>, unreadTokens: number): LoadReport => ({
+  vm: toBranded('vm-1'),
+  startedAtMs: 1,
+  sequence: 1,
+  engines: new Map([[ENGINE, { unreadTokens, runs: 1 }]]),
+  ...part,
+});
+
+test('what others have at an engine is added up, each by its newest report', () => {
+  const view = new SharedLoadView();
+  view.apply(buildReport({ sequence: 2 }, 100), 0);
+  assert.equal(view.apply(buildReport({ sequence: 1 }, 900), 0), false);
+  view.apply(buildReport({ vm: toBranded('vm-2') }, 50), 0);
+  assert.deepEqual(view.measure(ENGINE, 10), { unreadTokens: 150, runs: 2 });
+});
+
+test('a restarted VM counts anew, and a late report of its earlier life is dropped', () => {
+  const view = new SharedLoadView();
+  view.apply(buildReport({ sequence: 40 }, 100), 0);
+  assert.equal(view.apply(buildReport({ startedAtMs: 2, sequence: 1 }, 7), 10), true);
+  assert.equal(view.apply(buildReport({ sequence: 41 }, 100), 20), false);
+  assert.equal(view.measure(ENGINE, 20).unreadTokens, 7);
+});
+
+test('a VM that falls silent counts for nothing and is no longer alive', () => {
+  const view = new SharedLoadView();
+  view.apply(buildReport({}, 100), 0);
+  assert.equal(view.countLive(10), 1);
+  assert.equal(view.measure(ENGINE, PEER_SILENCE_MS).unreadTokens, 0);
+  assert.equal(view.countLive(PEER_SILENCE_MS + 1), 0);
+});
