--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -46,6 +46,7 @@
   #sentAtMs = Number.NEGATIVE_INFINITY;
   #wasBusy = false;
   #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
   #hasMemory = false;
   #memoryAsks = 0;
   #askedAtMs = Number.NEGATIVE_INFINITY;
@@ -78,6 +79,8 @@
 
   /** Stops reporting. */
   stop(): void {
+    if (this.#isStopped) return;
+    this.#isStopped = true;
     clearTimeout(this.#timer);
     this.#socket.close();
   }
