feat(forwarder): metrics and one line a decision for each request

Cause: the users' on-call engineers have only logs and metrics; the forwarder logged failures without what decided them, and served no metrics.

Retry budgets are shared by the number of registered VMs instead of a guess of 12.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,3 +1,4 @@
+import { createMetrics, MetricName } from '@sardinegrade/common';
 import { RetryBudget } from '@sardinegrade/dispatch';
 import { DataCentreWatch, RouteTable, SharedLoadView } from '@sardinegrade/routing';
 
@@ -5,7 +6,7 @@
 import { WorkerFleet } from './workers/index.js';
 
 import type { DataCentreName, Logger, ServiceName, UpstreamId } from '@sardinegrade/common';
-import type { RandomSource } from '@sardinegrade/dispatch';
+import type { RandomSource, RetryBudgetLimits } from '@sardinegrade/dispatch';
 import type { PromptPart, RoutingConfiguration } from '@sardinegrade/routing';
 import type { ForwardProtocol } from './types.js';
 
@@ -29,12 +30,17 @@
   readonly getNowMs: () => number;
 }
 
-/** VMs that may share a retry budget while nobody has counted them. */
-const ASSUMED_VMS = 12;
+/** VMs that may share a retry budget while nobody has counted them: more than the largest site has today. */
+const ASSUMED_VMS = 100;
+
+/** VMs that may be added before this one hears of them, as a part of those that it knows. */
+const SPARE_VMS_SHARE = 0.25;
 
 /** Part of the shared budget that is used: requests in flight at the window's edge are counted by others. */
 const BUDGET_USE = 0.8;
 
+const MS_PER_SECOND = 1_000;
+
 /** What the forwarder believes: the configuration in force, the workers and the budgets. */
 export class ForwarderState {
   readonly fleet = new WorkerFleet();
@@ -43,16 +49,19 @@
   /** Which data centres are out of reach. */
   readonly dataCentres = new DataCentreWatch();
   readonly waiting: WaitingRoom;
+  readonly metrics = createMetrics();
   /** Hears of each prompt that is sent to an engine. */
   onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
   #configuration: RoutingConfiguration | undefined;
   #routes = new RouteTable([]);
   #isDraining = false;
+  #vmCount = ASSUMED_VMS;
   readonly #budgets = new Map<ServiceName, RetryBudget>();
 
   /** @param options - what it runs with */
   constructor(readonly options: ForwarderOptions) {
     this.waiting = new WaitingRoom(options.getNowMs);
+    this.#registerGauges();
   }
 
   /** The configuration in force; undefined until the first is known. */
@@ -89,18 +98,51 @@
     return true;
   }
 
+  /** Records how many VMs there are: they share the retry budgets. */
+  setVmCount(count: number): void {
+    this.#vmCount = Math.ceil(count * (1 + SPARE_VMS_SHARE));
+    for (const budget of this.#budgets.values()) budget.setLimits(this.#computeRetryLimits());
+  }
+
   /** @returns the retry budget of a service */
   getBudget(service: ServiceName): RetryBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
-    const { share, slack, windowMs } = this.options.retries;
-    // Half may be spent at once and half is earned within the window, so no window sees more than the slack.
-    const part = (slack * BUDGET_USE) / ASSUMED_VMS / 2;
-    const budget = new RetryBudget(share * BUDGET_USE, this.options.getNowMs(), {
-      tokenLimit: part,
-      tokensPerSecond: part / (windowMs / 1_000),
-    });
+    const { retries, getNowMs } = this.options;
+    const limits = this.#computeRetryLimits();
+    const budget = new RetryBudget(retries.share * BUDGET_USE, getNowMs(), limits);
     this.#budgets.set(service, budget);
     return budget;
   }
+
+  #computeRetryLimits(): RetryBudgetLimits {
+    const { slack, windowMs } = this.options.retries;
+    // Half may be spent at once and half is earned within the window, so no window sees more than the slack.
+    const part = (slack * BUDGET_USE) / this.#vmCount / 2;
+    return { tokenLimit: part, tokensPerSecond: part / (windowMs / MS_PER_SECOND) };
+  }
+
+  #registerGauges(): void {
+    const { metrics } = this;
+    metrics.registerGauge(MetricName.Generation, () => [
+      { labels: {}, value: this.#configuration?.version ?? 0 },
+    ]);
+    metrics.registerGauge(MetricName.Queued, () => [
+      { labels: { service: '', class: '' }, value: this.waiting.size },
+    ]);
+    metrics.registerGauge(MetricName.Members, () => [
+      {
+        labels: { state: 'alive' },
+        value: this.sharedLoad.countLive(this.options.getNowMs()) + 1,
+      },
+    ]);
+    metrics.registerGauge(MetricName.Upstreams, () => {
+      const workers = this.fleet.directory.listAll();
+      const leaving = workers.filter((worker) => worker.isLeaving).length;
+      return [
+        { labels: { pool: '', health: 'ready' }, value: workers.length - leaving },
+        { labels: { pool: '', health: 'leaving' }, value: leaving },
+      ];
+    });
+  }
 }
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -12,8 +12,8 @@
 import { ANSWER_GRACE_MS, DEFAULT_TIMEOUT_MS } from '../constants.js';
 import { sendOwnReply } from '../front/replies.js';
 import { EventFramer } from '../relay/index.js';
-import { AnswerTimes } from './AnswerTimes.js';
 import { chooseRecord } from './chooseRecord.js';
+import { ExchangeReport } from './ExchangeReport.js';
 import { isSuccess, sendToWorker } from './sendToWorker.js';
 import { computeSilenceMs } from './silence.js';
 
@@ -58,7 +58,7 @@
 /** Serves one request of a caller: sends it to workers until one answers or nothing more can be done. */
 export class Exchange {
   readonly #framer = new EventFramer();
-  readonly #times: AnswerTimes;
+  readonly #report: ExchangeReport;
   readonly #tried = new Set<UpstreamId>();
   readonly #service: ServiceName | undefined;
   readonly #limitMs: number;
@@ -66,9 +66,6 @@
   #limitTimer: NodeJS.Timeout | undefined;
   #open: OpenSend | undefined;
   #ticket: Ticket | undefined;
-  #heldMs = 0;
-  #backlogTokens = 0;
-  #unreadTokens = 0;
   #headToRelay: AnswerHead | undefined;
   #runs = 0;
   #sends = 0;
@@ -82,8 +79,8 @@
     private readonly admitted: AdmittedRequest,
   ) {
     const { route, caller } = admitted;
-    this.#times = new AnswerTimes(admitted.arrivedAtMs);
     this.#service = chooseService(route.shares, state.options.random);
+    this.#report = new ExchangeReport(state, admitted, this.#service);
     this.#limitMs = Math.min(caller.deadlineMs ?? DEFAULT_TIMEOUT_MS, route.timeoutMs);
     this.#isRepeatable = route.kind === RouteKind.Safe || route.isResumable;
   }
@@ -145,9 +142,7 @@
       return true;
     }
     if (choice.isHeld) return false;
-    this.#heldMs = this.#now() - this.admitted.arrivedAtMs;
-    this.#backlogTokens = choice.backlogTokens;
-    this.#sendTo(choice.record, service);
+    this.#sendTo(choice.record, service, choice.backlogTokens);
     return true;
   }
 
@@ -158,13 +153,15 @@
     return known ?? { name: this.#service, connectionLimit: 0, engine: undefined };
   }
 
-  #sendTo(record: WorkerRecord, service: RoutedService): void {
+  #sendTo(record: WorkerRecord, service: RoutedService, backlogTokens: number): void {
     const { route, holder, caller, body } = this.admitted;
     const nowMs = this.#now();
     const claimed = record.pool.claim(nowMs, this.#isRepeatable);
     const prompt = service.engine === undefined ? undefined : caller.prompt;
     const run = prompt === undefined ? undefined : record.account.start(prompt, nowMs);
-    this.#unreadTokens = run?.unreadTokens ?? 0;
+    const unreadTokens = run?.unreadTokens ?? 0;
+    const heldMs = nowMs - this.admitted.arrivedAtMs;
+    this.#report.recordSend({ heldMs, backlogTokens, unreadTokens });
     if (prompt !== undefined) this.state.onPlacement(record.worker.id, prompt.parts);
     const open: OpenSend = { record, claimed, run, startedAtMs: nowMs, hasBegun: false };
     this.#open = open;
@@ -216,7 +213,7 @@
     const events = this.#framer.push(piece);
     if (events.length === 0) return true;
     open.hasBegun = true;
-    this.#times.record(this.#now());
+    this.#report.recordPiece();
     if (open.run?.hasBegun === false) {
       open.run.hasBegun = true;
       this.state.waiting.retryAll();
@@ -254,8 +251,8 @@
     if (isSuccess(end.head.status)) {
       open.record.health.recordSuccess();
       if (route.kind !== RouteKind.Streaming) {
-        this.#times.record(this.#now());
-        this.#logAnswer(open.record);
+        this.#report.recordPiece();
+        this.#report.recordAnswer(open.record.worker.id);
         this.#answerWhole(end);
       } else if (this.#framer.isMidEvent)
         this.#onFailure(open, SendFailure.Broken, 'the stream ended in the middle of an event');
@@ -274,7 +271,7 @@
 
   #finishStream(open: OpenSend): void {
     this.#finish();
-    this.#logAnswer(open.record);
+    this.#report.recordAnswer(open.record.worker.id);
     this.#writeRelayedHead();
     this.response.end();
   }
@@ -306,19 +303,15 @@
       remainingMs: this.#getRemainingMs(),
       hasBudget: budget?.hasToken(nowMs) ?? false,
     });
-    this.state.options.logger.warn('send failed', {
-      requestId: this.#requestId,
-      service: this.#service,
+    this.#report.recordFailedSend({
       upstream: open.record.worker.id,
+      failure,
+      reason,
       durationMs: nowMs - open.startedAtMs,
-      inputs: {
-        failure,
-        reason,
-        reused: open.claimed.isReused,
-        runs: this.#runs,
-        sends: this.#sends,
-        next: step,
-      },
+      isReused: open.claimed.isReused,
+      runs: this.#runs,
+      sends: this.#sends,
+      next: step,
     });
     if (step === NextStep.SendAgain) {
       if (failure !== SendFailure.NotSent) budget?.take(nowMs);
@@ -354,14 +347,14 @@
     const retryAfterMs = canHaveBegun
       ? undefined
       : NO_WORKER_RETRY_MS * (1 + this.state.options.random());
-    this.#logEnd(final, message);
+    this.#report.recordFailure(final, message, this.#runs);
     this.#markClose();
     sendOwnReply(this.response, { code: final, message, retryAfterMs });
   }
 
   #cut(reason: string): void {
     this.#finish();
-    this.#logEnd(ResultCode.AnswerCut, reason);
+    this.#report.recordFailure(ResultCode.AnswerCut, reason, this.#runs);
     this.response.destroy();
   }
 
@@ -379,7 +372,11 @@
     if (this.#isFinished) return;
     const open = this.#open;
     this.#finish();
-    this.#logEnd(ResultCode.CallerGone, 'the caller closed its connection');
+    this.#report.recordFailure(
+      ResultCode.CallerGone,
+      'the caller closed its connection',
+      this.#runs,
+    );
     open?.send?.cancel(SendFailure.Silent, 'the caller is gone');
   }
 
@@ -392,34 +389,4 @@
   #markClose(): void {
     if (this.state.isDraining) this.response.shouldKeepAlive = false;
   }
-
-  #logAnswer(record: WorkerRecord): void {
-    const { route, arrivedAtMs } = this.admitted;
-    if (!this.#times.isLate(route)) return;
-    this.state.options.logger.info('request answered late', {
-      requestId: this.#requestId,
-      service: this.#service,
-      upstream: record.worker.id,
-      durationMs: this.#now() - arrivedAtMs,
-      inputs: {
-        target_ms: route.targetMs,
-        first_ms: this.#times.firstMs,
-        longest_gap_ms: this.#times.longestGapMs,
-        sends: this.#sends,
-        held_ms: this.#heldMs,
-        backlog_tokens: this.#backlogTokens,
-        unread_tokens: this.#unreadTokens,
-      },
-    });
-  }
-
-  #logEnd(code: ResultCode, message: string): void {
-    this.state.options.logger.warn('request ended without a whole answer', {
-      requestId: this.#requestId,
-      service: this.#service,
-      code,
-      durationMs: this.#now() - this.admitted.arrivedAtMs,
-      inputs: { reason: message, runs: this.#runs, sends: this.#sends },
-    });
-  }
 }
--- /dev/null
+++ b/packages/forwarder/src/exchange/ExchangeReport.ts
@@ -0,0 +1,176 @@
+import { MetricName, ResultCode, WasteCause } from '@sardinegrade/common';
+
+import { AnswerTimes } from './AnswerTimes.js';
+
+import type { ServiceName, TrafficLabels, UpstreamId } from '@sardinegrade/common';
+import type { NextStep, SendFailure } from '@sardinegrade/routing';
+import type { ForwarderState } from '../ForwarderState.js';
+import type { AdmittedRequest } from './Exchange.js';
+
+/** One routine success in so many is logged; failures, late answers and changes of belief always are. */
+const SUCCESS_SAMPLING = 20;
+
+/** The workspace of requests that need no key. */
+const PUBLIC_WORKSPACE = 'public';
+
+/** What a placement was decided by. */
+export interface PlacementFacts {
+  readonly heldMs: number;
+  readonly backlogTokens: number;
+  readonly unreadTokens: number;
+}
+
+/** A send that brought no answer, and what follows. */
+export interface FailedSendFacts {
+  readonly upstream: UpstreamId;
+  readonly failure: SendFailure;
+  readonly reason: string;
+  readonly durationMs: number;
+  readonly isReused: boolean;
+  readonly runs: number;
+  readonly sends: number;
+  readonly next: NextStep;
+}
+
+const NO_PLACEMENT: PlacementFacts = { heldMs: 0, backlogTokens: 0, unreadTokens: 0 };
+
+const WASTE_CAUSES: Readonly<Partial<Record<ResultCode, WasteCause>>> = {
+  [ResultCode.CallerGone]: WasteCause.CallerGone,
+  [ResultCode.UpstreamTimeout]: WasteCause.Deadline,
+  [ResultCode.AnswerCut]: WasteCause.UpstreamLost,
+};
+
+/** Logs and counts what becomes of one request. */
+export class ExchangeReport {
+  readonly times: AnswerTimes;
+  #placement = NO_PLACEMENT;
+  #sends = 0;
+  #events = 0;
+
+  constructor(
+    private readonly state: ForwarderState,
+    private readonly admitted: AdmittedRequest,
+    private readonly service: ServiceName | undefined,
+  ) {
+    this.times = new AnswerTimes(admitted.arrivedAtMs);
+  }
+
+  /** Records that the request was sent, and by what it was placed. */
+  recordSend(placement: PlacementFacts): void {
+    this.#sends += 1;
+    this.#placement = placement;
+    const { metrics } = this.state;
+    if (this.#sends === 1) {
+      metrics.recordQueueWait(this.service ?? '', this.#labels.className, placement.heldMs);
+    } else {
+      const cause = this.#events > 0 ? 'resumed' : 'retried';
+      metrics.addCount(MetricName.Retries, { service: this.service ?? '', cause });
+    }
+  }
+
+  /** Records a piece of the answer. */
+  recordPiece(): void {
+    this.#events += 1;
+    this.times.record(this.state.options.getNowMs());
+  }
+
+  /** Records a send that brought no answer. */
+  recordFailedSend(facts: FailedSendFacts): void {
+    const { upstream, failure } = facts;
+    this.state.metrics.addCount(MetricName.UpstreamAttempts, { upstream, outcome: failure });
+    this.state.options.logger.warn('send failed', {
+      requestId: this.admitted.caller.requestId,
+      service: this.service,
+      upstream,
+      durationMs: Math.round(facts.durationMs),
+      inputs: {
+        failure,
+        reason: facts.reason,
+        reused: facts.isReused,
+        runs: facts.runs,
+        sends: facts.sends,
+        next: facts.next,
+        ...this.#describePlacement(),
+      },
+    });
+  }
+
+  /** Records a whole answer. */
+  recordAnswer(upstream: UpstreamId): void {
+    const { route } = this.admitted;
+    const { metrics, options } = this.state;
+    const durationMs = this.#measureAge();
+    const isLate = this.times.isLate(route);
+    metrics.addCount(MetricName.UpstreamAttempts, { upstream, outcome: 'answered' });
+    metrics.recordAnswer({
+      ...this.#labels,
+      firstTokenMs: this.times.firstMs,
+      tokenIntervalMs: undefined,
+      durationMs,
+      tokens: this.#events,
+      isAttained: !isLate,
+    });
+    if (!isLate && options.random() * SUCCESS_SAMPLING >= 1) return;
+    options.logger.info(isLate ? 'request answered late' : 'request answered', {
+      requestId: this.admitted.caller.requestId,
+      service: this.service,
+      upstream,
+      workspace: this.admitted.holder?.workspace,
+      generation: this.state.configuration?.version,
+      durationMs: Math.round(durationMs),
+      inputs: {
+        target_ms: route.targetMs,
+        first_ms: Math.round(this.times.firstMs ?? 0),
+        longest_gap_ms: Math.round(this.times.longestGapMs),
+        sends: this.#sends,
+        ...this.#describePlacement(),
+        ...(isLate ? {} : { sampled_one_in: SUCCESS_SAMPLING }),
+      },
+    });
+  }
+
+  /** Records an end without a whole answer. */
+  recordFailure(code: ResultCode, reason: string, runs: number): void {
+    const { metrics, options } = this.state;
+    metrics.recordFailure({ ...this.#labels, code });
+    const cause = WASTE_CAUSES[code];
+    if (cause !== undefined) metrics.recordWaste(this.service ?? '', cause, this.#events);
+    options.logger.warn('request ended without a whole answer', {
+      requestId: this.admitted.caller.requestId,
+      service: this.service,
+      workspace: this.admitted.holder?.workspace,
+      generation: this.state.configuration?.version,
+      code,
+      durationMs: Math.round(this.#measureAge()),
+      inputs: {
+        reason,
+        runs,
+        sends: this.#sends,
+        events: this.#events,
+        draining: this.state.isDraining,
+        ...this.#describePlacement(),
+      },
+    });
+  }
+
+  get #labels(): TrafficLabels {
+    return {
+      service: this.service ?? '',
+      className: this.admitted.route.kind,
+      workspace: this.admitted.holder?.workspace ?? PUBLIC_WORKSPACE,
+    };
+  }
+
+  #measureAge(): number {
+    return this.state.options.getNowMs() - this.admitted.arrivedAtMs;
+  }
+
+  #describePlacement(): Readonly<Record<string, number>> {
+    if (this.admitted.caller.prompt === undefined) return {};
+    return {
+      held_ms: Math.round(this.#placement.heldMs),
+      backlog_tokens: Math.round(this.#placement.backlogTokens),
+      unread_tokens: this.#placement.unreadTokens,
+    };
+  }
+}
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -75,6 +75,7 @@
   /** Replaces the addresses of the other VMs. */
   setPeers(peers: readonly ListenAddress[]): void {
     this.#peers = peers;
+    this.options.state.setVmCount(peers.length + 1);
   }
 
   /** Stops reporting. */
