--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,16 @@
 const house = { rules: { 'function-verb': functionVerb, 'import-downwards': importDownwards } };
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**', 'reports/**', 'target/**', 'journal/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      '**/generated/**',
+      'reports/**',
+      'target/**',
+      'journal/**',
+    ],
+  },
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
