feat(routing): requests that crash workers are refused everywhere

Change: CrashLedger: what broke off on a worker whose life is then known to be over (its registration is gone though it did not leave, or names a new start) is suspect; at the second crash the request is refused as not run, with 503. VMs tell each other of crashes. A refused connection is no proof: a cut data centre refuses too, so the first draft, which took it for one, was dropped.

Test: CrashLedger.test.ts, answerFaults.test.ts, describeFromLog.test.ts.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -3,11 +3,13 @@
 import { ProblemError } from '../client/index.js';
 import { ExitCode } from '../enums.js';
 import { CommandError } from '../errors.js';
+import { readText } from '../options.js';
 import { renderExplanation } from '../output/index.js';
+import { describeFromLog } from './describeFromLog.js';
 
 import type { ExplanationView } from '@sardinegrade/common';
 import type { DaemonReply } from '../client/index.js';
-import type { Command, CommandContext, CommandResult } from '../types.js';
+import type { Command, CommandContext, CommandOptions, CommandResult } from '../types.js';
 
 type Reply = DaemonReply<ExplanationView>;
 
@@ -27,9 +29,12 @@
 };
 
 const runExplain = async (
-  { getClient }: CommandContext,
+  { getClient, environment }: CommandContext,
   [requestId = '']: readonly string[],
+  options: CommandOptions,
 ): Promise<CommandResult> => {
+  const log = readText(options, 'log');
+  if (log !== undefined) return describeFromLog(requestId, await environment.readFile(log));
   const path = `/v1/requests/${encodeURIComponent(requestId)}`;
   const replies = await getClient().readAll(explanationSchema, path);
   const accounts = replies.flatMap((reply) => ('value' in reply ? [reply.value] : []));
@@ -49,8 +54,16 @@
   {
     usage: 'explain <request-id>',
     description: 'Show the decisions on one request: queue, grant, engine, attempts, codes',
-    options: [],
-    examples: ['sardinegrade explain 0f8b6c52-6f0e-4d6e-9d57-5f4c3b1a2e90'],
+    options: [
+      {
+        flags: '--log <file>',
+        description: 'Read the story from logs of VMs instead; - for stdin',
+      },
+    ],
+    examples: [
+      'sardinegrade explain 9c41d07be2a35f68 --log vms.log',
+      'sardinegrade explain 0f8b6c52-6f0e-4d6e-9d57-5f4c3b1a2e90',
+    ],
     isWatchable: true,
     run: runExplain,
   },
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,13 +1,13 @@
-import { createMetrics, MetricName } from '@sardinegrade/common';
+import { createMetrics, MetricName, toBranded } from '@sardinegrade/common';
 import { RetryBudget } from '@sardinegrade/dispatch';
-import { DataCentreWatch, RouteTable, SharedLoadView } from '@sardinegrade/routing';
+import { CrashLedger, DataCentreWatch, RouteTable, SharedLoadView } from '@sardinegrade/routing';
 
 import { WaitingRoom } from './waiting/index.js';
 import { WorkerFleet } from './workers/index.js';
 
 import type { DataCentreName, Logger, ServiceName, UpstreamId } from '@sardinegrade/common';
 import type { RandomSource, RetryBudgetLimits } from '@sardinegrade/dispatch';
-import type { PromptPart, RoutingConfiguration } from '@sardinegrade/routing';
+import type { Crash, PromptPart, RoutingConfiguration, Worker } from '@sardinegrade/routing';
 import type { ForwardProtocol } from './types.js';
 
 /** Limits of the retries that all VMs share for a service. */
@@ -41,6 +41,10 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Names one life of a worker: a crash counts once for each. */
+export const toLifeId = (worker: Worker): UpstreamId =>
+  toBranded(`${worker.id}@${worker.startedAtMs}`);
+
 /** What the forwarder believes: the configuration in force, the workers and the budgets. */
 export class ForwarderState {
   readonly fleet = new WorkerFleet();
@@ -50,6 +54,10 @@
   readonly dataCentres = new DataCentreWatch();
   readonly waiting: WaitingRoom;
   readonly metrics = createMetrics();
+  /** Requests that crash workers. */
+  readonly crashes = new CrashLedger();
+  /** Hears of crashes that this VM saw. */
+  onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Hears of each prompt that is sent to an engine. */
   onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
   #configuration: RoutingConfiguration | undefined;
@@ -98,6 +106,18 @@
     return true;
   }
 
+  /** Records that a life of a worker is over: what broke off on it shortly before is suspect. */
+  recordDeath(worker: Worker): void {
+    const crashes = this.crashes.recordDeath(toLifeId(worker), this.options.getNowMs());
+    if (crashes.length === 0) return;
+    this.options.logger.warn('worker crashed under requests', {
+      upstream: worker.id,
+      count: crashes.length,
+      inputs: { fingerprints: crashes.map(({ fingerprint }) => fingerprint).join(' ') },
+    });
+    this.onCrashes(crashes);
+  }
+
   /** Records how many VMs there are: they share the retry budgets. */
   setVmCount(count: number): void {
     this.#vmCount = Math.ceil(count * (1 + SPARE_VMS_SHARE));
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -10,6 +10,7 @@
 } from '@sardinegrade/routing';
 
 import { ANSWER_GRACE_MS, DEFAULT_TIMEOUT_MS } from '../constants.js';
+import { toLifeId } from '../ForwarderState.js';
 import { sendOwnReply } from '../front/replies.js';
 import { EventFramer } from '../relay/index.js';
 import { chooseRecord } from './chooseRecord.js';
@@ -17,7 +18,7 @@
 import { isSuccess, sendToWorker } from './sendToWorker.js';
 import { computeSilenceMs } from './silence.js';
 
-import type { RequestId, ServiceName, UpstreamId } from '@sardinegrade/common';
+import type { Fingerprint, RequestId, ServiceName, UpstreamId } from '@sardinegrade/common';
 import type { EngineRun, KeyHolder, Route, RoutedService } from '@sardinegrade/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ClaimedChannel } from '../channels/index.js';
@@ -33,6 +34,8 @@
   readonly route: Route;
   readonly holder: KeyHolder | undefined;
   readonly body: Buffer | undefined;
+  /** By which it is recognised when it is sent again. */
+  readonly fingerprint: Fingerprint;
   readonly arrivedAtMs: number;
 }
 
@@ -332,6 +335,10 @@
   #recordHealth(open: OpenSend, failure: SendFailure): void {
     const { health } = open.record;
     if (failure === SendFailure.Rejected || failure === SendFailure.ErrorAnswer) return;
+    if (failure === SendFailure.Broken) {
+      const { fingerprint } = this.admitted;
+      this.state.crashes.recordBroken(fingerprint, toLifeId(open.record.worker), this.#now());
+    }
     // A reused connection may have been closed by a worker that is well.
     if (failure === SendFailure.Broken && open.claimed.isReused && !open.hasBegun) return;
     health.recordFailure(this.#now(), failure === SendFailure.NotSent);
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -2,6 +2,7 @@
 
 import { BodyEnd, readBody } from '../front/readBody.js';
 import { sendOwnReply } from '../front/replies.js';
+import { hashRequest } from './hashRequest.js';
 
 import type { KeyHolder, Route, RoutingConfiguration } from '@sardinegrade/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -24,6 +25,15 @@
   retryAfterMs: NOT_READY_RETRY_MS,
 };
 
+/** Pause before a request that crashes workers may be tried again, in milliseconds. */
+const QUARANTINED_RETRY_MS = 30_000;
+
+const QUARANTINED: OwnReply = {
+  code: ResultCode.Quarantined,
+  message: 'The request was running on several workers when they crashed.',
+  retryAfterMs: QUARANTINED_RETRY_MS,
+};
+
 const isReply = (result: Permission | OwnReply): result is OwnReply => 'code' in result;
 
 const checkRequest = (
@@ -93,5 +103,10 @@
     refuse(state, response, caller, permission);
     return undefined;
   }
-  return { caller, ...permission, body: read.body, arrivedAtMs };
+  const fingerprint = hashRequest(request.url ?? '', caller.key, read.body);
+  if (state.crashes.isQuarantined(fingerprint, state.options.getNowMs())) {
+    refuse(state, response, caller, QUARANTINED);
+    return undefined;
+  }
+  return { caller, ...permission, body: read.body, fingerprint, arrivedAtMs };
 };
--- a/packages/forwarder/src/exchange/answerFaults.test.ts
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -134,3 +134,27 @@
     assert.deepEqual([answer.status, answer.body], [200, 'done']);
   }
 });
+
+test('a request that was there at two crashes is refused as not run; others are served', async (context) => {
+  const answerHead: WorkerScript = (socket, head) => {
+    if (head.includes('/unsafe/')) socket.resetAndDestroy();
+    else socket.write(formatAnswer(head, 'done'));
+  };
+  const forwarder = await startForwarder(context, answerHead, answerHead);
+  const { state, workers } = forwarder;
+  for (let crashes = 0; crashes < 2; crashes += 1) {
+    const before = workers.map((worker) => worker.heads.length);
+    await forwarder.call('unsafe', {}, 'poison');
+    const hit = workers.findIndex((worker, index) => worker.heads.length > (before[index] ?? 0));
+    const worker = state.fleet.directory.listAll()[hit];
+    assert.ok(worker !== undefined);
+    const life = { ...worker, startedAtMs: worker.startedAtMs + 1 };
+    state.recordDeath(worker);
+    // The worker is back as a new life.
+    state.fleet.directory.set(life);
+  }
+  const sends = workers.flatMap((worker) => worker.heads).length;
+  assert.equal((await forwarder.call('unsafe', {}, 'poison')).status, 503);
+  assert.equal(workers.flatMap((worker) => worker.heads).length, sends);
+  assert.equal((await forwarder.call('unsafe', {}, 'another')).status, 502);
+});
--- a/packages/forwarder/src/front/replies.ts
+++ b/packages/forwarder/src/front/replies.ts
@@ -12,6 +12,8 @@
   readonly retryAfterMs?: number | undefined;
 }
 
+const SERVICE_UNAVAILABLE = 503;
+
 const RUN_STATES: Readonly<Partial<Record<ResultCode, RunState>>> = {
   [ResultCode.UpstreamFailed]: RunState.Unknown,
   [ResultCode.UpstreamTimeout]: RunState.Unknown,
@@ -27,7 +29,10 @@
 export const sendOwnReply = (response: ServerResponse, reply: OwnReply): void => {
   const run = RUN_STATES[reply.code] ?? RunState.NotRun;
   const body = JSON.stringify({ error: { code: reply.code, message: reply.message, run } });
-  response.writeHead(HTTP_STATUS[reply.code], {
+  // A request that crashes workers may be well formed: here it is refused as not run, not called invalid.
+  const status =
+    reply.code === ResultCode.Quarantined ? SERVICE_UNAVAILABLE : HTTP_STATUS[reply.code];
+  response.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
     ...(reply.retryAfterMs === undefined
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -4,6 +4,7 @@
 import { LoadProtocol } from '@sardinegrade/peer';
 
 import {
+  CRASH_LIMIT,
   DATAGRAM_LIMIT_BYTES,
   LEAST_REPORT_INTERVAL_MS,
   MEMORY_ASK_INTERVAL_MS,
@@ -14,8 +15,8 @@
   REPORT_INTERVAL_PER_PEER_MS,
 } from './constants.js';
 
-import type { PromptPart } from '@sardinegrade/routing';
-import type { DataCentreName, UpstreamId, VmId } from '@sardinegrade/common';
+import type { Crash, PromptPart } from '@sardinegrade/routing';
+import type { DataCentreName, Fingerprint, UpstreamId, VmId } from '@sardinegrade/common';
 import type { Socket } from 'node:dgram';
 import type { ListenAddress } from '../front/index.js';
 import type { ForwarderState } from '../ForwarderState.js';
@@ -42,6 +43,7 @@
   readonly #startedAtMs = Date.now();
   #peers: readonly ListenAddress[] = [];
   #placements: LoadProtocol.Placement[] = [];
+  #crashes: Crash[] = [];
   #sequence = 0;
   #sentAtMs = Number.NEGATIVE_INFINITY;
   #wasBusy = false;
@@ -60,6 +62,9 @@
     this.#socket.on('error', (error) =>
       options.state.options.logger.warn('load report failed', { error }),
     );
+    options.state.onCrashes = (crashes) => {
+      this.#crashes.push(...crashes.slice(0, CRASH_LIMIT));
+    };
     options.state.onPlacement = (upstream, parts) => this.#notePlacement(upstream, parts);
   }
 
@@ -108,7 +113,7 @@
       unreadTokens: Math.round(load.unreadTokens),
       runs: load.runs,
     }));
-    const isBusy = engines.length > 0 || this.#placements.length > 0;
+    const isBusy = engines.length > 0 || this.#placements.length > 0 || this.#crashes.length > 0;
     // The first report without work tells that the work is done.
     const isDue = isBusy || this.#wasBusy || nowMs - this.#sentAtMs >= QUIET_REPORT_INTERVAL_MS;
     if (!isDue) return;
@@ -126,8 +131,10 @@
       dataCentre: this.options.state.options.dataCentre,
       engines,
       placements: this.#placements,
+      crashes: this.#crashes,
     };
     this.#placements = [];
+    this.#crashes = [];
     let bytes = encodeMessage({ load: message });
     if (bytes.length > DATAGRAM_LIMIT_BYTES) {
       bytes = encodeMessage({ load: { ...message, placements: [] } });
@@ -193,6 +200,13 @@
     state.dataCentres.recordReport(toBranded<DataCentreName>(load.dataCentre), nowMs);
     if (!state.sharedLoad.apply(report, nowMs)) return;
     this.#applyPlacements(load.placements);
+    for (const { fingerprint, upstream } of load.crashes) {
+      const crash = {
+        fingerprint: toBranded<Fingerprint>(fingerprint),
+        upstream: toBranded<UpstreamId>(upstream),
+      };
+      state.crashes.addCrash(crash, nowMs);
+    }
     state.waiting.retryAll();
   }
 
--- a/packages/forwarder/src/peers/constants.ts
+++ b/packages/forwarder/src/peers/constants.ts
@@ -24,3 +24,6 @@
 
 /** How often it asks at most: where no other VM knows anything, as after a loss of all, it starts without. */
 export const MEMORY_ASK_LIMIT = 8;
+
+/** Crashes that one report names at most: an engine runs 64 requests, of which one VM has a part. */
+export const CRASH_LIMIT = 16;
--- /dev/null
+++ b/packages/routing/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+/** Requests that crash workers. */
+export * from './CrashLedger.js';
