feat(routing): urgency by workspace and route; lean reports; few choices for many VMs

Cause 1: trace of the configuration: all workspaces of both sites have priority 1, so a workspace's priority alone makes all requests equal at engines and in the waiting room. Urgency is now the workspace's priority first, the route's within it. Reports name engines by hash, loads in hundreds of tokens, and only placements that are news; their rate falls with the number of VMs. Few VMs keep all choices. Also: a request waits while its engine runs as many as it has slots.

--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -2,6 +2,7 @@
 import {
   canHaveRun,
   chooseService,
+  computeUrgency,
   decideNextStep,
   NextStep,
   READING_TOKENS_PER_MS,
@@ -50,9 +51,6 @@
   hasBegun: boolean;
 }
 
-/** Highest rank that engines know; 0 is the most urgent. */
-const LEAST_URGENT_RANK = 9;
-
 const MS_PER_TICK = 1;
 
 /** Pause before callers come back after a refusal for lack of a worker, in milliseconds. */
@@ -115,7 +113,7 @@
     if (this.#tryStart()) return;
     const { route, caller, holder, arrivedAtMs } = this.admitted;
     this.#ticket = {
-      priority: holder?.priority ?? route.priority,
+      priority: computeUrgency(holder?.priority, route.priority),
       arrivedAtMs,
       dueAtMs: arrivedAtMs + route.targetMs,
       readingMs: (caller.prompt?.promptTokens ?? 0) / READING_TOKENS_PER_MS,
@@ -165,17 +163,19 @@
     const unreadTokens = run?.unreadTokens ?? 0;
     const heldMs = nowMs - this.admitted.arrivedAtMs;
     this.#report.recordSend({ heldMs, backlogTokens, unreadTokens });
-    if (prompt !== undefined) this.state.onPlacement(record.worker.id, prompt.parts);
+    if (prompt !== undefined && run?.hasNewShared === true) {
+      this.state.onPlacement(record.worker.id, prompt.parts);
+    }
     const open: OpenSend = { record, claimed, run, startedAtMs: nowMs, hasBegun: false };
     this.#open = open;
     this.#sends += 1;
     this.#tried.add(record.worker.id);
-    const priority = holder?.priority ?? route.priority;
+    const priority = computeUrgency(holder?.priority, route.priority);
     const headers = this.state.options.protocol.encodeSend(this.request.rawHeaders, {
       worker: record.worker.id,
       remainingMs: Math.max(MS_PER_TICK, Math.floor(this.#getRemainingMs())),
       workspace: holder?.workspace,
-      priority: prompt === undefined ? undefined : Math.min(LEAST_URGENT_RANK, priority),
+      priority: prompt === undefined ? undefined : priority,
       lastEventId: this.#framer.lastEventId ?? caller.lastEventId,
     });
     const worker = {
--- a/packages/forwarder/src/exchange/chooseRecord.ts
+++ b/packages/forwarder/src/exchange/chooseRecord.ts
@@ -8,6 +8,13 @@
 /** Targets for the first event up to this count as tight, in milliseconds: a long prompt takes as long to read. */
 const TIGHT_TARGET_MS = 400;
 
+/** Other VMs up to which load reports come often enough to choose among more engines. */
+const FEW_VMS = 16;
+
+/** Engines among which a new part is placed, in a small and a large fleet: the replays of placement compare them. */
+const FEW_VMS_CHOICES = Infinity;
+const MANY_VMS_CHOICES = 3;
+
 /** What a choice of worker depends on. */
 export interface ChoiceContext {
   readonly state: ForwarderState;
@@ -76,7 +83,7 @@
 ): EngineView => {
   const { worker, account } = record;
   const { state, nowMs } = context;
-  const others = state.sharedLoad.measure(worker.id, nowMs);
+  const others = state.sharedLoad.measure(worker.id);
   return {
     id: worker.id,
     backlogTokens: account.estimateBacklogTokens(nowMs) + others.unreadTokens,
@@ -87,17 +94,24 @@
 };
 
 const chooseForPrompt = (context: ChoiceContext, prompt: PromptShape): RecordChoice => {
-  const { state, targetMs, waitedMs, nowMs } = context;
+  const { state, service, targetMs, waitedMs, nowMs } = context;
+  const others = state.sharedLoad.countLive(nowMs);
   const candidates = listCandidates(context);
   const views = candidates.map((record) => buildEngineView(context, prompt, record));
   const lane = targetMs <= TIGHT_TARGET_MS ? PromptLane.Tight : PromptLane.Bulk;
-  const hearsOthers = state.sharedLoad.countLive(nowMs) > 0;
-  const choice = chooseEngine(prompt, views, { lane, hearsOthers, waitedMs });
+  const choice = chooseEngine(prompt, views, {
+    lane,
+    hearsOthers: others > 0,
+    firstChoices: others < FEW_VMS ? FEW_VMS_CHOICES : MANY_VMS_CHOICES,
+    waitedMs,
+  });
   if (choice === undefined) return { record: undefined, isHeld: false, backlogTokens: 0 };
-  const backlogTokens = views.find(({ id }) => id === choice.id)?.backlogTokens ?? 0;
+  const view = views.find(({ id }) => id === choice.id);
+  const backlogTokens = view?.backlogTokens ?? 0;
+  const isFull = (view?.runs ?? 0) >= (service.engine?.slots ?? Infinity);
   return {
     record: candidates.find(({ worker }) => worker.id === choice.id),
-    isHeld: shouldHold(lane, backlogTokens),
+    isHeld: isFull || shouldHold(lane, backlogTokens),
     backlogTokens,
   };
 };
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -1,6 +1,6 @@
 import { createSocket } from 'node:dgram';
 
-import { toBranded } from '@sardinegrade/common';
+import { hashText, toBranded } from '@sardinegrade/common';
 import { LoadProtocol } from '@sardinegrade/peer';
 
 import {
@@ -15,11 +15,12 @@
   REPORT_INTERVAL_PER_PEER_MS,
 } from './constants.js';
 
-import type { Crash, PromptPart } from '@sardinegrade/routing';
+import type { Crash, EngineLoad, PromptPart } from '@sardinegrade/routing';
 import type { DataCentreName, Fingerprint, UpstreamId, VmId } from '@sardinegrade/common';
 import type { Socket } from 'node:dgram';
 import type { ListenAddress } from '../front/index.js';
 import type { ForwarderState } from '../ForwarderState.js';
+import type { NamedLoad } from '../workers/index.js';
 
 /** What a reporter needs. */
 export interface LoadReporterOptions {
@@ -29,6 +30,9 @@
   readonly address: ListenAddress;
 }
 
+/** Backlogs are told in hundreds of tokens: a hundred take two milliseconds to read. */
+const HUNDRED = 100;
+
 const encodeMessage = (message: Partial<LoadProtocol.PeerMessage>): Uint8Array =>
   LoadProtocol.PeerMessage.encode({
     load: undefined,
@@ -108,11 +112,7 @@
   #tick(): void {
     const nowMs = this.options.state.options.getNowMs();
     this.#askMemory(nowMs);
-    const engines = this.options.state.fleet.listLoads(nowMs).map(({ id, load }) => ({
-      upstream: id,
-      unreadTokens: Math.round(load.unreadTokens),
-      runs: load.runs,
-    }));
+    const engines = this.options.state.fleet.listLoads(nowMs);
     const isBusy = engines.length > 0 || this.#placements.length > 0 || this.#crashes.length > 0;
     // The first report without work tells that the work is done.
     const isDue = isBusy || this.#wasBusy || nowMs - this.#sentAtMs >= QUIET_REPORT_INTERVAL_MS;
@@ -122,14 +122,16 @@
     this.#send(engines);
   }
 
-  #send(engines: LoadProtocol.EngineLoad[]): void {
+  #send(engines: readonly NamedLoad[]): void {
     this.#sequence += 1;
     const message = {
       vm: this.options.vm,
       startedAtMs: this.#startedAtMs,
       sequence: this.#sequence,
       dataCentre: this.options.state.options.dataCentre,
-      engines,
+      engines: engines.map(({ id }) => hashText(id)),
+      unreadHundreds: engines.map(({ load }) => Math.round(load.unreadTokens / HUNDRED)),
+      runs: engines.map(({ load }) => load.runs),
       placements: this.#placements,
       crashes: this.#crashes,
     };
@@ -158,7 +160,7 @@
     for (const { id, parts } of this.options.state.fleet.listMemories()) {
       for (let first = 0; first < parts.length; first += PARTS_PER_DATAGRAM) {
         const some = parts.slice(first, first + PARTS_PER_DATAGRAM);
-        const memory = { placements: [{ upstream: id, parts: [...some] }] };
+        const memory = { placements: [{ engine: hashText(id), parts: [...some] }] };
         this.#socket.send(encodeMessage({ memory }), receiver.port, receiver.host);
       }
     }
@@ -168,7 +170,7 @@
     if (this.#placements.length >= PLACEMENT_LIMIT) this.#placements.shift();
     // The last part belongs to the request alone: no other VM sends it.
     const shared = parts.slice(0, -1).map(({ id, tokens }) => ({ id, tokens }));
-    this.#placements.push({ upstream, parts: shared });
+    this.#placements.push({ engine: hashText(upstream), parts: shared });
   }
 
   #receive(bytes: Buffer, sender: ListenAddress): void {
@@ -189,9 +191,12 @@
   #applyLoad(load: LoadProtocol.LoadShare): void {
     const { state } = this.options;
     const engines = new Map(
-      load.engines.map(({ upstream, unreadTokens, runs }) => [
-        toBranded<UpstreamId>(upstream),
-        { unreadTokens, runs },
+      load.engines.map((engine, index): [number, EngineLoad] => [
+        engine,
+        {
+          unreadTokens: (load.unreadHundreds[index] ?? 0) * HUNDRED,
+          runs: load.runs[index] ?? 0,
+        },
       ]),
     );
     const { startedAtMs, sequence } = load;
@@ -212,9 +217,9 @@
 
   #applyPlacements(placements: readonly LoadProtocol.Placement[]): void {
     const { fleet } = this.options.state;
-    for (const { upstream, parts } of placements) {
+    for (const { engine, parts } of placements) {
       const named = parts.map(({ id, tokens }): PromptPart => ({ id: toBranded(id), tokens }));
-      fleet.findOrAdd(toBranded(upstream))?.account.memory.record(named);
+      fleet.findByHash(engine)?.account.memory.record(named);
     }
   }
 }
--- a/packages/forwarder/src/peers/constants.ts
+++ b/packages/forwarder/src/peers/constants.ts
@@ -2,10 +2,10 @@
 export const LEAST_REPORT_INTERVAL_MS = 50;
 
 /**
- * Time between two reports for each other VM, in milliseconds: with 84 others a VM hears of each three times a
- * second, which keeps what it spends on reports the same at any size of the fleet.
+ * Time between two reports for each other VM, in milliseconds: with 84 others a VM hears of each every 0.7 s, which
+ * keeps what it spends on reports the same at any size of the fleet.
  */
-export const REPORT_INTERVAL_PER_PEER_MS = 4;
+export const REPORT_INTERVAL_PER_PEER_MS = 8;
 
 /** A VM without work says that it lives this often, in milliseconds: a data centre counts as cut off after three. */
 export const QUIET_REPORT_INTERVAL_MS = 150;
--- a/packages/forwarder/src/workers/WorkerFleet.ts
+++ b/packages/forwarder/src/workers/WorkerFleet.ts
@@ -1,3 +1,4 @@
+import { hashText } from '@sardinegrade/common';
 import { EngineAccount, WorkerDirectory, WorkerHealth } from '@sardinegrade/routing';
 
 import { ChannelPool } from '../channels/index.js';
@@ -13,6 +14,12 @@
   readonly account: EngineAccount;
 }
 
+/** What this VM has at one engine. */
+export interface NamedLoad {
+  readonly id: UpstreamId;
+  readonly load: EngineLoad;
+}
+
 /** Size of an engine's memory until the configuration names it, in tokens: that of the smallest site. */
 const DEFAULT_CACHE_TOKENS = 600_000;
 
@@ -48,9 +55,9 @@
     return record;
   }
 
-  /** @returns what is kept of a worker, or undefined where it is not registered */
-  findOrAdd(id: UpstreamId): WorkerRecord | undefined {
-    const worker = this.directory.find(id);
+  /** @returns what is kept of the worker whose id has a hash, or undefined where none is registered */
+  findByHash(hash: number): WorkerRecord | undefined {
+    const worker = this.directory.listAll().find(({ id }) => hashText(id) === hash);
     return worker && this.getRecord(worker, undefined);
   }
 
@@ -60,8 +67,8 @@
    * @param nowMs - the present
    * @returns each with this VM's load
    */
-  listLoads(nowMs: number): readonly { readonly id: UpstreamId; readonly load: EngineLoad }[] {
-    const loads: { readonly id: UpstreamId; readonly load: EngineLoad }[] = [];
+  listLoads(nowMs: number): readonly NamedLoad[] {
+    const loads: NamedLoad[] = [];
     for (const [id, { account }] of this.#records) {
       if (account.runCount === 0) continue;
       const unreadTokens = account.estimateBacklogTokens(nowMs);
--- a/packages/platform/src/mirror/constants.ts
+++ b/packages/platform/src/mirror/constants.ts
@@ -1,8 +1,8 @@
 /**
- * How long a watch waits for a change, in milliseconds. A connection that has fallen silent is noticed
- * after this and the margin, which leaves the rest of the bound for the call that replaces it.
+ * Pause between a watch that brought changes and the next, in milliseconds: changes that come in series, as when a
+ * fleet starts, are fetched together. Every call is priced, and drains have seconds.
  */
-export const WATCH_WAIT_MS = 3_000;
+export const COALESCE_MS = 250;
 
 /** First and longest pause before a failed call is repeated, in milliseconds. */
 export const FIRST_RETRY_MS = 100;
--- a/packages/platform/src/mirror/syncObjects.ts
+++ b/packages/platform/src/mirror/syncObjects.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { PlatformError, PlatformFailure } from '../PlatformError.js';
-import { AWAY_AFTER_MS, FIRST_RETRY_MS, LONGEST_RETRY_MS, WATCH_WAIT_MS } from './constants.js';
+import { AWAY_AFTER_MS, COALESCE_MS, FIRST_RETRY_MS, LONGEST_RETRY_MS } from './constants.js';
 
 import type { FeedChange, FeedObject, ObjectFeed } from './types.js';
 
@@ -21,6 +21,11 @@
   readonly feed: ObjectFeed;
   readonly kind: string;
   readonly observer: MirrorObserver;
+  /**
+   * How long a watch waits for a change, in milliseconds. A connection that has fallen silent is noticed only then,
+   * so it has to leave the rest of the bound on changes for the call that replaces it.
+   */
+  readonly watchWaitMs: number;
   readonly getNowMs: () => number;
   readonly random: () => number;
   readonly signal: AbortSignal;
@@ -54,15 +59,16 @@
   }
 
   async #step(): Promise<void> {
-    const { feed, kind, observer } = this.options;
+    const { feed, kind, observer, watchWaitMs } = this.options;
     if (this.#version === undefined) {
       await this.#list();
       return;
     }
-    const { changes, version } = await feed.watchChanges(kind, this.#version, WATCH_WAIT_MS);
+    const { changes, version } = await feed.watchChanges(kind, this.#version, watchWaitMs);
     this.#onAnswer();
     this.#version = version;
     for (const change of changes) observer.onChange(change);
+    if (changes.length > 0) await sleep(COALESCE_MS);
   }
 
   async #list(): Promise<void> {
--- a/packages/routing/src/load/SharedLoadView.ts
+++ b/packages/routing/src/load/SharedLoadView.ts
@@ -1,3 +1,5 @@
+import { hashText } from '@sardinegrade/common';
+
 import type { UpstreamId, VmId } from '@sardinegrade/common';
 
 /** What one VM has sent to one engine. */
@@ -15,8 +17,8 @@
   readonly startedAtMs: number;
   /** Grows with each report of one process. */
   readonly sequence: number;
-  /** Engines that are not named have no work of the VM. */
-  readonly engines: ReadonlyMap<UpstreamId, EngineLoad>;
+  /** Loads by the hash of the engine's id; engines that are not named have no work of the VM. */
+  readonly engines: ReadonlyMap<number, EngineLoad>;
 }
 
 interface HeardReport {
@@ -27,14 +29,13 @@
 /** A VM that has been silent for this long counts as gone, in milliseconds: some of its reports may be lost. */
 export const PEER_SILENCE_MS = 2_500;
 
-/** Load reports older than this say nothing about an engine any more, in milliseconds. */
-const REPORT_LIFETIME_MS = 1_300;
-
 const NO_LOAD: EngineLoad = { unreadTokens: 0, runs: 0 };
 
 /** The load that other VMs put on the engines, as they last said. */
 export class SharedLoadView {
   readonly #reports = new Map<VmId, HeardReport>();
+  /** Sums over the reports, by the hash of the engine's id: reading one costs the same at any size of the fleet. */
+  readonly #totals = new Map<number, EngineLoad>();
 
   /**
    * Takes a report, unless a newer one of the same VM is known.
@@ -50,35 +51,39 @@
       (report.startedAtMs < known.startedAtMs ||
         (report.startedAtMs === known.startedAtMs && report.sequence <= known.sequence));
     if (isStale) return false;
+    if (known !== undefined) this.#addToTotals(known, -1);
+    this.#addToTotals(report, 1);
     this.#reports.set(report.vm, { report, atMs: nowMs });
     return true;
   }
 
   /**
-   * Adds up what all other VMs have at an engine.
+   * Tells what all other VMs have at an engine.
    *
    * @param upstream - the engine
-   * @param nowMs - the present
-   * @returns their load
+   * @returns their load, as of the last `countLive`
    */
-  measure(upstream: UpstreamId, nowMs: number): EngineLoad {
-    let total = NO_LOAD;
-    for (const { report, atMs } of this.#reports.values()) {
-      const load = report.engines.get(upstream);
-      if (load === undefined || nowMs - atMs > REPORT_LIFETIME_MS) continue;
-      total = {
-        unreadTokens: total.unreadTokens + load.unreadTokens,
-        runs: total.runs + load.runs,
-      };
-    }
-    return total;
+  measure(upstream: UpstreamId): EngineLoad {
+    return this.#totals.get(hashText(upstream)) ?? NO_LOAD;
   }
 
   /** Counts the other VMs that are alive, and forgets those that are gone. */
   countLive(nowMs: number): number {
-    for (const [vm, { atMs }] of this.#reports) {
-      if (nowMs - atMs > PEER_SILENCE_MS) this.#reports.delete(vm);
+    for (const [vm, { report, atMs }] of this.#reports) {
+      if (nowMs - atMs <= PEER_SILENCE_MS) continue;
+      this.#addToTotals(report, -1);
+      this.#reports.delete(vm);
     }
     return this.#reports.size;
   }
+
+  #addToTotals({ engines }: LoadReport, sign: 1 | -1): void {
+    for (const [engine, load] of engines) {
+      const total = this.#totals.get(engine) ?? NO_LOAD;
+      const unreadTokens = total.unreadTokens + sign * load.unreadTokens;
+      const runs = total.runs + sign * load.runs;
+      if (unreadTokens === 0 && runs === 0) this.#totals.delete(engine);
+      else this.#totals.set(engine, { unreadTokens, runs });
+    }
+  }
 }
--- a/packages/routing/src/placement/EngineAccount.ts
+++ b/packages/routing/src/placement/EngineAccount.ts
@@ -1,3 +1,4 @@
+import { countSharedTokens } from './countSharedTokens.js';
 import { PromptMemory } from './PromptMemory.js';
 
 import type { PromptShape } from './types.js';
@@ -17,6 +18,8 @@
 export interface EngineRun {
   /** Tokens that the engine had to read when the request was sent. */
   readonly unreadTokens: number;
+  /** Whether it brought parts that other prompts may share to an engine that did not hold them. */
+  readonly hasNewShared: boolean;
   readonly sentAtMs: number;
   hasBegun: boolean;
 }
@@ -44,9 +47,11 @@
    * @returns the run, to be ended by `finish`
    */
   start(prompt: PromptShape, nowMs: number): EngineRun {
-    const unreadTokens = Math.max(0, prompt.promptTokens - this.memory.countHeld(prompt.parts));
+    const heldTokens = this.memory.countHeld(prompt.parts);
+    const unreadTokens = Math.max(0, prompt.promptTokens - heldTokens);
+    const hasNewShared = heldTokens < countSharedTokens(prompt);
     this.memory.record(prompt.parts);
-    const run: EngineRun = { unreadTokens, sentAtMs: nowMs, hasBegun: false };
+    const run: EngineRun = { unreadTokens, hasNewShared, sentAtMs: nowMs, hasBegun: false };
     this.#runs.add(run);
     return run;
   }
--- a/packages/routing/src/placement/chooseEngine.test.ts
+++ b/packages/routing/src/placement/chooseEngine.test.ts
@@ -7,7 +7,7 @@
 import { chooseEngine } from './chooseEngine.js';
 import { PromptLane } from './shouldHold.js';
 
-import type { ReplayClass, ReplayCount } from '../testing/index.js';
+import type { ReplayClass, ReplayCount, ReplaySite } from '../testing/index.js';
 import type { EngineView } from './chooseEngine.js';
 import type { PromptShape } from './types.js';
 
@@ -69,6 +69,28 @@
   }
 });
 
+/** A grown site: each VM hears of the 75 others every 0.7 s. */
+const LARGE_SITE: ReplaySite = { engines: 63, vms: 76, reportIntervalMs: 670, firstChoices: 3 };
+
+const GROWN_BURST: readonly ReplayClass[] = BURST.map((kind) => ({
+  ...kind,
+  perSecond: kind.perSecond * 4.8,
+  things: kind.things * 4,
+}));
+
+test('many VMs that hear of each other late: a few choices a part are better than all engines', () => {
+  const runChoices = (firstChoices: number) => {
+    const site = { ...LARGE_SITE, firstChoices };
+    const replay = new PlacementReplay(PlacementPolicy.Shared, 1, site);
+    const late = countLate(replay.run(GROWN_BURST, 6));
+    return { late, readAgain: replay.sharedTokensReadAgain };
+  };
+  const few = runChoices(LARGE_SITE.firstChoices);
+  const all = runChoices(Infinity);
+  assert.ok(few.late * 2 <= all.late, `${few.late} against ${all.late} late`);
+  assert.ok(few.readAgain * 2 <= all.readAgain, `${few.readAgain} against ${all.readAgain}`);
+});
+
 const PROMPT: PromptShape = {
   parts: [
     { id: toBranded('shared'), tokens: 13_300 },
@@ -88,8 +110,8 @@
     ...part,
   }));
 
-const ALONE = { lane: PromptLane.Bulk, hearsOthers: false, waitedMs: 0 };
-const SHARED = { lane: PromptLane.Bulk, hearsOthers: true, waitedMs: 0 };
+const ALONE = { lane: PromptLane.Bulk, hearsOthers: false, firstChoices: Infinity, waitedMs: 0 };
+const SHARED = { lane: PromptLane.Bulk, hearsOthers: true, firstChoices: Infinity, waitedMs: 0 };
 
 test('VMs that know the same engines send a shared part to the same one', () => {
   const engines = buildEngines(13);
--- a/packages/routing/src/placement/chooseEngine.ts
+++ b/packages/routing/src/placement/chooseEngine.ts
@@ -1,5 +1,6 @@
 import { rankByRendezvous } from '@sardinegrade/common';
 
+import { countSharedTokens } from './countSharedTokens.js';
 import { READING_TOKENS_PER_MS } from './EngineAccount.js';
 import { PromptLane } from './shouldHold.js';
 
@@ -37,6 +38,9 @@
  */
 const READING_WEIGHT = 8;
 
+/** Penalty of an engine outside the first choices of a part that none holds, in milliseconds: larger than any backlog worth waiting for. */
+const OUTSIDE_PENALTY_MS = 2_000;
+
 /** Penalty of each place further down the rendezvous order, in milliseconds: only breaks near ties. */
 const RANK_PENALTY_MS = 1.5;
 
@@ -53,7 +57,7 @@
 const BESIDE_BULK_PENALTY_MS = 40;
 
 /** Wait that long prompts bear before they take a reserved engine, in milliseconds. */
-const RESERVED_PENALTY_MS = 60;
+const RESERVED_PENALTY_MS = 200;
 
 /** Penalty of an engine that is set aside, in milliseconds: larger than any backlog worth waiting for. */
 const ASIDE_PENALTY_MS = 60_000;
@@ -62,15 +66,17 @@
 const findSharedPart = (prompt: PromptShape): PartId | undefined =>
   (prompt.parts.at(-2) ?? prompt.parts.at(-1))?.id;
 
-const countSharedTokens = (prompt: PromptShape): number =>
-  prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-
 /** What a placement depends on besides prompt and engines. */
 export interface PlacementContext {
   /** Whose engines suit the prompt. */
   readonly lane: PromptLane;
   /** Whether other VMs tell what they send where. */
   readonly hearsOthers: boolean;
+  /**
+   * Engines among which a part that none holds is placed: the first in its rendezvous order. Where VMs hear of each
+   * other late, with all engines they would all choose the one that seemed free; a few differ from part to part.
+   */
+  readonly firstChoices: number;
   /** How long the request has been held back, in milliseconds: what it waited for is not free soon. */
   readonly waitedMs: number;
 }
@@ -87,6 +93,9 @@
   return isReserved ? RESERVED_PENALTY_MS : 0;
 };
 
+const computeRankPenaltyMs = (rank: number, choices: number): number =>
+  rank * RANK_PENALTY_MS + (rank >= choices ? OUTSIDE_PENALTY_MS : 0);
+
 /**
  * Chooses the engine with the least expected time to the first event: what it has to read before,
  * and what it would have to read of this prompt.
@@ -106,7 +115,7 @@
   engines: readonly EngineView[],
   context: PlacementContext,
 ): EngineChoice | undefined => {
-  const { lane, hearsOthers } = context;
+  const { lane, hearsOthers, firstChoices } = context;
   const part = findSharedPart(prompt);
   const ids = engines.map((engine) => engine.id);
   const reserved = listReserved(ids);
@@ -124,7 +133,10 @@
       (engine.backlogTokens + (prompt.promptTokens - held) * READING_WEIGHT) /
         READING_TOKENS_PER_MS +
       engine.runs * DELAY_PER_RUN_MS +
-      (ranks.get(engine.id) ?? order.length) * RANK_PENALTY_MS +
+      computeRankPenaltyMs(
+        ranks.get(engine.id) ?? order.length,
+        held > 0 ? Infinity : firstChoices,
+      ) +
       (reserved.size > 0 ? computeLanePenaltyMs(context, reserved.has(engine.id)) : 0) +
       (engine.isAside ? ASIDE_PENALTY_MS : 0);
     if (best === undefined || expectedMs < best.expectedMs) best = { id: engine.id, expectedMs };
--- a/packages/routing/src/testing/PlacementReplay.ts
+++ b/packages/routing/src/testing/PlacementReplay.ts
@@ -10,7 +10,8 @@
 
 import type { UpstreamId } from '@sardinegrade/common';
 import type { RandomSource } from '@sardinegrade/dispatch';
-import type { EngineRun, PromptShape, PromptLane } from '../placement/index.js';
+import type { EngineLoad } from '../load/index.js';
+import type { EngineRun, PromptLane, PromptShape } from '../placement/index.js';
 
 /** How a replay chooses engines. */
 export enum PlacementPolicy {
@@ -48,6 +49,9 @@
 
 interface VmModel {
   readonly accounts: ReadonlyMap<UpstreamId, EngineAccount>;
+  /** What it last told the others. */
+  reported: ReadonlyMap<UpstreamId, EngineLoad>;
+  reportedAtMs: number;
 }
 
 interface OpenRun {
@@ -57,9 +61,24 @@
   readonly beginsAtMs: number;
 }
 
-/** Sizes of the site that the replay stands for. */
-const ENGINES = 13;
-const VMS = 7;
+/** Sizes of a site. */
+export interface ReplaySite {
+  readonly engines: number;
+  readonly vms: number;
+  /** Time between two load reports of a VM, in milliseconds. */
+  readonly reportIntervalMs: number;
+  /** Engines among which a new part is placed. */
+  readonly firstChoices: number;
+}
+
+/** The site of today. */
+export const SMALL_SITE: ReplaySite = {
+  engines: 13,
+  vms: 7,
+  reportIntervalMs: 50,
+  firstChoices: Infinity,
+};
+
 const CACHE_TOKENS = 654_473;
 
 /** Least time to a first event, in milliseconds. */
@@ -84,16 +103,22 @@
   /**
    * @param policy - how engines are chosen
    * @param seed - of the arrivals
+   * @param site - its sizes
    */
   constructor(
     private readonly policy: PlacementPolicy,
     seed: number,
+    private readonly site = SMALL_SITE,
   ) {
     this.#random = createRandomSource(seed);
-    const ids = Array.from({ length: ENGINES }, (_, index) => toBranded<UpstreamId>(`e${index}`));
+    const ids = Array.from({ length: site.engines }, (_, index) =>
+      toBranded<UpstreamId>(`e${index}`),
+    );
     this.#engines = ids.map((id) => ({ id, memory: new PromptMemory(CACHE_TOKENS), freeAtMs: 0 }));
-    this.#vms = Array.from({ length: VMS }, () => ({
+    this.#vms = Array.from({ length: site.vms }, (_, index) => ({
       accounts: new Map(ids.map((id) => [id, new EngineAccount(CACHE_TOKENS)])),
+      reported: new Map(),
+      reportedAtMs: (index / site.vms) * site.reportIntervalMs - site.reportIntervalMs,
     }));
   }
 
@@ -165,19 +190,42 @@
     nowMs: number,
   ): UpstreamId | undefined {
     if (this.policy === PlacementPolicy.Random) return this.#pick(this.#engines).id;
-    const seen = this.policy === PlacementPolicy.Shared ? this.#vms : [vm];
+    this.#refreshReports(nowMs);
+    const others =
+      this.policy === PlacementPolicy.Shared ? this.#vms.filter((one) => one !== vm) : [];
     const views = this.#engines.map(({ id }) => {
-      const accounts = seen.flatMap((one) => one.accounts.get(id) ?? []);
+      const account = vm.accounts.get(id);
+      const loads = others.flatMap((one) => one.reported.get(id) ?? []);
       return {
         id,
-        backlogTokens: accounts.reduce((sum, one) => sum + one.estimateBacklogTokens(nowMs), 0),
-        heldTokens: vm.accounts.get(id)?.memory.countHeld(prompt.parts) ?? 0,
-        runs: accounts.reduce((sum, one) => sum + one.runCount, 0),
+        backlogTokens:
+          (account?.estimateBacklogTokens(nowMs) ?? 0) +
+          loads.reduce((sum, load) => sum + load.unreadTokens, 0),
+        heldTokens: account?.memory.countHeld(prompt.parts) ?? 0,
+        runs: (account?.runCount ?? 0) + loads.reduce((sum, load) => sum + load.runs, 0),
         isAside: false,
       };
     });
     const hearsOthers = this.policy === PlacementPolicy.Shared;
-    return chooseEngine(prompt, views, { lane: kind.lane, hearsOthers, waitedMs: 0 })?.id;
+    return chooseEngine(prompt, views, {
+      lane: kind.lane,
+      hearsOthers,
+      firstChoices: this.site.firstChoices,
+      waitedMs: 0,
+    })?.id;
+  }
+
+  #refreshReports(nowMs: number): void {
+    for (const vm of this.#vms) {
+      if (nowMs - vm.reportedAtMs < this.site.reportIntervalMs) continue;
+      vm.reportedAtMs = nowMs;
+      vm.reported = new Map(
+        [...vm.accounts].map(([id, account]) => [
+          id,
+          { unreadTokens: account.estimateBacklogTokens(nowMs), runs: account.runCount },
+        ]),
+      );
+    }
   }
 
   #buildPrompt(kind: ReplayClass): PromptShape {
--- a/packages/routing/src/waiting/index.ts
+++ b/packages/routing/src/waiting/index.ts
@@ -1,2 +1,3 @@
 /** How requests wait for engines. */
+export * from './computeUrgency.js';
 export * from './rankWaiting.js';
