--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -2,12 +2,14 @@
 import {
   canHaveRun,
   chooseService,
+  computeRetryAfterMs,
   computeUrgency,
   decideNextStep,
   NextStep,
   READING_TOKENS_PER_MS,
   RouteKind,
   SendFailure,
+  shouldGiveUp,
 } from '@sardinegrade/routing';
 
 import { ANSWER_GRACE_MS, DEFAULT_TIMEOUT_MS } from '../constants.js';
@@ -53,9 +55,6 @@
 
 const MS_PER_TICK = 1;
 
-/** Pause before callers come back after a refusal for lack of a worker, in milliseconds. */
-const NO_WORKER_RETRY_MS = 400;
-
 /** Serves one request of a caller: sends it to workers until one answers or nothing more can be done. */
 export class Exchange {
   readonly #framer = new EventFramer();
@@ -142,11 +141,19 @@
       this.#giveUp(this.#runs > 0, ResultCode.NoUpstream, 'no worker of the service is known');
       return true;
     }
-    if (choice.isHeld) return false;
+    if (choice.isHeld) return this.#isGivenUp();
     this.#sendTo(choice.record, service, choice.backlogTokens);
     return true;
   }
 
+  /** Refuses a request that has waited for too long; answers whether it did. */
+  #isGivenUp(): boolean {
+    const waitedMs = this.#now() - this.admitted.arrivedAtMs;
+    if (!shouldGiveUp(this.admitted.route, waitedMs)) return false;
+    this.#giveUp(this.#runs > 0, ResultCode.Overloaded, 'all engines had too much to read');
+    return true;
+  }
+
   #findService(): RoutedService | undefined {
     if (this.#service === undefined) return undefined;
     const { configuration } = this.state;
@@ -350,10 +357,11 @@
       return;
     }
     this.#finish();
-    const final = canHaveBegun && code === ResultCode.NoUpstream ? ResultCode.UpstreamFailed : code;
+    const isRefusal = code === ResultCode.NoUpstream || code === ResultCode.Overloaded;
+    const final = canHaveBegun && isRefusal ? ResultCode.UpstreamFailed : code;
     const retryAfterMs = canHaveBegun
       ? undefined
-      : NO_WORKER_RETRY_MS * (1 + this.state.options.random());
+      : computeRetryAfterMs(this.#getRemainingMs(), this.state.options.random);
     this.#report.recordFailure(final, message, this.#runs);
     this.#markClose();
     sendOwnReply(this.response, { code: final, message, retryAfterMs });
--- /dev/null
+++ b/packages/routing/src/refusal/index.ts
@@ -0,0 +1,3 @@
+/** When requests are refused, and when their callers come back. */
+export * from './computePatience.js';
+export * from './computeRetryAfter.js';
