feat(soak): a seeded fault soak of the real programs

Change: soak/: VMs as processes on loopback, a store and workers in the users' forms, a proxy in front of each worker, callers on open connections; signals, link faults, crashes, drains, store faults and configurations in a seeded, overlapping plan; a ledger checks at most once, true refusals, whole and own answers, order of streams, deadlines, drains, nothing cut around a SIGTERM and versions that never go back.

Found by its first runs: a fault of the proxy (bytes of one connection overtook each other after a delay), not of the product; the proxy was mended. Its own test found that the check of versions was not called.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,7 @@
     ],
   },
   {
-    files: ['packages/**/*.ts', 'platform/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts', 'soak/**/*.ts'],
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
     languageOptions: { parserOptions: { projectService: true } },
     plugins: { house },
--- /dev/null
+++ b/soak/src/SoakVm.ts
@@ -0,0 +1,108 @@
+import { spawn } from 'node:child_process';
+import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+import type { ChildProcess } from 'node:child_process';
+
+/** Where a VM of the soak listens; each has a loopback address of its own, so ports are the same. */
+export interface SoakPorts {
+  readonly front: number;
+  readonly ready: number;
+  readonly peers: number;
+}
+
+/** What a VM of the soak needs. */
+export interface SoakVmOptions {
+  readonly name: string;
+  readonly ip: string;
+  readonly ports: SoakPorts;
+  readonly storePort: number;
+  /** Folder for settings and logs. */
+  readonly folder: string;
+}
+
+const ROLE = 'target/sardinegradeRole.js';
+const GRACE_S = 8;
+
+/** One VM: the real program as a process, which the soak starts, signals and ends. */
+export class SoakVm {
+  #process: ChildProcess | undefined;
+  /** How often the process was started. */
+  life = 0;
+  /** When a signal or start last disturbed it. */
+  disturbedAtMs = 0;
+  /** When it was told to end; undefined while it runs. */
+  terminatedAtMs: number | undefined;
+
+  /** @param options - name, addresses and folder */
+  constructor(readonly options: SoakVmOptions) {
+    mkdirSync(options.folder, { recursive: true });
+    writeFileSync(this.#settingsFile, JSON.stringify(this.#buildSettings()));
+  }
+
+  get #settingsFile(): string {
+    return join(this.options.folder, `${this.options.name}.json`);
+  }
+
+  /** Id of the process; undefined where none runs. */
+  get pid(): number | undefined {
+    return this.#process?.exitCode === null ? this.#process.pid : undefined;
+  }
+
+  /** Starts the process. */
+  start(): void {
+    this.life += 1;
+    const log = createWriteStream(join(this.options.folder, `${this.options.name}.log`), {
+      flags: 'a',
+    });
+    this.#process = spawn(process.execPath, [ROLE], {
+      env: { PATH: process.env.PATH, SARDINEGRADE_SETTINGS: this.#settingsFile },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.#process.stdout?.pipe(log);
+    this.#process.stderr?.pipe(log);
+    this.terminatedAtMs = undefined;
+    this.disturbedAtMs = performance.now();
+  }
+
+  /** Sends a signal to the process. */
+  send(signal: NodeJS.Signals): void {
+    this.#process?.kill(signal);
+    if (signal === 'SIGTERM') this.terminatedAtMs = performance.now();
+    else this.disturbedAtMs = performance.now();
+  }
+
+  /** Waits until the process is gone. */
+  async waitForEnd(): Promise<void> {
+    const child = this.#process;
+    if (child?.exitCode !== null || child.signalCode !== null) return;
+    await new Promise((resolve) => child.once('exit', resolve));
+  }
+
+  /** Ends the process at once. */
+  async abort(): Promise<void> {
+    this.#process?.kill('SIGCONT');
+    this.#process?.kill('SIGKILL');
+    await this.waitForEnd();
+  }
+
+  #buildSettings(): object {
+    const { name, ip, ports, storePort } = this.options;
+    return {
+      node: name,
+      zone: 'dc-a',
+      ip,
+      listen: { front: `${ip}:${ports.front}`, ready: `${ip}:${ports.ready}` },
+      internal_ports: [ports.peers, ports.peers],
+      bounds: {
+        grace_s: GRACE_S,
+        stable_window_ms: 3_000,
+        config_apply_ms: 2_000,
+        retry_budget_ratio: 0.2,
+        budget_window_s: 10,
+        budget_slack: 54,
+      },
+      platform: { address: `127.0.0.1:${storePort}` },
+    };
+  }
+}
--- /dev/null
+++ b/soak/src/SoakWorker.ts
@@ -0,0 +1,92 @@
+import { createServer } from 'node:http';
+
+import { STREAM_LENGTH } from './SoakLedger.js';
+import { SoakProxy } from './SoakProxy.js';
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { SoakLedger } from './SoakLedger.js';
+
+/** Pause between the events of a stream, in milliseconds. */
+const EVENT_PAUSE_MS = 25;
+
+/** Time to a plain answer, in milliseconds. */
+const WORK_MS = 15;
+
+/** A worker that writes what it runs into the ledger, behind a proxy. */
+export class SoakWorker {
+  readonly #server: Server;
+  #proxy: SoakProxy | undefined;
+
+  constructor(
+    readonly id: string,
+    private readonly ledger: SoakLedger,
+  ) {
+    this.#server = createServer((request, response) => this.#serve(request, response));
+  }
+
+  /** The proxy in front of it. */
+  get proxy(): SoakProxy {
+    if (this.#proxy === undefined) throw new Error('The worker does not listen yet.');
+    return this.#proxy;
+  }
+
+  /** Starts to listen. */
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    this.#proxy = new SoakProxy((this.#server.address() as AddressInfo).port);
+    await this.#proxy.listen();
+  }
+
+  /** Ends it with all its connections, as a crash would. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+    this.#proxy?.close();
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    const id = String(request.headers['x-request-id'] ?? '');
+    request.resume();
+    request.on('end', () => {
+      if (request.headers['x-expect-instance'] !== this.id) {
+        response.writeHead(421, { 'X-Instance-Id': this.id });
+        response.end();
+        return;
+      }
+      this.ledger.recordRun({
+        id,
+        worker: this.id,
+        atMs: performance.now(),
+        leftMs: Number(request.headers['x-deadline-ms']),
+        isResumed: request.headers['last-event-id'] !== undefined,
+      });
+      const headers = { 'X-Request-Id': id, 'X-Response-Seal': `seal of ${this.id}` };
+      if (request.url?.includes('stream') === true) this.#stream(request, response, headers);
+      else
+        setTimeout(() => {
+          response.writeHead(200, headers);
+          response.end(`answer to ${id}`);
+        }, WORK_MS);
+    });
+  }
+
+  #stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    headers: Readonly<Record<string, string>>,
+  ): void {
+    let next = Number(request.headers['last-event-id'] ?? 0) + 1;
+    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+    const timer = setInterval(() => {
+      if (next <= STREAM_LENGTH)
+        response.write(`id: ${next}\ndata: ${headers['X-Request-Id']}\n\n`);
+      else {
+        clearInterval(timer);
+        response.end();
+      }
+      next += 1;
+    }, EVENT_PAUSE_MS);
+    response.on('close', () => clearInterval(timer));
+  }
+}
--- /dev/null
+++ b/soak/src/soak.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import { execFileSync } from 'node:child_process';
+import { test } from 'node:test';
+
+import { buildPlan } from './buildPlan.js';
+import { runSoak } from './runSoak.js';
+import { RequestKind, SoakLedger } from './SoakLedger.js';
+
+import type { AnswerRecord } from './SoakLedger.js';
+
+const SEED = 20261204;
+const LENGTH_MS = 12_000;
+
+test('a short soak of real processes finds no broken promise', async () => {
+  execFileSync(process.execPath, ['tools/bundleRole.js']);
+  const result = await runSoak({
+    seed: SEED,
+    lengthMs: LENGTH_MS,
+    vms: 3,
+    workers: 3,
+    callers: 8,
+  });
+  assert.ok((result.statuses.get(200) ?? 0) > 100, 'callers were served');
+  assert.deepEqual(result.violations, [], `logs in ${result.folder}`);
+});
+
+test('the same seed gives the same plan', () => {
+  assert.deepEqual(buildPlan(SEED, 60_000), buildPlan(SEED, 60_000));
+  assert.notDeepEqual(buildPlan(SEED, 60_000), buildPlan(SEED + 1, 60_000));
+});
+
+const ANSWER: AnswerRecord = {
+  id: 'r1',
+  kind: RequestKind.Unsafe,
+  vm: 'vm-0',
+  life: 1,
+  keyVersion: 0,
+  sentAtMs: 0,
+  endedAtMs: 10,
+  deadlineMs: 1_500,
+  status: 200,
+  body: 'answer to r1',
+  isSealed: true,
+  isWhole: true,
+  isPlannedEnd: false,
+};
+
+const listRules = (ledger: SoakLedger): readonly string[] =>
+  ledger.listViolations().map(({ rule }) => rule);
+
+test('the ledger finds each kind of broken promise', () => {
+  const run = { id: 'r1', worker: 'w1', atMs: 0, leftMs: 1_400, isResumed: false };
+  const cases: readonly (readonly [string, Partial<AnswerRecord>, number])[] = [
+    ['at most once', {}, 2],
+    ['true refusals', { status: 503 }, 1],
+    ['whole and own answers', { body: 'answer to r2' }, 1],
+    ['whole and own answers', { isSealed: false }, 1],
+    [
+      'order of streams',
+      { kind: RequestKind.Resumable, body: 'id: 1\nid: 3\n', isWhole: false },
+      1,
+    ],
+    ['whole and own answers', { kind: RequestKind.Stream, body: 'id: 1\ndata: r1\n' }, 1],
+    ['deadlines', { deadlineMs: 1_000 }, 1],
+    ['nothing cut around planned work', { status: 0, isPlannedEnd: true }, 1],
+  ];
+  for (const [rule, part, runs] of cases) {
+    const ledger = new SoakLedger();
+    for (let count = 0; count < runs; count += 1) ledger.recordRun(run);
+    ledger.recordAnswer({ ...ANSWER, ...part });
+    assert.deepEqual(listRules(ledger), [rule]);
+  }
+});
+
+test('the ledger finds a version that goes back within one life of a VM', () => {
+  const ledger = new SoakLedger();
+  const record = (id: string, keyVersion: number, sentAtMs: number, life = 1): void => {
+    const body = `answer to ${id}`;
+    const endedAtMs = sentAtMs + 10;
+    ledger.recordAnswer({
+      ...ANSWER,
+      id,
+      kind: RequestKind.Safe,
+      keyVersion,
+      sentAtMs,
+      endedAtMs,
+      life,
+      body,
+    });
+  };
+  record('a', 5, 0);
+  record('b', 4, 100);
+  record('c', 3, 200, 2);
+  assert.deepEqual(listRules(ledger), []);
+  record('d', 3, 300);
+  assert.deepEqual(listRules(ledger), ['version never back']);
+});
--- a/tools/runTests.js
+++ b/tools/runTests.js
@@ -18,7 +18,7 @@
 
 const files = readdirSync('packages')
   .map((name) => join('packages', name))
-  .concat('platform')
+  .concat('platform', 'soak')
   .flatMap((folder) => listTests(join(folder, 'dist')))
   .filter((file) => positionals.length === 0 || positionals.some((word) => file.includes(word)))
   .sort();
