--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -22,6 +22,13 @@
 const sleep = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
 
+/** How many of what a site has, and the program of its VMs. */
+export interface SiteSize {
+  readonly vms: number;
+  readonly workers: number;
+  readonly role: string;
+}
+
 /** A store, workers behind proxies and VMs as processes, and what is done to them. */
 export class SoakSite {
   readonly ledger = new SoakLedger();
@@ -32,25 +39,26 @@
   #version = 1;
   #disturbedAtMs = 0;
   #disturbances = 0;
+  /** Faults by which a VM may not have heard of a drain: of the store, and of the VM itself. */
+  #newsFaults = 0;
+  #newsFaultAtMs = 0;
 
   /**
    * Starts everything.
    *
-   * @param vmCount - processes
-   * @param workerCount - workers
+   * @param size - how many of what
    * @param folder - for settings and logs
    */
-  async start(vmCount: number, workerCount: number, folder: string): Promise<void> {
+  async start({ vms, workers, role }: SiteSize, folder: string): Promise<void> {
     await this.store.listen();
     this.#writeConfiguration();
-    for (let count = 0; count < workerCount; count += 1) await this.#addWorker();
+    for (let count = 0; count < workers; count += 1) await this.#addWorker();
+    const storePort = this.store.port;
     const ports = { front: 21_000, ready: 21_001, peers: 21_002 };
-    for (let index = 0; index < vmCount; index += 1) {
+    for (let index = 0; index < vms; index += 1) {
       const name = `vm-${index}`;
       const ip = `127.0.1.${index + 1}`;
-      this.vms.push(
-        new SoakVm({ name, ip, ports, storePort: this.store.port, folder: join(folder, 'vms') }),
-      );
+      this.vms.push(new SoakVm({ name, ip, ports, storePort, folder: join(folder, 'vms'), role }));
     }
     for (const vm of this.vms) vm.start();
   }
@@ -83,9 +91,11 @@
     },
     [SoakAction.PauseVm]: async ({ target, forMs }) => {
       const vm = this.#pick(this.vms, target);
-      vm.send('SIGSTOP');
-      await sleep(forMs);
-      vm.send('SIGCONT');
+      await this.#holdUpNews(async () => {
+        vm.send('SIGSTOP');
+        await sleep(forMs);
+        vm.send('SIGCONT');
+      });
     },
     [SoakAction.TerminateVm]: async ({ target }) => {
       const vm = this.#pick(this.vms, target);
@@ -114,7 +124,8 @@
       this.#workers.splice(this.#workers.indexOf(worker), 1);
       await this.#addWorker();
       this.#register(worker, 'draining');
-      if (this.isCalm()) this.ledger.recordDrain(worker.id);
+      const hasNews = this.#newsFaults === 0 && performance.now() - this.#newsFaultAtMs > STABLE_MS;
+      if (hasNews) this.ledger.recordDrain(worker.id);
       await sleep(LINGER_MS);
       this.store.remove('servers', worker.id);
       await sleep(LINGER_MS);
@@ -143,13 +154,20 @@
 
   async #disturb(harm: () => Promise<void>): Promise<void> {
     this.#disturbances += 1;
-    // News of earlier drains may be held up from now on.
-    this.ledger.clearDrains();
     await harm();
     this.#disturbances -= 1;
     this.#disturbedAtMs = performance.now();
   }
 
+  /** Harms what brings news of drains: those before it are not held against VMs from now on. */
+  async #holdUpNews(harm: () => Promise<void>): Promise<void> {
+    this.#newsFaults += 1;
+    this.ledger.clearDrains();
+    await harm();
+    this.#newsFaults -= 1;
+    this.#newsFaultAtMs = performance.now();
+  }
+
   #harmLink({ target, forMs }: PlannedAction, fault: LinkFault): Promise<void> {
     return this.#disturb(async () => {
       const worker = this.#pick(this.#workers, target);
@@ -161,9 +179,11 @@
 
   #harmStore({ forMs }: PlannedAction, mode: StoreMode): Promise<void> {
     return this.#disturb(async () => {
-      this.store.mode = mode;
-      await sleep(forMs);
-      this.store.mode = StoreMode.Well;
+      await this.#holdUpNews(async () => {
+        this.store.mode = mode;
+        await sleep(forMs);
+        this.store.mode = StoreMode.Well;
+      });
     });
   }
 
--- a/soak/src/SoakVm.ts
+++ b/soak/src/SoakVm.ts
@@ -19,9 +19,10 @@
   readonly storePort: number;
   /** Folder for settings and logs. */
   readonly folder: string;
+  /** Program of the VM. */
+  readonly role: string;
 }
 
-const ROLE = 'target/sardinegradeRole.js';
 const GRACE_S = 8;
 
 /** One VM: the real program as a process, which the soak starts, signals and ends. */
@@ -55,7 +56,7 @@
     const log = createWriteStream(join(this.options.folder, `${this.options.name}.log`), {
       flags: 'a',
     });
-    this.#process = spawn(process.execPath, [ROLE], {
+    this.#process = spawn(process.execPath, [this.options.role], {
       env: { PATH: process.env.PATH, SARDINEGRADE_SETTINGS: this.#settingsFile },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -1,6 +1,6 @@
 import { cac } from 'cac';
 
-import { runSoak } from './runSoak.js';
+import { BUILT_ROLE, runSoak } from './runSoak.js';
 
 import type { SoakResult } from './runSoak.js';
 
@@ -14,6 +14,7 @@
   .option('--vms <count>', 'Processes of the daemon', { default: 4 })
   .option('--workers <count>', 'Workers', { default: 4 })
   .option('--callers <count>', 'Callers', { default: 16 })
+  .option('--role <file>', 'Program of the VMs', { default: BUILT_ROLE })
   .help();
 const { options } = program.parse();
 
@@ -44,6 +45,7 @@
     vms: Number(options.vms),
     workers: Number(options.workers),
     callers: Number(options.callers),
+    role: String(options.role),
     signal: abort.signal,
   });
   printResult(seed, result);
--- a/soak/src/runSoak.ts
+++ b/soak/src/runSoak.ts
@@ -10,13 +10,12 @@
 
 import type { PlannedAction } from './buildPlan.js';
 import type { Violation } from './SoakLedger.js';
+import type { SiteSize } from './SoakSite.js';
 
 /** Size and length of a soak. */
-export interface SoakOptions {
+export interface SoakOptions extends SiteSize {
   readonly seed: number;
   readonly lengthMs: number;
-  readonly vms: number;
-  readonly workers: number;
   readonly callers: number;
   /** Stops it early, as at an interrupt. */
   readonly signal?: AbortSignal;
@@ -31,6 +30,9 @@
   readonly folder: string;
 }
 
+/** The bundle that `npm run soak` builds. */
+export const BUILT_ROLE = 'target/sardinegradeRole.js';
+
 /** Time for the VMs to start before callers come, in milliseconds. */
 const START_MS = 1_500;
 
@@ -67,12 +69,12 @@
  * @returns what was found
  */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
-  const { seed, lengthMs, vms, workers, callers, signal } = options;
+  const { seed, lengthMs, callers, signal } = options;
   const folder = mkdtempSync(join(tmpdir(), 'sardinegrade-soak-'));
   const plan = buildPlan(seed, lengthMs);
   const site = new SoakSite();
   try {
-    await site.start(vms, workers, folder);
+    await site.start(options, folder);
     await sleep(START_MS, signal);
     const { ledger, getVersion, isCalm } = site;
     const crowd = Array.from(
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 
 import { buildPlan } from './buildPlan.js';
-import { runSoak } from './runSoak.js';
+import { BUILT_ROLE, runSoak } from './runSoak.js';
 import { RequestKind, SoakLedger } from './SoakLedger.js';
 
 import type { AnswerRecord } from './SoakLedger.js';
@@ -19,6 +19,7 @@
     vms: 3,
     workers: 3,
     callers: 8,
+    role: BUILT_ROLE,
   });
   assert.ok((result.statuses.get(200) ?? 0) > 100, 'callers were served');
   assert.deepEqual(result.violations, [], `logs in ${result.folder}`);
