--- a/soak/src/SoakLedger.ts
+++ b/soak/src/SoakLedger.ts
@@ -71,9 +71,12 @@
     this.#drainedAtMs.set(worker, performance.now());
   }
 
-  /** Forgets a drain whose news a fault held up. */
+  /** Forgets drains whose news a fault may hold up from now on; older ones every VM has had time to hear of. */
   clearDrains(): void {
-    this.#drainedAtMs.clear();
+    const nowMs = performance.now();
+    for (const [worker, atMs] of this.#drainedAtMs) {
+      if (nowMs - atMs < DRAIN_MS) this.#drainedAtMs.delete(worker);
+    }
   }
 
   /** Counts answers by status. */
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -27,6 +27,8 @@
   readonly vms: number;
   readonly workers: number;
   readonly role: string;
+  /** Third number of the VMs' loopback addresses, so that several soaks can run beside each other. */
+  readonly subnet: number;
 }
 
 /** A store, workers behind proxies and VMs as processes, and what is done to them. */
@@ -49,7 +51,7 @@
    * @param size - how many of what
    * @param folder - for settings and logs
    */
-  async start({ vms, workers, role }: SiteSize, folder: string): Promise<void> {
+  async start({ vms, workers, role, subnet }: SiteSize, folder: string): Promise<void> {
     await this.store.listen();
     this.#writeConfiguration();
     for (let count = 0; count < workers; count += 1) await this.#addWorker();
@@ -57,7 +59,7 @@
     const ports = { front: 21_000, ready: 21_001, peers: 21_002 };
     for (let index = 0; index < vms; index += 1) {
       const name = `vm-${index}`;
-      const ip = `127.0.1.${index + 1}`;
+      const ip = `127.0.${subnet}.${index + 1}`;
       this.vms.push(new SoakVm({ name, ip, ports, storePort, folder: join(folder, 'vms'), role }));
     }
     for (const vm of this.vms) vm.start();
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -15,6 +15,7 @@
   .option('--workers <count>', 'Workers', { default: 4 })
   .option('--callers <count>', 'Callers', { default: 16 })
   .option('--role <file>', 'Program of the VMs', { default: BUILT_ROLE })
+  .option('--subnet <number>', 'VMs listen on 127.0.NUMBER.x', { default: 1 })
   .help();
 const { options } = program.parse();
 
@@ -46,6 +47,7 @@
     workers: Number(options.workers),
     callers: Number(options.callers),
     role: String(options.role),
+    subnet: Number(options.subnet),
     signal: abort.signal,
   });
   printResult(seed, result);
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -20,6 +20,7 @@
     workers: 3,
     callers: 8,
     role: BUILT_ROLE,
+    subnet: 2,
   });
   assert.ok((result.statuses.get(200) ?? 0) > 100, 'callers were served');
   assert.deepEqual(result.violations, [], `logs in ${result.folder}`);
