--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,9 @@
 
 const house = { rules: { 'function-verb': functionVerb, 'import-downwards': importDownwards } };
 
+const USERS_HEADERS =
+  '/^(x-(response-seal|not-executed|expect-instance|prompt-prefix|token-counts|weight-versions|kv-hold|kv-backup|pin-ms|key|tenant|deadline-ms|request-priority)|kv-from|kv-fetch)$/i';
+
 export default tseslint.config(
   {
     ignores: [
@@ -32,6 +35,19 @@
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    ignores: ['packages/lab/**'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: `Literal[value=${USERS_HEADERS}]`,
+          message: "The users' headers are named in platform/ only.",
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.test.ts'],
     rules: {
--- a/tools/eslint/importDownwards.js
+++ b/tools/eslint/importDownwards.js
@@ -8,6 +8,9 @@
   ['lab'],
 ];
 
+/** The package at the root that speaks to the users' platform. */
+const BOUNDARY_PACKAGE = '@sardinegrade/users-platform';
+
 const findLayer = (name) => LAYERS.findIndex((layer) => layer.includes(name));
 
 /** Requires that imports between packages run downwards through the layers. */
@@ -17,6 +20,7 @@
     schema: [],
     messages: {
       upwards: "Package '{{from}}' must not import from '{{to}}': imports run downwards.",
+      boundary: "Package '{{from}}' must not import from platform/: it only translates for it.",
     },
   },
   create: (context) => {
@@ -24,6 +28,10 @@
     if (from === undefined) return {};
     return {
       ImportDeclaration: (node) => {
+        if (node.source.value.startsWith(BOUNDARY_PACKAGE)) {
+          context.report({ node, messageId: 'boundary', data: { from } });
+          return;
+        }
         const to = /^@sardinegrade\/([a-z]+)/.exec(node.source.value)?.[1];
         if (to === undefined || findLayer(to) < findLayer(from)) return;
         context.report({ node, messageId: 'upwards', data: { from, to } });
