test(soak): a process that ends by itself is a violation; runs are named

Traced: another trial still used the same loopback addresses (EADDRINUSE in all four logs), so two soaks with the same request ids met at the same VMs. Not a fault of the product.

--- a/soak/src/SoakLedger.ts
+++ b/soak/src/SoakLedger.ts
@@ -52,6 +52,9 @@
 /** New work may reach a worker this long after its leaving was acknowledged, in milliseconds (the users' bound). */
 const DRAIN_MS = 2_000;
 
+const describeRuns = (runs: readonly RunRecord[]): string =>
+  runs.map(({ worker, atMs }) => `${worker} (${Math.round(atMs)} ms)`).join(', ');
+
 /** What workers ran and callers got, and the rules between them. */
 export class SoakLedger {
   readonly #runs = new Map<string, RunRecord[]>();
@@ -106,7 +109,7 @@
       });
     };
     const isOnce = answer.kind === RequestKind.Unsafe || answer.kind === RequestKind.Stream;
-    if (isOnce && runs.length > 1) report('at most once', `ran ${runs.length} times`);
+    if (isOnce && runs.length > 1) report('at most once', `ran at ${describeRuns(runs)}`);
     if (isOnce && NOT_RUN_STATUSES.has(answer.status) && runs.length > 0) {
       report('true refusals', `answered ${answer.status}, but ran at ${runs[0]?.worker ?? ''}`);
     }
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -10,6 +10,7 @@
 import { SoakWorker } from './SoakWorker.js';
 
 import type { PlannedAction } from './buildPlan.js';
+import type { Violation } from './SoakLedger.js';
 
 const SERVICE = 'soak';
 
@@ -77,6 +78,17 @@
     await this.#handlers[planned.action](planned);
   }
 
+  /** Lists VMs whose process ended by itself. */
+  listUnexpectedEnds(): readonly Violation[] {
+    return this.vms
+      .filter(({ unexpectedEnds }) => unexpectedEnds > 0)
+      .map(({ options, unexpectedEnds }) => ({
+        rule: 'no process ends by itself',
+        requestId: '-',
+        detail: `${options.name} ended ${unexpectedEnds} times; its log says why`,
+      }));
+  }
+
   /** Ends all that was started. */
   async stop(): Promise<void> {
     await Promise.all(this.vms.map((vm) => vm.abort()));
@@ -87,6 +99,8 @@
   readonly #handlers: Readonly<Record<SoakAction, (planned: PlannedAction) => Promise<void>>> = {
     [SoakAction.KillVm]: async ({ target, forMs }) => {
       const vm = this.#pick(this.vms, target);
+      // One that is being restarted by another action is left alone: two processes would want one address.
+      if (vm.pid === undefined || vm.terminatedAtMs !== undefined) return;
       await vm.abort();
       await sleep(forMs);
       vm.start();
--- a/soak/src/SoakVm.ts
+++ b/soak/src/SoakVm.ts
@@ -32,6 +32,9 @@
   life = 0;
   /** When a signal or start last disturbed it. */
   disturbedAtMs = 0;
+  /** How often the process ended without having been told to. */
+  unexpectedEnds = 0;
+  #isEndExpected = false;
   /** When it was told to end; undefined while it runs. */
   terminatedAtMs: number | undefined;
 
@@ -62,6 +65,10 @@
     });
     this.#process.stdout?.pipe(log);
     this.#process.stderr?.pipe(log);
+    this.#isEndExpected = false;
+    this.#process.once('exit', () => {
+      if (!this.#isEndExpected) this.unexpectedEnds += 1;
+    });
     this.terminatedAtMs = undefined;
     this.disturbedAtMs = performance.now();
   }
@@ -69,8 +76,10 @@
   /** Sends a signal to the process. */
   send(signal: NodeJS.Signals): void {
     this.#process?.kill(signal);
-    if (signal === 'SIGTERM') this.terminatedAtMs = performance.now();
-    else this.disturbedAtMs = performance.now();
+    if (signal === 'SIGTERM') {
+      this.#isEndExpected = true;
+      this.terminatedAtMs = performance.now();
+    } else this.disturbedAtMs = performance.now();
   }
 
   /** Waits until the process is gone. */
@@ -82,6 +91,7 @@
 
   /** Ends the process at once. */
   async abort(): Promise<void> {
+    this.#isEndExpected = true;
     this.#process?.kill('SIGCONT');
     this.#process?.kill('SIGKILL');
     await this.waitForEnd();
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -6,6 +6,9 @@
 
 const MS_PER_MINUTE = 60_000;
 
+/** Violations that a run prints at most. */
+const SHOWN_VIOLATIONS = 20;
+
 const program = cac('soak');
 program
   .option('--seed <seed>', 'First seed', { default: 1 })
@@ -28,9 +31,11 @@
   console.log(`seed ${seed}: ${verdict}; ${result.plan.length} actions; answers ${statuses}`);
   const [first] = result.violations;
   if (first === undefined) return;
-  console.log(`  ${result.violations.length} violations; the first, of '${first.rule}':`);
-  console.log(`  request ${first.requestId}, ${first.detail}`);
-  console.log(`  sardinegrade explain ${first.requestId} --log LOG, logs in ${result.folder}`);
+  console.log(`  ${result.violations.length} violations; by rule and request:`);
+  for (const { rule, requestId, detail } of result.violations.slice(0, SHOWN_VIOLATIONS)) {
+    console.log(`  ${rule}: request ${requestId}, ${detail}`);
+  }
+  console.log(`  sardinegrade explain ${first.requestId} --log=LOG, logs in ${result.folder}`);
   for (const { atMs, action, target, forMs } of result.plan) {
     console.log(`  ${atMs} ms: ${action}, target ${target.toFixed(2)}, for ${forMs} ms`);
   }
--- a/soak/src/runSoak.ts
+++ b/soak/src/runSoak.ts
@@ -98,7 +98,7 @@
   } finally {
     await site.stop();
   }
-  const violations = site.ledger.listViolations();
+  const violations = [...site.listUnexpectedEnds(), ...site.ledger.listViolations()];
   if (violations.length === 0) rmSync(folder, { recursive: true });
   return { plan, statuses: site.ledger.countStatuses(), violations, folder };
 };
