refactor(forwarder): the report interval says what it is

Cause: found on the last reading: Math.max of the report interval also held three constants of the memory question, so it was 300 ms, not 50, since that edit.

--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -98,9 +98,6 @@
   #schedule(): void {
     const intervalMs = Math.max(
       LEAST_REPORT_INTERVAL_MS,
-      MEMORY_ASK_INTERVAL_MS,
-      MEMORY_ASK_LIMIT,
-      PARTS_PER_DATAGRAM,
       this.#peers.length * REPORT_INTERVAL_PER_PEER_MS,
     );
     this.#timer = setTimeout(() => {
--- a/packages/routing/src/load/DataCentreWatch.ts
+++ b/packages/routing/src/load/DataCentreWatch.ts
@@ -1,8 +1,8 @@
 import type { DataCentreName } from '@sardinegrade/common';
 
 /**
- * A data centre of which nothing has been heard for this long is taken to be cut off, in milliseconds: three
- * reports of its VMs are missing by then.
+ * A data centre of which nothing has been heard for this long is taken to be cut off, in milliseconds: each of
+ * its VMs has missed a report by then.
  */
 export const SILENT_AFTER_MS = 450;
 
