feat(platform,forwarder): logs and metrics tell which configuration is active, its origin and age

The incident's hypotheses could not be told apart: a refusal named only the generation, and nothing said which call brought a version, how long the store had been silent before it, or which calls had failed.

Gauges: configuration_age_seconds, store_answer_age_seconds by kind. No decision changes.

--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -113,6 +113,16 @@
     help: 'Configuration generation in force.',
     labels: [],
   },
+  [MetricName.ConfigurationAge]: {
+    kind: Gauge,
+    help: 'Time since the active configuration was applied.',
+    labels: [],
+  },
+  [MetricName.StoreAnswerAge]: {
+    kind: Gauge,
+    help: 'Time since the store last answered a list or watch, by kind of objects.',
+    labels: ['kind'],
+  },
   [MetricName.Members]: {
     kind: Gauge,
     help: 'Daemons known to this one, by state.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -21,6 +21,8 @@
   Attainment = 'sardinegrade_attainment_ratio',
   Queued = 'sardinegrade_queued_requests',
   Generation = 'sardinegrade_configuration_generation',
+  ConfigurationAge = 'sardinegrade_configuration_age_seconds',
+  StoreAnswerAge = 'sardinegrade_store_answer_age_seconds',
   Members = 'sardinegrade_members',
   Upstreams = 'sardinegrade_upstreams',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -38,6 +38,12 @@
   readonly getNowMs: () => number;
 }
 
+/** Kinds of objects that are synchronized with the platform's store. */
+export enum SyncedKind {
+  Configuration = 'configuration',
+  Workers = 'workers',
+}
+
 /** Assumed number of VMs until the first list of peers: more than the largest site has. */
 const DEFAULT_VM_COUNT = 100;
 
@@ -75,6 +81,9 @@
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
   onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
   #configuration: RoutingConfiguration | undefined;
+  #configurationAppliedAtMs = 0;
+  /** When the store last answered a call, by kind; kinds without an answer so far are missing. */
+  readonly #storeAnsweredAtMs = new Map<SyncedKind, number>();
   #routes = new RouteTable([]);
   #isDraining = false;
   #vmCount = DEFAULT_VM_COUNT;
@@ -91,6 +100,12 @@
     return this.#configuration;
   }
 
+  /** Time since the active configuration was applied, in milliseconds; undefined if there is none. */
+  get configurationAgeMs(): number | undefined {
+    if (this.#configuration === undefined) return undefined;
+    return this.options.getNowMs() - this.#configurationAppliedAtMs;
+  }
+
   /** Routes of the active configuration; empty until the first one has been applied. */
   get routes(): RouteTable {
     return this.#routes;
@@ -117,10 +132,22 @@
       return false;
     }
     this.#configuration = configuration;
+    this.#configurationAppliedAtMs = this.options.getNowMs();
     this.#routes = new RouteTable(configuration.routes);
     return true;
   }
 
+  /** Records that the store answered a list or watch of a kind. */
+  recordStoreAnswer(kind: SyncedKind, nowMs: number): void {
+    this.#storeAnsweredAtMs.set(kind, nowMs);
+  }
+
+  /** @returns time since the store last answered a list or watch of the kind, in milliseconds */
+  getStoreAnswerAgeMs(kind: SyncedKind): number | undefined {
+    const answeredAtMs = this.#storeAnsweredAtMs.get(kind);
+    return answeredAtMs === undefined ? undefined : this.options.getNowMs() - answeredAtMs;
+  }
+
   /**
    * Records that a worker's process has ended or was restarted. Requests that were interrupted on it shortly before are
    * suspected of having crashed it.
@@ -165,6 +192,15 @@
     metrics.registerGauge(MetricName.Generation, () => [
       { labels: {}, value: this.#configuration?.version ?? 0 },
     ]);
+    metrics.registerGauge(MetricName.ConfigurationAge, () => [
+      { labels: {}, value: (this.configurationAgeMs ?? 0) / MS_PER_SECOND },
+    ]);
+    metrics.registerGauge(MetricName.StoreAnswerAge, () =>
+      [...this.#storeAnsweredAtMs.keys()].map((kind) => ({
+        labels: { kind },
+        value: (this.getStoreAnswerAgeMs(kind) ?? 0) / MS_PER_SECOND,
+      })),
+    );
     metrics.registerGauge(MetricName.Queued, () => [
       { labels: { service: '', class: '' }, value: this.queue.size },
     ]);
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -2,6 +2,7 @@
 
 import { ResultCode } from '@sardinegrade/common';
 
+import { SyncedKind } from '../ForwarderState.js';
 import { BodyEnd, readBody } from '../front/readBody.js';
 import { sendLocalReply } from '../front/sendLocalReply.js';
 import { hashRequest } from './hashRequest.js';
@@ -56,6 +57,9 @@
   return { route, holder };
 };
 
+const toRoundedMs = (durationMs: number | undefined): number | undefined =>
+  durationMs === undefined ? undefined : Math.round(durationMs);
+
 const refuse = (
   state: ForwarderState,
   response: ServerResponse,
@@ -66,6 +70,11 @@
     requestId: caller.requestId,
     code: reply.code,
     generation: state.configuration?.version,
+    inputs: {
+      host: response.req.headers.host,
+      configuration_age_ms: toRoundedMs(state.configurationAgeMs),
+      store_answer_age_ms: toRoundedMs(state.getStoreAnswerAgeMs(SyncedKind.Configuration)),
+    },
   });
   if (state.isDraining) response.shouldKeepAlive = false;
   sendLocalReply(response, reply);
--- /dev/null
+++ b/packages/platform/src/sync/enums.ts
@@ -0,0 +1,5 @@
+/** Call by which objects or changes were received. */
+export enum SyncSource {
+  List = 'list',
+  Watch = 'watch',
+}
--- a/packages/platform/src/sync/syncObjects.ts
+++ b/packages/platform/src/sync/syncObjects.ts
@@ -7,14 +7,24 @@
   MAX_LIST_RETRY_DELAY_MS,
   MAX_WATCH_RETRY_DELAY_MS,
 } from '../sync/constants.js';
+import { SyncSource } from '../sync/enums.js';
 
-import type { FeedChange, FeedObject, ObjectFeed } from '../sync/types.js';
+import type {
+  FailedSyncCall,
+  FeedChange,
+  FeedObject,
+  ObjectFeed,
+  SyncReceipt,
+} from '../sync/types.js';
 
 /** Receives the objects of a kind, their changes and outages of the store. */
 export interface SyncObserver {
   /** Receives all objects of the kind, which replace those received before. */
-  readonly onList: (objects: readonly FeedObject[]) => void;
-  readonly onChange: (change: FeedChange) => void;
+  readonly onList: (objects: readonly FeedObject[], receipt: SyncReceipt) => void;
+  readonly onChange: (change: FeedChange, receipt: SyncReceipt) => void;
+  /** Called for each answer of the store, also one without changes. */
+  readonly onAnswer: () => void;
+  readonly onCallFailed: (call: FailedSyncCall) => void;
   /** Called once per outage: at the first failure that comes OUTAGE_THRESHOLD_MS or more after the last success. */
   readonly onUnavailable: (error: PlatformError) => void;
   /** Called with the duration of an outage when it has ended, before the objects or changes are passed on. */
@@ -56,6 +66,7 @@
   #lastSuccessAtMs: number;
   #isUnavailable = false;
   #failureCount = 0;
+  #callStartedAtMs = 0;
 
   constructor(private readonly options: SyncOptions) {
     this.#lastSuccessAtMs = options.getNowMs();
@@ -64,6 +75,7 @@
   async run(): Promise<void> {
     const { signal } = this.options;
     while (!signal.aborted) {
+      this.#callStartedAtMs = this.options.getNowMs();
       try {
         await this.#step();
       } catch (thrown) {
@@ -79,40 +91,50 @@
       return;
     }
     const { changes, version } = await feed.watchChanges(kind, this.#version, watchWaitMs);
-    this.#handleSuccess();
+    const silentMs = this.#handleSuccess();
     this.#version = version;
-    for (const change of changes) observer.onChange(change);
+    const receipt: SyncReceipt = { source: SyncSource.Watch, version, silentMs };
+    for (const change of changes) observer.onChange(change, receipt);
     if (changes.length > 0) await sleep(coalesceMs);
   }
 
   async #list(): Promise<void> {
     const { feed, kind, observer } = this.options;
     const objects: FeedObject[] = [];
-    let afterName: string | undefined;
-    let firstPageVersion: number | undefined;
-    do {
-      const page = await feed.listPage(kind, afterName);
+    let page = await feed.listPage(kind, undefined);
+    // A watch from the first page's version also returns changes made while the other pages are read.
+    const { version } = page;
+    objects.push(...page.objects);
+    while (page.next !== undefined) {
+      page = await feed.listPage(kind, page.next);
       objects.push(...page.objects);
-      // A watch from the first page's version also returns changes made while the other pages were read.
-      firstPageVersion ??= page.version;
-      afterName = page.next;
-    } while (afterName !== undefined);
-    this.#handleSuccess();
-    this.#version = firstPageVersion;
-    observer.onList(objects);
+    }
+    const silentMs = this.#handleSuccess();
+    this.#version = version;
+    observer.onList(objects, { source: SyncSource.List, version, silentMs });
   }
 
-  #handleSuccess(): void {
+  /** Records a successful call; returns the time since the previous one. */
+  #handleSuccess(): number {
     const nowMs = this.options.getNowMs();
     const outageMs = nowMs - this.#lastSuccessAtMs;
     this.#lastSuccessAtMs = nowMs;
     this.#failureCount = 0;
-    if (!this.#isUnavailable) return;
-    this.#isUnavailable = false;
-    this.options.observer.onRecovered(outageMs);
+    this.options.observer.onAnswer();
+    if (this.#isUnavailable) {
+      this.#isUnavailable = false;
+      this.options.observer.onRecovered(outageMs);
+    }
+    return outageMs;
   }
 
   async #handleFailure(error: PlatformError): Promise<void> {
+    this.options.observer.onCallFailed({
+      source: this.#version === undefined ? SyncSource.List : SyncSource.Watch,
+      version: this.#version,
+      durationMs: this.options.getNowMs() - this.#callStartedAtMs,
+      error,
+    });
     if (error.failure === PlatformFailure.Truncated) {
       this.#version = undefined;
       return;
--- a/packages/platform/src/sync/types.ts
+++ b/packages/platform/src/sync/types.ts
@@ -1,3 +1,6 @@
+import type { PlatformError } from '../PlatformError.js';
+import type { SyncSource } from './enums.js';
+
 /** Object of the store's feed. */
 export interface FeedObject {
   readonly name: string;
@@ -41,3 +44,21 @@
   readonly listPage: (kind: string, after: string | undefined) => Promise<FeedPage>;
   readonly watchChanges: (kind: string, version: number, waitMs: number) => Promise<FeedChanges>;
 }
+
+/** Origin of objects or changes that were received. */
+export interface SyncReceipt {
+  readonly source: SyncSource;
+  /** Store version of the answer. */
+  readonly version: number;
+  /** Time since the previous answer for this kind of objects, in milliseconds. */
+  readonly silentMs: number;
+}
+
+/** A list or watch that failed. */
+export interface FailedSyncCall {
+  readonly source: SyncSource;
+  /** Version that was watched from; undefined for a list. */
+  readonly version: number | undefined;
+  readonly durationMs: number;
+  readonly error: PlatformError;
+}
