fix(platform): a failed watch is followed by a list, not by another watch

Cause: after a failed watch the VM watched again from the same revision. While the store drops its history after a disruption such a watch is accepted and returns nothing until its wait has ended (5 s on the grown deployments), and the VM took this for 'nothing has changed'.

Every failed watch is now followed by a list, which the store answers with its current state. This costs one call for each failed watch. It also mends a change that was applied in part: an observer that threw left the rest of its answer unapplied, and the next watch started after it.

--- a/packages/platform/src/sync/constants.ts
+++ b/packages/platform/src/sync/constants.ts
@@ -1,15 +1,15 @@
 /** Longest delay after the first failed call, in milliseconds; it doubles with each further failure. */
 export const INITIAL_RETRY_DELAY_MS = 100;
 
-/** Longest delay before a failed list is repeated, in milliseconds: a VM serves no requests until it has listed. */
-export const MAX_LIST_RETRY_DELAY_MS = 1_000;
+/** Longest delay before the first list is repeated, in milliseconds: a VM serves no requests until it has listed. */
+export const MAX_INITIAL_RETRY_DELAY_MS = 1_000;
 
 /**
- * Longest delay before a failed watch is repeated, in milliseconds. It can be longer than the delay of a list: a VM
- * keeps serving requests while the store is unavailable, rejected calls to the store cost money, too, and a change has
- * to be applied only within some seconds after an outage.
+ * Longest delay before a call is repeated once objects have been listed, in milliseconds. A VM keeps serving requests
+ * while the store is unavailable, rejected calls to the store cost money, too, and a change has to be applied only
+ * within some seconds after an outage.
  */
-export const MAX_WATCH_RETRY_DELAY_MS = 2_000;
+export const MAX_RETRY_DELAY_MS = 2_000;
 
 /** Time since the last successful call after which a failure means that the store is unavailable, in milliseconds. */
 export const OUTAGE_THRESHOLD_MS = 700;
--- a/packages/platform/src/sync/syncObjects.ts
+++ b/packages/platform/src/sync/syncObjects.ts
@@ -4,8 +4,8 @@
 import {
   OUTAGE_THRESHOLD_MS,
   INITIAL_RETRY_DELAY_MS,
-  MAX_LIST_RETRY_DELAY_MS,
-  MAX_WATCH_RETRY_DELAY_MS,
+  MAX_INITIAL_RETRY_DELAY_MS,
+  MAX_RETRY_DELAY_MS,
 } from '../sync/constants.js';
 import { SyncSource } from '../sync/enums.js';
 
@@ -63,6 +63,7 @@
 class ObjectSynchronizer {
   /** Version to watch from; undefined while all objects have to be listed. */
   #version: number | undefined;
+  #hasListed = false;
   #lastSuccessAtMs: number;
   #isUnavailable = false;
   #failureCount = 0;
@@ -111,6 +112,7 @@
     }
     const silentMs = this.#handleSuccess();
     this.#version = version;
+    this.#hasListed = true;
     observer.onList(objects, { source: SyncSource.List, version, silentMs });
   }
 
@@ -135,18 +137,16 @@
       durationMs: this.options.getNowMs() - this.#callStartedAtMs,
       error,
     });
-    if (error.failure === PlatformFailure.Truncated) {
-      this.#version = undefined;
-      return;
-    }
+    // A watch that starts while the store recovers may be accepted and miss changes; a list returns the current state.
+    this.#version = undefined;
+    if (error.failure === PlatformFailure.Truncated) return;
     this.#failureCount += 1;
     const outageMs = this.options.getNowMs() - this.#lastSuccessAtMs;
     if (!this.#isUnavailable && outageMs >= OUTAGE_THRESHOLD_MS) {
       this.#isUnavailable = true;
       this.options.observer.onUnavailable(error);
     }
-    const maxDelayMs =
-      this.#version === undefined ? MAX_LIST_RETRY_DELAY_MS : MAX_WATCH_RETRY_DELAY_MS;
+    const maxDelayMs = this.#hasListed ? MAX_RETRY_DELAY_MS : MAX_INITIAL_RETRY_DELAY_MS;
     const delayMs = Math.min(maxDelayMs, INITIAL_RETRY_DELAY_MS * 2 ** (this.#failureCount - 1));
     await sleep(delayMs * (0.5 + this.options.random() / 2));
   }
@@ -154,7 +154,7 @@
 
 /**
  * Reports all objects of a kind and their changes to an observer until the signal aborts. Lists first, then watches;
- * lists again if the history of changes is no longer available.
+ * lists again after each watch that failed.
  *
  * @param options - the feed and kind of objects to follow, the observer, and intervals
  */
