fix(platform,forwarder): VMs tell each other which changes of the store they have applied

Cause: a VM learned of configurations and workers over one path only, its own watch, and nothing could contradict a silent one.

Each load message now names the store's version of the newest configuration and worker change that its sender has applied. A VM that hears of a newer one than its own gives its watch the usual pause and half a second, then lists; if the store does not answer it fetches the objects from that peer. Only answers with objects count as proof of what was applied, not an empty one. A reported version that a later list of the store does not reach is ignored from then on, so a wrong report costs one list. The fix holds since the peer's report is independent of the VM's path to the store; it costs no calls in normal operation.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -11,9 +11,21 @@
 import { RequestQueue } from './waiting/index.js';
 import { WorkerFleet } from './workers/index.js';
 
-import type { DataCentreName, Logger, ServiceName, UpstreamId } from '@sardinegrade/common';
+import type {
+  DataCentreName,
+  Logger,
+  ServiceName,
+  SocketAddress,
+  UpstreamId,
+} from '@sardinegrade/common';
 import type { RandomSource, RetryBudgetLimits } from '@sardinegrade/dispatch';
-import type { Crash, PromptPart, RoutingConfiguration, Worker } from '@sardinegrade/routing';
+import type {
+  Crash,
+  PromptPart,
+  RoutingConfiguration,
+  StoreVersions,
+  Worker,
+} from '@sardinegrade/routing';
 import type { ForwardProtocol } from './types.js';
 
 /** Limits of the retries of one service, summed over all VMs. */
@@ -80,6 +92,10 @@
   onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
   onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
+  /** Returns the versions of the newest changes in the store that this VM has applied; peers receive them. */
+  getStoreVersions: () => StoreVersions = () => ({ configuration: 0, workers: 0 });
+  /** Called with the versions that another VM has applied, and the address of its peer port. */
+  onPeerVersions: (versions: StoreVersions, peer: SocketAddress) => void = () => undefined;
   #configuration: RoutingConfiguration | undefined;
   #configurationAppliedAtMs = 0;
   /** When the store last answered a call, by kind; kinds without an answer so far are missing. */
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -53,6 +53,7 @@
       identity: { vm, dataCentre, startedAtMs: Date.now() },
       view: state.sharedLoad,
       dataCentres: state.dataCentres,
+      getStoreVersions: () => state.getStoreVersions(),
     });
     this.#socket = createSocket('udp4');
     this.#socket.on('message', (bytes, sender) =>
@@ -198,6 +199,8 @@
   #applyLoad(message: LoadMessage, sender: SocketAddress): void {
     const { state } = this.options;
     const nowMs = state.options.getNowMs();
+    // Also true in a message whose loads are out of date.
+    state.onPeerVersions(message.storeVersions, sender);
     if (!this.#gossip.receive(message, sender, nowMs)) return;
     this.#applyPlacements(message.placements);
     for (const crash of message.crashes) state.crashes.addCrash(crash, nowMs);
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -54,6 +54,8 @@
     scope: WIRE_SCOPES[message.scope],
     vmCount: Math.max(0, message.vmCount),
     heard: [...message.dataCentreAges].map(([name, ageMs]) => ({ name, ageMs: Math.round(ageMs) })),
+    configurationVersion: message.storeVersions.configuration,
+    workersVersion: message.storeVersions.workers,
   };
 };
 
@@ -94,4 +96,5 @@
   dataCentreAges: new Map(
     load.heard.map(({ name, ageMs }) => [toBranded<DataCentreName>(name), ageMs]),
   ),
+  storeVersions: { configuration: load.configurationVersion, workers: load.workersVersion },
 });
--- /dev/null
+++ b/packages/platform/src/sync/ObjectSync.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { PlatformError, PlatformFailure } from '../PlatformError.js';
+import { MISSED_CHANGE_MARGIN_MS } from './constants.js';
+import { ObjectSync } from './ObjectSync.js';
+
+import type { TestContext } from 'node:test';
+import type { FeedChanges, FeedObject, FeedPage, FeedSnapshot, SyncReceipt } from './types.js';
+
+const COALESCE_MS = 50;
+
+/** Time in which a change that a peer reports has to be listed, in milliseconds, with a margin for a busy machine. */
+const REPORT_LIMIT_MS = COALESCE_MS + MISSED_CHANGE_MARGIN_MS + 1_000;
+
+const buildObject = (version: number): FeedObject => ({
+  name: 'main',
+  value: { version },
+  version,
+  isDeleting: false,
+});
+
+/** A store whose answers the test gives, and the synchronizer that calls it. */
+class TestFeed {
+  lists = 0;
+  missed = 0;
+  readonly receipts: SyncReceipt[] = [];
+  page: FeedPage = { objects: [buildObject(1)], next: undefined, version: 1 };
+  isRejecting = false;
+  readonly sync: ObjectSync;
+  readonly #abortController = new AbortController();
+  #answerWatch: (changes: FeedChanges) => void = () => undefined;
+
+  constructor(context: TestContext) {
+    this.sync = new ObjectSync({
+      feed: {
+        listPage: () => {
+          this.lists += 1;
+          if (this.isRejecting)
+            throw new PlatformError(PlatformFailure.Unavailable, 'rejected by the test');
+          return Promise.resolve(this.page);
+        },
+        watchChanges: (_kind, _version, _waitMs, signal) =>
+          new Promise((resolve, reject) => {
+            this.#answerWatch = resolve;
+            signal.addEventListener('abort', () => reject(new Error('aborted')));
+          }),
+      },
+      kind: 'config',
+      observer: {
+        onList: (_objects, receipt) => this.receipts.push(receipt),
+        onChange: (_change, receipt) => this.receipts.push(receipt),
+        onAnswer: () => undefined,
+        onCallFailed: () => undefined,
+        onChangeMissed: () => (this.missed += 1),
+        onUnavailable: () => undefined,
+        onRecovered: () => undefined,
+      },
+      watchWaitMs: 60_000,
+      coalesceMs: COALESCE_MS,
+      getNowMs: () => performance.now(),
+      random: () => 0.5,
+      signal: this.#abortController.signal,
+    });
+    void this.sync.run();
+    context.after(() => {
+      this.#abortController.abort();
+      this.answerWatch({ changes: [], version: 0 });
+    });
+  }
+
+  answerWatch(changes: FeedChanges): void {
+    this.#answerWatch(changes);
+  }
+
+  report(
+    changeVersion: number,
+    fetchSnapshot = (): Promise<FeedSnapshot> => Promise.reject(new Error('no snapshot')),
+  ): void {
+    this.sync.addPeerReport({ changeVersion, fetchSnapshot });
+  }
+}
+
+const sleep = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, durationMs));
+
+const startFeed = async (context: TestContext): Promise<TestFeed> => {
+  const feed = new TestFeed(context);
+  await sleep(10);
+  assert.equal(feed.lists, 1);
+  return feed;
+};
+
+test('a change that the own watch returns soon after a peer reported it is not listed', async (context) => {
+  const feed = await startFeed(context);
+  feed.report(5);
+  feed.answerWatch({
+    changes: [{ object: buildObject(5), isRemoved: false }],
+    version: 7,
+  });
+  await sleep(REPORT_LIMIT_MS);
+  assert.deepEqual([feed.lists, feed.missed, feed.sync.changeVersion], [1, 0, 5]);
+});
+
+test('an empty answer of a watch does not count as proof that a reported change was applied', async (context) => {
+  const feed = await startFeed(context);
+  feed.answerWatch({ changes: [], version: 9 });
+  feed.page = { objects: [buildObject(5)], next: undefined, version: 9 };
+  feed.report(5);
+  await sleep(REPORT_LIMIT_MS);
+  assert.deepEqual([feed.lists, feed.missed, feed.sync.changeVersion], [2, 1, 5]);
+});
+
+test('a reported version that a later list of the store does not reach is listed once', async (context) => {
+  const feed = await startFeed(context);
+  for (let count = 0; count < 3; count += 1) {
+    feed.report(1_000);
+    await sleep(REPORT_LIMIT_MS);
+  }
+  assert.deepEqual([feed.lists, feed.missed], [2, 1]);
+});
+
+test('the snapshot of a peer is used only where the store does not answer, and only if it is newer', async (context) => {
+  const feed = await startFeed(context);
+  feed.isRejecting = true;
+  feed.report(5, () => Promise.resolve({ version: 1, objects: [buildObject(1)] }));
+  await sleep(REPORT_LIMIT_MS);
+  assert.equal(feed.sync.changeVersion, 1);
+  feed.report(6, () => Promise.resolve({ version: 6, objects: [buildObject(6)] }));
+  await sleep(REPORT_LIMIT_MS);
+  assert.equal(feed.sync.changeVersion, 6);
+  assert.equal(feed.receipts.at(-1)?.source, 'peer');
+  assert.deepEqual(feed.sync.snapshot, { version: 6, objects: [buildObject(6)] });
+});
--- /dev/null
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -0,0 +1,298 @@
+import { PlatformError, PlatformFailure } from '../PlatformError.js';
+import {
+  INITIAL_RETRY_DELAY_MS,
+  MAX_INITIAL_RETRY_DELAY_MS,
+  MAX_RETRY_DELAY_MS,
+  MISSED_CHANGE_MARGIN_MS,
+  OUTAGE_THRESHOLD_MS,
+} from './constants.js';
+import { SyncSource } from './enums.js';
+
+import type {
+  FailedSyncCall,
+  FeedChange,
+  FeedObject,
+  FeedSnapshot,
+  ObjectFeed,
+  SyncPeer,
+  SyncReceipt,
+} from './types.js';
+
+/** Receives the objects of a kind, their changes and outages of the store. */
+export interface SyncObserver {
+  /** Receives all objects of the kind, which replace those received before. */
+  readonly onList: (objects: readonly FeedObject[], receipt: SyncReceipt) => void;
+  readonly onChange: (change: FeedChange, receipt: SyncReceipt) => void;
+  /** Called for each answer of the store, also one without changes. */
+  readonly onAnswer: () => void;
+  readonly onCallFailed: (call: FailedSyncCall) => void;
+  /** Called when a peer has applied a newer change, and the own watch has not returned it in time. */
+  readonly onChangeMissed: (peerVersion: number, ownVersion: number) => void;
+  /** Called once per outage: at the first failure that comes OUTAGE_THRESHOLD_MS or more after the last success. */
+  readonly onUnavailable: (error: PlatformError) => void;
+  /** Called with the duration of an outage when it has ended, before the objects or changes are passed on. */
+  readonly onRecovered: (outageMs: number) => void;
+}
+
+/** The feed and kind of objects to follow, the observer, and intervals. */
+export interface SyncOptions {
+  readonly feed: ObjectFeed;
+  readonly kind: string;
+  readonly observer: SyncObserver;
+  /**
+   * How long a watch waits for a change, in milliseconds. A connection that stopped responding is detected only after
+   * this time. It must be short enough that the next call can still fetch and apply a change within its time limit.
+   */
+  readonly watchWaitMs: number;
+  /**
+   * Delay between a watch that returned changes and the next, in milliseconds: changes in quick succession are fetched
+   * together, because each one wakes the whole fleet.
+   */
+  readonly coalesceMs: number;
+  readonly getNowMs: () => number;
+  readonly random: () => number;
+  readonly signal: AbortSignal;
+}
+
+const toPlatformError = (thrown: unknown): PlatformError =>
+  thrown instanceof PlatformError
+    ? thrown
+    : new PlatformError(
+        PlatformFailure.Invalid,
+        `Synchronizing objects failed: ${String(thrown)}`,
+        thrown,
+      );
+
+const computeChangeVersion = (objects: readonly FeedObject[]): number =>
+  objects.reduce((highest, { version }) => Math.max(highest, version), 0);
+
+/**
+ * Keeps up with the objects of a kind by list and watch. Silence of a watch proves nothing, so there are three further
+ * signs of a change: each failed watch is followed by a list, a watch ends after a bounded time, and peers tell which
+ * changes they have applied.
+ */
+export class ObjectSync {
+  /** Version to watch from; undefined while all objects have to be listed. */
+  #watchVersion: number | undefined;
+  readonly #objects = new Map<string, FeedObject>();
+  #hasObjects = false;
+  /** Version of the newest change that has been applied. */
+  #changeVersion = 0;
+  /** All changes up to this version have been applied. Only answers with objects raise it, not silence. */
+  #appliedVersion = 0;
+  /** The peer with the newest change, while that change has not been applied. */
+  #newerPeer: SyncPeer | undefined;
+  /** Whether a change that a peer has applied did not arrive in time. */
+  #isBehind = false;
+  /** Reports up to this version are ignored: a list of the store that was requested later does not contain it. */
+  #refutedVersion = 0;
+  #missedChangeTimer: NodeJS.Timeout | undefined;
+  #interruption = new AbortController();
+  #lastSuccessAtMs: number;
+  #isUnavailable = false;
+  #failureCount = 0;
+  #callStartedAtMs = 0;
+  #source = SyncSource.List;
+
+  /** @param options - the feed and kind of objects to follow, the observer, and intervals */
+  constructor(private readonly options: SyncOptions) {
+    this.#lastSuccessAtMs = options.getNowMs();
+  }
+
+  /** Version of the newest change that has been applied; 0 before the first. */
+  get changeVersion(): number {
+    return this.#changeVersion;
+  }
+
+  /** All objects as they are known now; undefined before the first list. */
+  get snapshot(): FeedSnapshot | undefined {
+    if (!this.#hasObjects) return undefined;
+    return { version: this.#appliedVersion, objects: [...this.#objects.values()] };
+  }
+
+  /** Reports objects and changes to the observer until the signal aborts. */
+  async run(): Promise<void> {
+    const { signal } = this.options;
+    while (!signal.aborted) {
+      this.#interruption = new AbortController();
+      try {
+        await this.#step();
+      } catch (thrown) {
+        // A watch that was ended because a change was missed has not failed; a list follows.
+        const isInterrupted =
+          this.#source === SyncSource.Watch && this.#interruption.signal.aborted;
+        if (!isInterrupted) await this.#handleFailure(toPlatformError(thrown));
+      }
+    }
+    clearTimeout(this.#missedChangeTimer);
+  }
+
+  /**
+   * Compares the newest change that a peer has applied with the own state. If the change is missing and does not arrive
+   * in time, the objects are listed, and fetched from the peer if the store does not answer.
+   */
+  addPeerReport(peer: SyncPeer): void {
+    const knownVersion = Math.max(
+      this.#appliedVersion,
+      this.#refutedVersion,
+      this.#newerPeer?.changeVersion ?? 0,
+    );
+    if (peer.changeVersion > knownVersion) this.#newerPeer = peer;
+    if (this.#newerPeer === undefined || this.#missedChangeTimer !== undefined) return;
+    const delayMs = this.options.coalesceMs + MISSED_CHANGE_MARGIN_MS;
+    // An answer that arrived while the process was blocked is read before the check.
+    const onDelayEnd = (): unknown => setImmediate(() => this.#listIfChangeMissed());
+    this.#missedChangeTimer = setTimeout(onDelayEnd, delayMs).unref();
+  }
+
+  #listIfChangeMissed(): void {
+    this.#missedChangeTimer = undefined;
+    if (this.#newerPeer === undefined) return;
+    this.#isBehind = true;
+    this.options.observer.onChangeMissed(this.#newerPeer.changeVersion, this.#appliedVersion);
+    this.#watchVersion = undefined;
+    this.#interruption.abort();
+  }
+
+  async #step(): Promise<void> {
+    this.#callStartedAtMs = this.options.getNowMs();
+    if (this.#watchVersion === undefined) await this.#list();
+    else await this.#watch(this.#watchVersion);
+  }
+
+  async #watch(fromVersion: number): Promise<void> {
+    const { feed, kind, observer, watchWaitMs, coalesceMs } = this.options;
+    this.#source = SyncSource.Watch;
+    const { signal } = this.#interruption;
+    const { changes, version } = await feed.watchChanges(kind, fromVersion, watchWaitMs, signal);
+    const silentMs = this.#handleSuccess();
+    const receipt: SyncReceipt = { source: SyncSource.Watch, version, silentMs };
+    for (const change of changes) {
+      if (change.isRemoved) this.#objects.delete(change.object.name);
+      else this.#objects.set(change.object.name, change.object);
+      observer.onChange(change, receipt);
+    }
+    this.#watchVersion = version;
+    if (changes.length === 0) return;
+    const changeVersion = computeChangeVersion(changes.map(({ object }) => object));
+    this.#recordApplied(changeVersion, changeVersion);
+    await this.#pause(coalesceMs);
+  }
+
+  async #list(): Promise<void> {
+    const { feed, kind } = this.options;
+    this.#source = SyncSource.List;
+    const peerBefore = this.#newerPeer;
+    const objects: FeedObject[] = [];
+    let page = await feed.listPage(kind, undefined);
+    // A watch from the first page's version also returns changes made while the other pages are read.
+    const { version } = page;
+    objects.push(...page.objects);
+    while (page.next !== undefined) {
+      page = await feed.listPage(kind, page.next);
+      objects.push(...page.objects);
+    }
+    const silentMs = this.#handleSuccess();
+    this.#replaceObjects({ version, objects }, { source: SyncSource.List, version, silentMs });
+    this.#watchVersion = version;
+    if (peerBefore === undefined || peerBefore.changeVersion <= version) return;
+    this.#refutedVersion = Math.max(this.#refutedVersion, peerBefore.changeVersion);
+    if (this.#newerPeer === peerBefore) this.#forgetPeer();
+  }
+
+  #replaceObjects({ version, objects }: FeedSnapshot, receipt: SyncReceipt): void {
+    this.#objects.clear();
+    for (const object of objects) this.#objects.set(object.name, object);
+    this.options.observer.onList(objects, receipt);
+    this.#hasObjects = true;
+    this.#recordApplied(version, computeChangeVersion(objects));
+  }
+
+  #recordApplied(appliedVersion: number, changeVersion: number): void {
+    this.#appliedVersion = Math.max(this.#appliedVersion, appliedVersion);
+    this.#changeVersion = Math.max(this.#changeVersion, changeVersion);
+    const peerVersion = this.#newerPeer?.changeVersion ?? 0;
+    if (peerVersion <= this.#appliedVersion) this.#forgetPeer();
+  }
+
+  #forgetPeer(): void {
+    this.#newerPeer = undefined;
+    this.#isBehind = false;
+  }
+
+  /** Records a successful call; returns the time since the previous one. */
+  #handleSuccess(): number {
+    const nowMs = this.options.getNowMs();
+    const outageMs = nowMs - this.#lastSuccessAtMs;
+    this.#lastSuccessAtMs = nowMs;
+    this.#failureCount = 0;
+    this.options.observer.onAnswer();
+    if (this.#isUnavailable) {
+      this.#isUnavailable = false;
+      this.options.observer.onRecovered(outageMs);
+    }
+    return outageMs;
+  }
+
+  #reportFailure(error: PlatformError): void {
+    this.options.observer.onCallFailed({
+      source: this.#source,
+      version: this.#watchVersion,
+      durationMs: this.options.getNowMs() - this.#callStartedAtMs,
+      error,
+    });
+  }
+
+  async #handleFailure(error: PlatformError): Promise<void> {
+    this.#reportFailure(error);
+    // A watch that starts while the store recovers may be accepted and miss changes; a list returns the current state.
+    this.#watchVersion = undefined;
+    if (error.failure === PlatformFailure.Truncated) return;
+    this.#failureCount += 1;
+    const outageMs = this.options.getNowMs() - this.#lastSuccessAtMs;
+    if (!this.#isUnavailable && outageMs >= OUTAGE_THRESHOLD_MS) {
+      this.#isUnavailable = true;
+      this.options.observer.onUnavailable(error);
+    }
+    await this.#fetchFromPeer();
+    const maxDelayMs = this.#hasObjects ? MAX_RETRY_DELAY_MS : MAX_INITIAL_RETRY_DELAY_MS;
+    const delayMs = Math.min(maxDelayMs, INITIAL_RETRY_DELAY_MS * 2 ** (this.#failureCount - 1));
+    await this.#pause(delayMs * (0.5 + this.options.random() / 2));
+  }
+
+  /** Replaces the objects by those of a peer that has a newer change: the store may reject this VM only. */
+  async #fetchFromPeer(): Promise<void> {
+    const peer = this.#newerPeer;
+    if (peer === undefined || !this.#isBehind) return;
+    this.#source = SyncSource.Peer;
+    this.#callStartedAtMs = this.options.getNowMs();
+    try {
+      const snapshot = await peer.fetchSnapshot();
+      if (snapshot.version <= this.#appliedVersion) return;
+      const silentMs = this.options.getNowMs() - this.#lastSuccessAtMs;
+      const { version } = snapshot;
+      this.#replaceObjects(snapshot, { source: SyncSource.Peer, version, silentMs });
+    } catch (thrown) {
+      this.#reportFailure(toPlatformError(thrown));
+      // Another peer may respond: the next report of any peer names a new one.
+      if (this.#newerPeer === peer) this.#forgetPeer();
+    }
+  }
+
+  /** Waits; an interruption ends the wait. */
+  #pause(durationMs: number): Promise<void> {
+    const { signal } = this.#interruption;
+    if (signal.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, durationMs);
+      signal.addEventListener(
+        'abort',
+        () => {
+          clearTimeout(timer);
+          resolve();
+        },
+        { once: true },
+      );
+    });
+  }
+}
--- a/packages/platform/src/sync/constants.ts
+++ b/packages/platform/src/sync/constants.ts
@@ -13,3 +13,9 @@
 
 /** Time since the last successful call after which a failure means that the store is unavailable, in milliseconds. */
 export const OUTAGE_THRESHOLD_MS = 700;
+
+/**
+ * Time in which the own watch returns a change that a peer has applied, beyond the pause between watches, in
+ * milliseconds. After it the watch counts as stale.
+ */
+export const MISSED_CHANGE_MARGIN_MS = 500;
--- a/packages/platform/src/sync/enums.ts
+++ b/packages/platform/src/sync/enums.ts
@@ -2,4 +2,6 @@
 export enum SyncSource {
   List = 'list',
   Watch = 'watch',
+  /** Objects that another VM received from the store. */
+  Peer = 'peer',
 }
--- a/packages/platform/src/sync/index.ts
+++ b/packages/platform/src/sync/index.ts
@@ -1,4 +1,5 @@
 /** Synchronization with the objects of a store by list and watch. */
-export * from '../sync/enums.js';
-export * from '../sync/syncObjects.js';
-export type * from '../sync/types.js';
+export * from './enums.js';
+export * from './ObjectSync.js';
+export * from './snapshotMessages.js';
+export type * from './types.js';
--- a/packages/platform/src/sync/types.ts
+++ b/packages/platform/src/sync/types.ts
@@ -27,6 +27,20 @@
   readonly version: number;
 }
 
+/** All objects of a kind as of a version. */
+export interface FeedSnapshot {
+  readonly version: number;
+  readonly objects: readonly FeedObject[];
+}
+
+/** Another VM that has applied a change which this VM may have missed. */
+export interface SyncPeer {
+  /** Version of the newest change that the peer has applied. */
+  readonly changeVersion: number;
+  /** Fetches all objects from the peer. Rejects with PlatformError. */
+  readonly fetchSnapshot: () => Promise<FeedSnapshot>;
+}
+
 /** Changes of a kind since the watched version. */
 export interface FeedChanges {
   readonly changes: readonly FeedChange[];
@@ -42,7 +56,13 @@
  */
 export interface ObjectFeed {
   readonly listPage: (kind: string, after: string | undefined) => Promise<FeedPage>;
-  readonly watchChanges: (kind: string, version: number, waitMs: number) => Promise<FeedChanges>;
+  /** Aborts when the signal does. */
+  readonly watchChanges: (
+    kind: string,
+    version: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ) => Promise<FeedChanges>;
 }
 
 /** Origin of objects or changes that were received. */
@@ -54,7 +74,7 @@
   readonly silentMs: number;
 }
 
-/** A list or watch that failed. */
+/** A list, watch or fetch from a peer that failed. */
 export interface FailedSyncCall {
   readonly source: SyncSource;
   /** Version that was watched from; undefined for a list. */
--- a/packages/routing/src/load/LoadGossip.test.ts
+++ b/packages/routing/src/load/LoadGossip.test.ts
@@ -25,10 +25,16 @@
   sent = 0;
   received = 0;
   readonly appliedMessages: LoadMessage[] = [];
+  storeVersions = { configuration: 0, workers: 0 };
 
   constructor(readonly peer: Peer) {
     const identity = { ...peer, startedAtMs: 1 };
-    this.gossip = new LoadGossip({ identity, view: this.view, dataCentres: this.dataCentres });
+    this.gossip = new LoadGossip({
+      identity,
+      view: this.view,
+      dataCentres: this.dataCentres,
+      getStoreVersions: () => this.storeVersions,
+    });
   }
 }
 
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -7,7 +7,15 @@
 import type { DataCentreName, SocketAddress, VmId } from '@sardinegrade/common';
 import type { DataCentreMonitor } from './DataCentreMonitor.js';
 import type { SharedLoadView } from './SharedLoadView.js';
-import type { EngineLoads, LoadMessage, News, OutgoingMessage, Peer, VmIdentity } from './types.js';
+import type {
+  EngineLoads,
+  LoadMessage,
+  News,
+  OutgoingMessage,
+  Peer,
+  StoreVersions,
+  VmIdentity,
+} from './types.js';
 
 /** Time without a report after which a subscriber is removed and receives no more digests, in milliseconds. */
 const SUBSCRIBER_TIMEOUT_MS = 1_000;
@@ -20,6 +28,7 @@
   readonly identity: VmIdentity;
   readonly view: SharedLoadView;
   readonly dataCentres: DataCentreMonitor;
+  readonly getStoreVersions: () => StoreVersions;
 }
 
 /** A VM that reports to this relay and receives digests from it. */
@@ -219,6 +228,7 @@
     return {
       ...this.options.identity,
       ...news,
+      storeVersions: this.options.getStoreVersions(),
       scope,
       sequence: this.#sequence,
       engines,
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -39,8 +39,15 @@
   readonly crashes: readonly Crash[];
 }
 
+/** Versions of the newest changes in the platform's store that a VM has applied; 0 before the first. */
+export interface StoreVersions {
+  readonly configuration: number;
+  readonly workers: number;
+}
+
 /** A load message between VMs. */
 export interface LoadMessage extends LoadReport, News {
+  readonly storeVersions: StoreVersions;
   readonly dataCentre: DataCentreName;
   readonly scope: LoadScope;
   /** Time since each data centre was last seen by the sender, in milliseconds. */
