perf(platform): watches of a fleet whose VMs hear each other end at a constant rate

Since peers report changes, the short wait is needed only by a VM that hears from no other.

If all watches miss a change, the first one that ends finds it. Without a report for a second the VM lists and goes back to the short wait. Reports name the newest version known, not only the applied one, so a relay passes one on without waiting for its own list.

--- a/packages/platform/src/sync/ObjectSync.ts
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -1,10 +1,12 @@
 import { PlatformError, PlatformFailure } from '../PlatformError.js';
 import {
   INITIAL_RETRY_DELAY_MS,
+  ISOLATION_CHECK_INTERVAL_MS,
   MAX_INITIAL_RETRY_DELAY_MS,
   MAX_RETRY_DELAY_MS,
   MISSED_CHANGE_MARGIN_MS,
   OUTAGE_THRESHOLD_MS,
+  PEER_CONTACT_TIMEOUT_MS,
 } from './constants.js';
 import { SyncSource } from './enums.js';
 
@@ -40,10 +42,13 @@
   readonly kind: string;
   readonly observer: SyncObserver;
   /**
-   * How long a watch waits for a change, in milliseconds. A connection that stopped responding is detected only after
-   * this time. It must be short enough that the next call can still fetch and apply a change within its time limit.
+   * How long a watch waits for a change while no peer reports, in milliseconds. A connection that stopped responding is
+   * then detected only after this time. It must be short enough that the next call can still fetch and apply a change
+   * within its time limit.
    */
-  readonly watchWaitMs: number;
+  readonly isolatedWaitMs: number;
+  /** Returns how long a watch may wait while peers report, in milliseconds. */
+  readonly getSharedWaitMs: () => number;
   /**
    * Delay between a watch that returned changes and the next, in milliseconds: changes in quick succession are fetched
    * together, because each one wakes the whole fleet.
@@ -87,6 +92,7 @@
   /** Reports up to this version are ignored: a list of the store that was requested later does not contain it. */
   #refutedVersion = 0;
   #missedChangeTimer: NodeJS.Timeout | undefined;
+  #peerReportedAtMs = Number.NEGATIVE_INFINITY;
   #interruption = new AbortController();
   #lastSuccessAtMs: number;
   #isUnavailable = false;
@@ -99,9 +105,9 @@
     this.#lastSuccessAtMs = options.getNowMs();
   }
 
-  /** Version of the newest change that has been applied; 0 before the first. */
-  get changeVersion(): number {
-    return this.#changeVersion;
+  /** Version of the newest change that has been applied, or reported by a peer and not refuted; 0 before the first. */
+  get knownVersion(): number {
+    return Math.max(this.#changeVersion, this.#newerPeer?.changeVersion ?? 0);
   }
 
   /** All objects as they are known now; undefined before the first list. */
@@ -132,6 +138,7 @@
    * in time, the objects are listed, and fetched from the peer if the store does not answer.
    */
   addPeerReport(peer: SyncPeer): void {
+    this.#peerReportedAtMs = this.options.getNowMs();
     const knownVersion = Math.max(
       this.#appliedVersion,
       this.#refutedVersion,
@@ -161,10 +168,16 @@
   }
 
   async #watch(fromVersion: number): Promise<void> {
-    const { feed, kind, observer, watchWaitMs, coalesceMs } = this.options;
+    const { feed, kind, observer, coalesceMs } = this.options;
     this.#source = SyncSource.Watch;
     const { signal } = this.#interruption;
-    const { changes, version } = await feed.watchChanges(kind, fromVersion, watchWaitMs, signal);
+    const isolationTimer = setInterval(
+      () => this.#listIfIsolated(),
+      ISOLATION_CHECK_INTERVAL_MS,
+    ).unref();
+    const { changes, version } = await feed
+      .watchChanges(kind, fromVersion, this.#chooseWatchWaitMs(), signal)
+      .finally(() => clearInterval(isolationTimer));
     const silentMs = this.#handleSuccess();
     const receipt: SyncReceipt = { source: SyncSource.Watch, version, silentMs };
     for (const change of changes) {
@@ -179,6 +192,20 @@
     await this.#pause(coalesceMs);
   }
 
+  /** The waits of a fleet's watches end at different times, so that some VM soon notices a change that all missed. */
+  #chooseWatchWaitMs(): number {
+    const { isolatedWaitMs, getSharedWaitMs, random } = this.options;
+    return Math.max(isolatedWaitMs, Math.round(getSharedWaitMs() * (0.5 + random() / 2)));
+  }
+
+  #listIfIsolated(): void {
+    const nowMs = this.options.getNowMs();
+    if (nowMs - this.#peerReportedAtMs <= PEER_CONTACT_TIMEOUT_MS) return;
+    if (nowMs - this.#callStartedAtMs < this.options.isolatedWaitMs) return;
+    this.#watchVersion = undefined;
+    this.#interruption.abort();
+  }
+
   async #list(): Promise<void> {
     const { feed, kind } = this.options;
     this.#source = SyncSource.List;
--- a/packages/platform/src/sync/constants.ts
+++ b/packages/platform/src/sync/constants.ts
@@ -19,3 +19,9 @@
  * milliseconds. After it the watch counts as stale.
  */
 export const MISSED_CHANGE_MARGIN_MS = 500;
+
+/** Time without a report of a peer after which a VM counts as isolated, in milliseconds. */
+export const PEER_CONTACT_TIMEOUT_MS = 1_000;
+
+/** Interval at which a VM with a waiting watch checks whether it is isolated, in milliseconds. */
+export const ISOLATION_CHECK_INTERVAL_MS = 250;
