fix(forwarder): a whole answer with a length is relayed even if other bytes follow it

Callers got 502 for an answer that their worker had given whole, where the worker sent other bytes after it.

Cause: undici parses the answer, fails on what follows and destroys the socket before it reports the end of the answer. The forwarder then saw a connection that had ended with an error and took the answer for cut. That check is meant for answers without a length or chunks, whose end is the end of their connection; of the others undici accepts only whole ones.

The check now applies only to answers that end with their connection.

--- a/packages/forwarder/src/exchange/answerFaults.test.ts
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -160,3 +160,14 @@
   assert.equal(workers.flatMap((worker) => worker.heads).length, sends);
   assert.equal((await forwarder.call('unsafe', {}, 'another')).status, 502);
 });
+
+test('a whole answer with a length is relayed even if other bytes follow and its connection fails', async (context) => {
+  const bytesAfterAnswer = 'x'.repeat(400_000);
+  const forwarder = await startTestForwarder(context, [
+    (socket, head) => socket.write(formatAnswer(head, 'done') + bytesAfterAnswer),
+  ]);
+  const calls = Array.from({ length: 12 }, () => forwarder.call('unsafe', {}, 'body'));
+  for (const answer of await Promise.all(calls)) {
+    assert.deepEqual([answer.status, answer.body], [200, 'done']);
+  }
+});
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -65,6 +65,12 @@
   return raw.map((item) => (typeof item === 'string' ? item : item.toString('latin1')));
 };
 
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
+
+/** Returns whether an answer tells its own end; others end with their connection. */
+const isFramed = ({ headers }: AnswerHead): boolean =>
+  headers.some((name, index) => index % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()));
+
 /** Returns why an answer cannot be the worker's answer to the request, or undefined if it can. */
 const findAnswerFault = (request: WorkerRequest, head: AnswerHead): string | undefined => {
   const { metadata } = head;
@@ -127,7 +133,7 @@
     onResponseEnd: () => {
       const head = this.#head;
       if (head === undefined) this.#fail(SendFailure.Broken, 'the answer has no head');
-      else if (this.claimed.connection.wasReset) {
+      else if (this.claimed.connection.wasReset && !isFramed(head)) {
         this.#fail(SendFailure.Broken, 'the answer was cut by a reset');
       } else if (head.metadata.isNotRun || NOT_RUN_STATUSES.has(head.status)) {
         this.#fail(SendFailure.Rejected, `rejected with ${head.status}`);
