fix(forwarder): the memory that unfinished answers use is bounded

Cause: an event of a stream that never ended was buffered without a limit, and copied whole for each chunk, so one worker could take the memory and the processor of a VM until the route's timeout. Answers of plain services had a limit of 16 MiB each, which 16 requests bring to the memory of the smallest VMs (250 MB).

An event may have 256 KiB; a stream with a longer one is cut off and its connection closed.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -8,6 +8,8 @@
   StreamPace,
 } from '@sardinegrade/routing';
 
+import { MAX_HELD_ANSWER_BYTES } from './constants.js';
+import { HeldAnswers } from './exchange/HeldAnswers.js';
 import { RequestQueue } from './waiting/index.js';
 import { WorkerFleet } from './workers/index.js';
 
@@ -86,6 +88,8 @@
   /** Estimates how long streams currently take. */
   readonly pace = new StreamPace();
   readonly metrics = createMetrics();
+  /** Unfinished answers of plain services, which are buffered. */
+  readonly heldAnswers = new HeldAnswers(MAX_HELD_ANSWER_BYTES);
   /** Detects requests that crash workers. */
   readonly crashes = new CrashTracker();
   /** Called with crashes that this VM has detected. */
--- a/packages/forwarder/src/constants.ts
+++ b/packages/forwarder/src/constants.ts
@@ -4,6 +4,12 @@
 /** Maximum size of an answer of a plain service, in bytes. Such answers are buffered completely. */
 export const MAX_ANSWER_BYTES = 16 * 1_024 * 1_024;
 
+/** Maximum number of bytes of unfinished answers that a VM holds; the smallest VMs have 250 MB in all. */
+export const MAX_HELD_ANSWER_BYTES = 32 * 1_024 * 1_024;
+
+/** Maximum size of one event of a stream, in bytes. Events are relayed once they are complete. */
+export const MAX_EVENT_BYTES = 256 * 1_024;
+
 /** Maximum size of the head of a worker's answer, in bytes. */
 export const MAX_ANSWER_HEAD_BYTES = 32 * 1_024;
 
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -12,7 +12,7 @@
   shouldRefuse,
 } from '@sardinegrade/routing';
 
-import { ANSWER_GRACE_MS, DEFAULT_TIMEOUT_MS } from '../constants.js';
+import { ANSWER_GRACE_MS, DEFAULT_TIMEOUT_MS, MAX_EVENT_BYTES } from '../constants.js';
 import { toInstanceId } from '../ForwarderState.js';
 import { sendLocalReply } from '../front/sendLocalReply.js';
 import { EventFramer } from '../relay/index.js';
@@ -222,7 +222,8 @@
       body,
       requestId: this.#requestId,
     };
-    active.send = sendToWorker(workerRequest, claimed, this.state.options.protocol, {
+    const { heldAnswers, options } = this.state;
+    active.send = sendToWorker(workerRequest, claimed, options.protocol, heldAnswers, {
       shouldRelay: (head) => this.#onHead(active, head),
       onChunk: (chunk, resume) => this.#onChunk(active, chunk, resume),
       onEnd: (end) => this.#onSendEnd(active, end),
@@ -257,6 +258,10 @@
     if (this.#isFinished) return true;
     this.state.dataCentres.recordWorkerActivity(active.record.worker.dataCentre, this.#getNowMs());
     const events = this.#framer.push(chunk);
+    if (this.#framer.partialEventBytes > MAX_EVENT_BYTES) {
+      active.send?.cancel(SendFailure.Broken, `an event exceeds ${MAX_EVENT_BYTES} bytes`);
+      return true;
+    }
     if (events.length === 0) return true;
     active.hasFirstEvent = true;
     this.#report.recordEvents();
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -1,6 +1,7 @@
 import { SendFailure } from '@sardinegrade/routing';
 
 import { MAX_ANSWER_BYTES } from '../constants.js';
+import type { HeldAnswers } from './HeldAnswers.js';
 
 import type { RequestId } from '@sardinegrade/common';
 import type { Dispatcher } from 'undici';
@@ -97,9 +98,13 @@
     private readonly request: WorkerRequest,
     private readonly claimed: ClaimedConnection,
     private readonly protocol: ForwardProtocol,
+    private readonly held: HeldAnswers,
     private readonly observer: SendObserver,
   ) {}
 
+  readonly #cancelHeld = (): void =>
+    this.cancel(SendFailure.Broken, 'unfinished answers exceed the memory of this VM');
+
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => {
       this.#controller = controller;
@@ -129,6 +134,7 @@
         return;
       }
       this.#chunks.push(chunk);
+      this.held.add(this.#cancelHeld, chunk.length);
     },
     onResponseEnd: () => {
       const head = this.#head;
@@ -165,6 +171,8 @@
   #end(end: SendEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#chunks = [];
+    this.held.remove(this.#cancelHeld);
     this.observer.onEnd(end);
   }
 }
@@ -175,6 +183,7 @@
  * @param request - the request to send
  * @param claimed - the claimed connection
  * @param protocol - decodes the answer's headers
+ * @param held - limits the bytes of unfinished answers
  * @param observer - receives the answer
  * @returns the send in progress
  * @throws undici's error if the request is not valid HTTP
@@ -183,9 +192,10 @@
   request: WorkerRequest,
   claimed: ClaimedConnection,
   protocol: ForwardProtocol,
+  held: HeldAnswers,
   observer: SendObserver,
 ): Send => {
-  const send = new RunningSend(request, claimed, protocol, observer);
+  const send = new RunningSend(request, claimed, protocol, held, observer);
   send.start();
   return send;
 };
--- a/packages/forwarder/src/exchange/streams.test.ts
+++ b/packages/forwarder/src/exchange/streams.test.ts
@@ -54,6 +54,25 @@
   assert.equal(sends, 1);
 });
 
+test('a stream whose event never ends is cut off, and its connection closed', async (context) => {
+  let onClose: () => void = () => undefined;
+  const closed = new Promise<void>((resolve) => (onClose = resolve));
+  const forwarder = await startTestForwarder(context, [
+    (socket, head) => {
+      socket.write(formatStream(head, ['a']));
+      socket.on('close', onClose);
+      const chunk = `10000\r\n${'x'.repeat(0x10000)}\r\n`;
+      const timer = setInterval(() => socket.write(chunk), 1);
+      socket.on('close', () => clearInterval(timer));
+    },
+  ]);
+  const answer = await forwarder.call('stream', {}, 'body');
+  assert.deepEqual([answer.status, answer.isComplete], [200, false]);
+  assert.match(answer.body, /^id: 1\ndata: a\n\n$/);
+  await closed;
+  assert.ok(forwarder.logLines.some((line) => line.includes('an event exceeds 262144 bytes')));
+});
+
 test('a stream that ends in the middle of an event is not relayed as complete', async (context) => {
   const forwarder = await startTestForwarder(context, [
     (socket, head) => {
--- a/packages/forwarder/src/relay/EventFramer.ts
+++ b/packages/forwarder/src/relay/EventFramer.ts
@@ -34,6 +34,11 @@
     return this.#lastEventId;
   }
 
+  /** Size of the event that is incomplete so far, in bytes. */
+  get partialEventBytes(): number {
+    return this.#partialEvent.length;
+  }
+
   /** Whether the data received so far ends in the middle of an event. */
   get hasPartialEvent(): boolean {
     return this.#partialEvent.length > 0;
