fix(forwarder): the head of a worker's answer is limited in bytes and time

Cause: undici limits headers, but neither a status line nor informational answers, so such an answer kept its caller, the connection and the processor until the route's timeout (3.1 s of 3 s in the test). Where many headers came, undici created an error for each one beyond its limit; 12 such answers blocked the process long enough that requests to another service ended with 502.

A connection now counts what arrives before a head is complete: 96 KiB, and 2 s from the first byte or the last informational answer. What arrived beyond is discarded unparsed, and undici's own limit is out of reach. A silent worker is not affected.

Two more tests in answerFaults.test.ts.

--- a/packages/forwarder/src/connections/WorkerConnection.ts
+++ b/packages/forwarder/src/connections/WorkerConnection.ts
@@ -1,6 +1,11 @@
 import { buildConnector, Client } from 'undici';
 
-import { CONNECT_TIMEOUT_MS, MAX_ANSWER_HEAD_BYTES } from '../constants.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  HEAD_TIMEOUT_MS,
+  MAX_BYTES_BEFORE_HEAD,
+  PARSER_HEAD_LIMIT_BYTES,
+} from '../constants.js';
 
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
@@ -9,11 +14,20 @@
 
 const openSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
+/** The head of an answer that is incomplete so far. */
+interface PendingHead {
+  readonly onExceeded: (reason: string) => void;
+  /** Bytes that the socket had received at the first read; undefined before it. */
+  firstByte: number | undefined;
+  timer: NodeJS.Timeout | undefined;
+}
+
 /** A connection to a worker. It handles one request at a time. */
 export class WorkerConnection {
   readonly #client: Client;
   #isOpen = true;
   #wasReset = false;
+  #pendingHead: PendingHead | undefined;
   /** When the last answer ended; undefined before the first one and while a request is in progress. */
   idleSinceMs: number | undefined;
 
@@ -24,11 +38,11 @@
   constructor(address: string, onClose: () => void) {
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
-      maxHeaderSize: MAX_ANSWER_HEAD_BYTES,
+      maxHeaderSize: PARSER_HEAD_LIMIT_BYTES,
       connect: (options, callback) => {
         openSocket(options, (...result) => {
           // Must run before undici adds its listeners: undici treats a reset as the end of an answer without a length.
-          if (result[0] === null) this.#watchReset(result[1]);
+          if (result[0] === null) this.#watchSocket(result[1]);
           callback(...result);
         });
       },
@@ -58,6 +72,26 @@
     return this.#wasReset;
   }
 
+  #watchSocket(socket: Socket): void {
+    this.#watchReset(socket);
+    socket.on('readable', () => this.#checkHead(socket));
+  }
+
+  /** undici limits headers, but neither the status line nor the number of informational answers. */
+  #checkHead(socket: Socket): void {
+    const head = this.#pendingHead;
+    if (head === undefined) return;
+    head.firstByte ??= socket.bytesRead;
+    head.timer ??= setTimeout(
+      () => head.onExceeded(`the answer's head was incomplete after ${HEAD_TIMEOUT_MS} ms`),
+      HEAD_TIMEOUT_MS,
+    );
+    if (socket.bytesRead - head.firstByte <= MAX_BYTES_BEFORE_HEAD) return;
+    head.onExceeded(`the answer's head exceeds ${MAX_BYTES_BEFORE_HEAD} bytes`);
+    // Discards what undici would parse although the connection has been closed.
+    socket.read();
+  }
+
   #watchReset(socket: Socket): void {
     socket.on('error', () => (this.#wasReset = true));
     // libuv reports a reset that arrives together with the last bytes as an orderly end. The operating system still
@@ -73,12 +107,31 @@
    *
    * @param options - method, path, headers and body
    * @param handler - undici handler that receives the answer
+   * @param onHeadExceeded - called with a reason if the answer's head is too long or incomplete for too long
    */
-  send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+  send(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+    onHeadExceeded: (reason: string) => void,
+  ): void {
     this.idleSinceMs = undefined;
+    this.#pendingHead = { onExceeded: onHeadExceeded, firstByte: undefined, timer: undefined };
     this.#client.dispatch(options, handler);
   }
 
+  /** Resets the time limit of the head after an informational answer; the limit in bytes counts on. */
+  resetHeadTimeout(): void {
+    if (this.#pendingHead === undefined) return;
+    clearTimeout(this.#pendingHead.timer);
+    this.#pendingHead.timer = undefined;
+  }
+
+  /** Ends the limits on the answer's head: the head is complete, or the request has ended. */
+  finishHead(): void {
+    clearTimeout(this.#pendingHead?.timer);
+    this.#pendingHead = undefined;
+  }
+
   /** Closes the connection and aborts the request in progress on it. */
   close(): void {
     this.#isOpen = false;
--- a/packages/forwarder/src/constants.ts
+++ b/packages/forwarder/src/constants.ts
@@ -10,8 +10,20 @@
 /** Maximum size of one event of a stream, in bytes. Events are relayed once they are complete. */
 export const MAX_EVENT_BYTES = 256 * 1_024;
 
-/** Maximum size of the head of a worker's answer, in bytes. */
-export const MAX_ANSWER_HEAD_BYTES = 32 * 1_024;
+/**
+ * Maximum number of bytes that a connection receives before an answer's head is complete, including informational
+ * answers: 32 KiB of a head, and one read of 64 KiB, which may already contain the start of the body.
+ */
+export const MAX_BYTES_BEFORE_HEAD = 96 * 1_024;
+
+/**
+ * undici's own limit of a head, in bytes. It must not be reached: undici then creates an error for each further header
+ * that it has received, which blocks the process for tens of milliseconds.
+ */
+export const PARSER_HEAD_LIMIT_BYTES = 2 * MAX_BYTES_BEFORE_HEAD;
+
+/** Maximum time from the first byte of an answer to the end of its head, in milliseconds. */
+export const HEAD_TIMEOUT_MS = 2_000;
 
 /**
  * Time after a request's deadline in which a worker's own answer is still awaited, in milliseconds: well below the half
--- a/packages/forwarder/src/exchange/answerFaults.test.ts
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -1,8 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { formatAnswer, readHeader, startTestForwarder } from '../testing/index.js';
-
+import { HEAD_TIMEOUT_MS } from '../constants.js';
+import {
+  buildTestConfiguration,
+  formatAnswer,
+  readHeader,
+  startTestForwarder,
+} from '../testing/index.js';
+
+import type { RoutingConfiguration } from '@sardinegrade/routing';
 import type { WorkerScript } from '../testing/index.js';
 
 const answerUnframed: WorkerScript = (socket, head) => {
@@ -171,3 +178,45 @@
     assert.deepEqual([answer.status, answer.body], [200, 'done']);
   }
 });
+
+const LONG_TIMEOUT_MS = 10_000;
+
+const buildPatientConfiguration = (): RoutingConfiguration => {
+  const configuration = buildTestConfiguration();
+  const routes = configuration.routes.map((route) => ({ ...route, timeoutMs: LONG_TIMEOUT_MS }));
+  return { ...configuration, routes };
+};
+
+test('an answer whose head is never complete ends long before the timeout of its route', async (context) => {
+  const forwarder = await startTestForwarder(
+    context,
+    [
+      (socket) => {
+        socket.write('HTTP/1.1 200 OK\r\nx-filler: ');
+        const timer = setInterval(() => socket.write('x'), 100);
+        socket.on('close', () => clearInterval(timer));
+      },
+    ],
+    buildPatientConfiguration(),
+  );
+  const startedAtMs = performance.now();
+  const answer = await forwarder.call('unsafe', { 'deadline-ms': `${LONG_TIMEOUT_MS}` }, 'body');
+  assert.equal(answer.status, 502);
+  assert.match(answer.body, /head was incomplete after 2000 ms/);
+  assert.ok(performance.now() - startedAtMs < LONG_TIMEOUT_MS / 2);
+});
+
+test('a worker may take its time between an informational and the final answer', async (context) => {
+  const forwarder = await startTestForwarder(
+    context,
+    [
+      (socket, head) => {
+        socket.write('HTTP/1.1 102 Processing\r\n\r\n');
+        setTimeout(() => socket.write(formatAnswer(head, 'done')), HEAD_TIMEOUT_MS + 500);
+      },
+    ],
+    buildPatientConfiguration(),
+  );
+  const answer = await forwarder.call('unsafe', { 'deadline-ms': `${LONG_TIMEOUT_MS}` }, 'body');
+  assert.deepEqual([answer.status, answer.body], [200, 'done']);
+});
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -111,7 +111,12 @@
       if (this.#isEnded) controller.abort(new Error('cancelled before it was sent'));
     },
     onResponseStart: (controller, status) => {
-      if (this.#isEnded || status < SUCCESS_FIRST) return;
+      if (this.#isEnded) return;
+      if (status < SUCCESS_FIRST) {
+        this.claimed.connection.resetHeadTimeout();
+        return;
+      }
+      this.claimed.connection.finishHead();
       const headers = toRawHeaders(controller.rawHeaders);
       const head = { status, headers, metadata: this.protocol.decodeAnswer(headers) };
       const fault = findAnswerFault(this.request, head);
@@ -154,7 +159,8 @@
   start(): void {
     const { method, path, headers, body } = this.request;
     const { connection } = this.claimed;
-    connection.send({ method, path, headers, body: body ?? null }, this.handler);
+    const onHeadExceeded = (reason: string): void => this.cancel(SendFailure.Broken, reason);
+    connection.send({ method, path, headers, body: body ?? null }, this.handler, onHeadExceeded);
   }
 
   readonly cancel = (failure: SendFailure, reason: string): void => {
@@ -173,6 +179,7 @@
     this.#isEnded = true;
     this.#chunks = [];
     this.held.remove(this.#cancelHeld);
+    this.claimed.connection.finishHead();
     this.observer.onEnd(end);
   }
 }
