--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -8,12 +8,26 @@
   StreamPace,
 } from '@sardinegrade/routing';
 
+import { MAX_HELD_ANSWER_BYTES } from './constants.js';
+import { HeldAnswers } from './exchange/HeldAnswers.js';
 import { RequestQueue } from './waiting/index.js';
 import { WorkerFleet } from './workers/index.js';
 
-import type { DataCentreName, Logger, ServiceName, UpstreamId } from '@sardinegrade/common';
+import type {
+  DataCentreName,
+  Logger,
+  ServiceName,
+  SocketAddress,
+  UpstreamId,
+} from '@sardinegrade/common';
 import type { RandomSource, RetryBudgetLimits } from '@sardinegrade/dispatch';
-import type { Crash, PromptPart, RoutingConfiguration, Worker } from '@sardinegrade/routing';
+import type {
+  Crash,
+  PromptPart,
+  RoutingConfiguration,
+  StoreVersions,
+  Worker,
+} from '@sardinegrade/routing';
 import type { ForwardProtocol } from './types.js';
 
 /** Limits of the retries of one service, summed over all VMs. */
@@ -74,12 +88,18 @@
   /** Estimates how long streams currently take. */
   readonly pace = new StreamPace();
   readonly metrics = createMetrics();
+  /** Unfinished answers of plain services, which are buffered. */
+  readonly heldAnswers = new HeldAnswers(MAX_HELD_ANSWER_BYTES);
   /** Detects requests that crash workers. */
   readonly crashes = new CrashTracker();
   /** Called with crashes that this VM has detected. */
   onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
   onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
+  /** Returns the versions of the newest changes in the store that this VM has applied; peers receive them. */
+  getStoreVersions: () => StoreVersions = () => ({ configuration: 0, workers: 0 });
+  /** Called with the versions that another VM has applied, and the address of its peer port. */
+  onPeerVersions: (versions: StoreVersions, peer: SocketAddress) => void = () => undefined;
   #configuration: RoutingConfiguration | undefined;
   #configurationAppliedAtMs = 0;
   /** When the store last answered a call, by kind; kinds without an answer so far are missing. */
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -1,6 +1,7 @@
 import { SendFailure } from '@sardinegrade/routing';
 
 import { MAX_ANSWER_BYTES } from '../constants.js';
+import type { HeldAnswers } from './HeldAnswers.js';
 
 import type { RequestId } from '@sardinegrade/common';
 import type { Dispatcher } from 'undici';
@@ -65,6 +66,12 @@
   return raw.map((item) => (typeof item === 'string' ? item : item.toString('latin1')));
 };
 
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
+
+/** Returns whether an answer tells its own end; others end with their connection. */
+const isFramed = ({ headers }: AnswerHead): boolean =>
+  headers.some((name, index) => index % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()));
+
 /** Returns why an answer cannot be the worker's answer to the request, or undefined if it can. */
 const findAnswerFault = (request: WorkerRequest, head: AnswerHead): string | undefined => {
   const { metadata } = head;
@@ -91,16 +98,25 @@
     private readonly request: WorkerRequest,
     private readonly claimed: ClaimedConnection,
     private readonly protocol: ForwardProtocol,
+    private readonly held: HeldAnswers,
     private readonly observer: SendObserver,
   ) {}
 
+  readonly #cancelHeld = (): void =>
+    this.cancel(SendFailure.Broken, 'unfinished answers exceed the memory of this VM');
+
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => {
       this.#controller = controller;
       if (this.#isEnded) controller.abort(new Error('cancelled before it was sent'));
     },
     onResponseStart: (controller, status) => {
-      if (this.#isEnded || status < SUCCESS_FIRST) return;
+      if (this.#isEnded) return;
+      if (status < SUCCESS_FIRST) {
+        this.claimed.connection.resetHeadTimeout();
+        return;
+      }
+      this.claimed.connection.finishHead();
       const headers = toRawHeaders(controller.rawHeaders);
       const head = { status, headers, metadata: this.protocol.decodeAnswer(headers) };
       const fault = findAnswerFault(this.request, head);
@@ -123,11 +139,12 @@
         return;
       }
       this.#chunks.push(chunk);
+      this.held.add(this.#cancelHeld, chunk.length);
     },
     onResponseEnd: () => {
       const head = this.#head;
       if (head === undefined) this.#fail(SendFailure.Broken, 'the answer has no head');
-      else if (this.claimed.connection.wasReset) {
+      else if (this.claimed.connection.wasReset && !isFramed(head)) {
         this.#fail(SendFailure.Broken, 'the answer was cut by a reset');
       } else if (head.metadata.isNotRun || NOT_RUN_STATUSES.has(head.status)) {
         this.#fail(SendFailure.Rejected, `rejected with ${head.status}`);
@@ -142,7 +159,8 @@
   start(): void {
     const { method, path, headers, body } = this.request;
     const { connection } = this.claimed;
-    connection.send({ method, path, headers, body: body ?? null }, this.handler);
+    const onHeadExceeded = (reason: string): void => this.cancel(SendFailure.Broken, reason);
+    connection.send({ method, path, headers, body: body ?? null }, this.handler, onHeadExceeded);
   }
 
   readonly cancel = (failure: SendFailure, reason: string): void => {
@@ -159,6 +177,9 @@
   #end(end: SendEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#chunks = [];
+    this.held.remove(this.#cancelHeld);
+    this.claimed.connection.finishHead();
     this.observer.onEnd(end);
   }
 }
@@ -169,6 +190,7 @@
  * @param request - the request to send
  * @param claimed - the claimed connection
  * @param protocol - decodes the answer's headers
+ * @param held - limits the bytes of unfinished answers
  * @param observer - receives the answer
  * @returns the send in progress
  * @throws undici's error if the request is not valid HTTP
@@ -177,9 +199,10 @@
   request: WorkerRequest,
   claimed: ClaimedConnection,
   protocol: ForwardProtocol,
+  held: HeldAnswers,
   observer: SendObserver,
 ): Send => {
-  const send = new RunningSend(request, claimed, protocol, observer);
+  const send = new RunningSend(request, claimed, protocol, held, observer);
   send.start();
   return send;
 };
