test(soak): VMs in touch have a configuration in force within its time limit

New rule 'version in force': a VM without a fault of its own or of the store within the stable window neither accepts a key that the newest configuration lacks, nor refuses one that it has, later than 2 s after the store acknowledged it. New faults: watches that return nothing while the store drops its history, and connections to the store that stop responding while new ones work.

--- a/soak/src/SoakCaller.ts
+++ b/soak/src/SoakCaller.ts
@@ -49,6 +49,8 @@
   readonly getVersion: () => number;
   /** Whether workers, links and the store have been free of faults for the stable window. */
   readonly isStable: () => boolean;
+  /** Whether the store has been free of faults for the stable window. */
+  readonly isStoreStable: () => boolean;
 }
 
 /**
@@ -88,7 +90,7 @@
   }
 
   async #sendOne(): Promise<void> {
-    const { name, random, ledger, isStable } = this.options;
+    const { name, random, ledger, isStable, isStoreStable } = this.options;
     this.#sent += 1;
     const id = `${name}-${this.#sent}`;
     const kind = KINDS[Math.floor(random() * KINDS.length)] ?? RequestKind.Safe;
@@ -98,6 +100,7 @@
     const keyVersion = this.#pickKeyVersion();
     const { startCount: vmStartCount } = vm;
     const wasStable = isStable();
+    const isInTouch = sentAtMs - vm.disturbedAtMs > STABLE_MS && isStoreStable();
     const result = await this.#call(id, kind, formatKey(keyVersion), shouldDisconnect);
     const isTerminated = vm.terminatedAtMs !== undefined;
     const isUndisturbed = sentAtMs - vm.disturbedAtMs > STABLE_MS && wasStable && isStable();
@@ -111,6 +114,7 @@
         sentAtMs,
         endedAtMs: performance.now(),
         deadlineMs: DEADLINE_MS,
+        isInTouch,
         isPlannedShutdown: isTerminated && isUndisturbed,
         ...result,
       });
--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -87,6 +87,10 @@
   readonly isStable = (): boolean =>
     this.#disturbances === 0 && performance.now() - this.#disturbedAtMs > STABLE_MS;
 
+  /** Whether the store has been free of faults for the stable window. */
+  readonly isStoreStable = (): boolean =>
+    this.#propagationFaults === 0 && performance.now() - this.#propagationFaultAtMs > STABLE_MS;
+
   /** Performs one action of the plan, and reverts its effect after its duration. */
   async perform(planned: PlannedAction): Promise<void> {
     await this.#handlers[planned.action](planned);
@@ -154,9 +158,7 @@
       this.#workers.splice(this.#workers.indexOf(worker), 1);
       await this.#addWorker();
       this.#register(worker, 'draining');
-      const canDrainPropagate =
-        this.#propagationFaults === 0 && performance.now() - this.#propagationFaultAtMs > STABLE_MS;
-      if (canDrainPropagate) this.ledger.recordDrain(worker.id);
+      if (this.isStoreStable()) this.ledger.recordDrain(worker.id);
       await sleep(DRAIN_GRACE_MS);
       this.store.remove('servers', worker.id);
       await sleep(DRAIN_GRACE_MS);
@@ -170,6 +172,20 @@
       this.store.clearHistory();
       return Promise.resolve();
     },
+    // As a store that drops its history: watches that start meanwhile miss the changes, and are not cut.
+    [SoakAction.SilenceWatches]: ({ durationMs }) =>
+      this.#runWithPropagationFault(async () => {
+        this.store.hasDeafWatches = true;
+        this.store.resetWatches();
+        await sleep(durationMs);
+        this.store.hasDeafWatches = false;
+        this.store.clearHistory();
+      }),
+    [SoakAction.SilenceStoreConnections]: () =>
+      this.#runWithPropagationFault(() => {
+        this.store.stopRespondingOnOpenConnections();
+        return Promise.resolve();
+      }),
     [SoakAction.ChangeConfiguration]: () => {
       this.#version += 1;
       this.#writeConfiguration();
@@ -250,6 +266,7 @@
       resumable: kind === RequestKind.Resumable,
       gap_aim_ms: 200,
     }));
+    this.ledger.recordVersion(this.#version);
     this.store.write('config', 'main', {
       version: this.#version,
       routes,
--- a/soak/src/SoakLedger.ts
+++ b/soak/src/SoakLedger.ts
@@ -29,6 +29,8 @@
   readonly hasSealHeader: boolean;
   /** Whether the whole HTTP response arrived. */
   readonly isComplete: boolean;
+  /** Whether neither the VM nor the store had a fault within the stable window before the request was sent. */
+  readonly isInTouch: boolean;
   /**
    * Whether the VM received SIGTERM, while neither the VM nor the workers, links or store had another
    * fault within the stable window.
@@ -66,6 +68,14 @@
  */
 const DRAIN_LIMIT_MS = 2_000;
 
+/**
+ * Maximum time between the acknowledgement of a configuration and its use at each VM that is in touch, in milliseconds; a
+ * requirement of the host platform's operators.
+ */
+const CONFIGURATION_LIMIT_MS = 2_000;
+
+const INVALID_KEY_STATUS = 401;
+
 /**
  * Limits on the retries of all VMs together within a window: a share of the requests, plus a fixed number;
  * a requirement of the host platform's operators.
@@ -82,6 +92,7 @@
   readonly #runs = new Map<string, RunRecord[]>();
   readonly #answers: AnswerRecord[] = [];
   readonly #drainedAtMs = new Map<string, number>();
+  readonly #versionAtMs = new Map<number, number>();
 
   recordRun(run: RunRecord): void {
     this.#runs.set(run.id, [...(this.#runs.get(run.id) ?? []), run]);
@@ -91,6 +102,11 @@
     this.#answers.push(answer);
   }
 
+  /** Records that the store acknowledges a version of the configuration now. */
+  recordVersion(version: number): void {
+    this.#versionAtMs.set(version, performance.now());
+  }
+
   /** Records that the store acknowledged the drain of a worker, at a time without store faults. */
   recordDrain(worker: string): void {
     this.#drainedAtMs.set(worker, performance.now());
@@ -120,6 +136,7 @@
       ...this.#answers.flatMap((answer) => this.#checkAnswer(answer)),
       ...this.#checkDrains(),
       ...this.#checkVersions(),
+      ...this.#checkLateVersions(),
       ...this.#checkRetryBudget(),
     ];
   }
@@ -199,6 +216,31 @@
     return violations;
   }
 
+  /**
+   * Checks that a VM in touch neither accepts a key that the newest configuration lacks, nor refuses one that it contains,
+   * once the time limit after its acknowledgement has passed.
+   */
+  #checkLateVersions(): readonly Violation[] {
+    const isOverdue = (version: number, sentAtMs: number): boolean => {
+      const writtenAtMs = this.#versionAtMs.get(version);
+      return writtenAtMs !== undefined && sentAtMs > writtenAtMs + CONFIGURATION_LIMIT_MS;
+    };
+    return this.#answers.flatMap(
+      ({ id, vm, status, keyVersion, sentAtMs, endedAtMs, isInTouch }) => {
+        if (!isInTouch || keyVersion === 0) return [];
+        const withoutKeyAtMs = this.#versionAtMs.get(keyVersion + 2) ?? Infinity;
+        const isAcceptedLate = status === 200 && isOverdue(keyVersion + 2, sentAtMs);
+        const isRefusedLate =
+          status === INVALID_KEY_STATUS &&
+          isOverdue(keyVersion, sentAtMs) &&
+          endedAtMs < withoutKeyAtMs;
+        if (!isAcceptedLate && !isRefusedLate) return [];
+        const detail = `${vm} answered ${status} for the key of version ${keyVersion}, by an older version`;
+        return [{ rule: 'version in force', requestId: id, detail }];
+      },
+    );
+  }
+
   /**
    * Reports the first window with more retries than the budget for the requests sent in this
    * window and the previous one.
--- a/soak/src/buildPlan.ts
+++ b/soak/src/buildPlan.ts
@@ -16,6 +16,8 @@
   StoreSilent = 'store_silent',
   StoreReset = 'store_reset',
   ClearStoreHistory = 'store_forgets',
+  SilenceWatches = 'silence_watches',
+  SilenceStoreConnections = 'silence_store_connections',
   ChangeConfiguration = 'change_configuration',
 }
 
@@ -37,8 +39,8 @@
 const MAX_DURATION_MS = 4_000;
 
 /**
- * Faults that delay how the drain of a worker reaches the VMs. Drains can hardly be checked while
- * they may occur.
+ * Faults that delay how the drain of a worker or a configuration reaches the VMs. Neither can be checked while they may
+ * occur.
  */
 const PROPAGATION_FAULTS: ReadonlySet<SoakAction> = new Set([
   SoakAction.PauseVm,
@@ -46,6 +48,8 @@
   SoakAction.StoreLimited,
   SoakAction.StoreSilent,
   SoakAction.StoreReset,
+  SoakAction.SilenceWatches,
+  SoakAction.SilenceStoreConnections,
 ]);
 
 /**
--- a/soak/src/runSoak.ts
+++ b/soak/src/runSoak.ts
@@ -76,7 +76,7 @@
   try {
     await environment.start(options, folder);
     await sleep(VM_STARTUP_MS, signal);
-    const { ledger, getVersion, isStable } = environment;
+    const { ledger, getVersion, isStable, isStoreStable } = environment;
     const soakCallers = Array.from(
       { length: callers },
       (_, index) =>
@@ -87,6 +87,7 @@
           random: createRandomSource(seed * 1_000 + index),
           getVersion,
           isStable,
+          isStoreStable,
         }),
     );
     const calls = soakCallers.map((caller) => caller.run());
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -38,6 +38,7 @@
   vm: 'vm-0',
   vmStartCount: 1,
   keyVersion: 0,
+  isInTouch: false,
   sentAtMs: 0,
   endedAtMs: 10,
   deadlineMs: 1_500,
@@ -131,3 +132,18 @@
   record('d', 3, 300);
   assert.deepEqual(listRules(ledger), ['version never back']);
 });
+
+test('the ledger reports a VM in touch that handles a key as only an older configuration allows', () => {
+  const ledger = new SoakLedger();
+  for (const version of [1, 2, 3]) ledger.recordVersion(version);
+  const nowMs = performance.now();
+  const record = (id: string, part: Partial<AnswerRecord>): void =>
+    ledger.recordAnswer({ ...ANSWER, id, isInTouch: true, sentAtMs: nowMs + 2_500, ...part });
+  record('accepted', { keyVersion: 1, status: 200, body: 'answer to accepted' });
+  record('refused', { keyVersion: 3, status: 401 });
+  record('early', { keyVersion: 3, status: 401, sentAtMs: nowMs + 1_000 });
+  record('out of touch', { keyVersion: 3, status: 401, isInTouch: false });
+  record('allowed', { keyVersion: 2, status: 200, body: 'answer to allowed' });
+  const reported = ledger.listViolations().map(({ rule, requestId }) => `${rule}: ${requestId}`);
+  assert.deepEqual(reported, ['version in force: accepted', 'version in force: refused']);
+});
