test(soak): a configuration changes while watches or connections to the store are silent

The two new faults alone rarely met a change. Each now changes the configuration, and watches are cut once more at the end of the silence, so that VMs replace them in the last moment, as in the incident.

--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -26,6 +26,9 @@
 /** How long a drained worker stays registered, and then keeps running, before it is closed, in milliseconds. */
 const DRAIN_GRACE_MS = 4_000;
 
+/** Time in which VMs replace a watch that was reset, in milliseconds. */
+const REWATCH_MS = 150;
+
 const sleep = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
 
@@ -177,18 +180,21 @@
       this.#runWithPropagationFault(async () => {
         this.store.hasDeafWatches = true;
         this.store.resetWatches();
+        this.#changeConfiguration();
         await sleep(durationMs);
+        this.store.resetWatches();
+        await sleep(REWATCH_MS);
         this.store.hasDeafWatches = false;
         this.store.clearHistory();
       }),
     [SoakAction.SilenceStoreConnections]: () =>
       this.#runWithPropagationFault(() => {
         this.store.stopRespondingOnOpenConnections();
+        this.#changeConfiguration();
         return Promise.resolve();
       }),
     [SoakAction.ChangeConfiguration]: () => {
-      this.#version += 1;
-      this.#writeConfiguration();
+      this.#changeConfiguration();
       return Promise.resolve();
     },
   };
@@ -251,6 +257,11 @@
     registerWorker(this.store, entry, state);
   }
 
+  #changeConfiguration(): void {
+    this.#version += 1;
+    this.#writeConfiguration();
+  }
+
   #writeConfiguration(): void {
     const routes = Object.values(RequestKind).map((kind) => ({
       name: kind,
