--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -26,6 +26,9 @@
 /** How long a drained worker stays registered, and then keeps running, before it is closed, in milliseconds. */
 const DRAIN_GRACE_MS = 4_000;
 
+/** Time in which VMs replace a watch that was reset, in milliseconds. */
+const REWATCH_MS = 150;
+
 const sleep = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
 
@@ -87,6 +90,10 @@
   readonly isStable = (): boolean =>
     this.#disturbances === 0 && performance.now() - this.#disturbedAtMs > STABLE_MS;
 
+  /** Whether the store has been free of faults for the stable window. */
+  readonly isStoreStable = (): boolean =>
+    this.#propagationFaults === 0 && performance.now() - this.#propagationFaultAtMs > STABLE_MS;
+
   /** Performs one action of the plan, and reverts its effect after its duration. */
   async perform(planned: PlannedAction): Promise<void> {
     await this.#handlers[planned.action](planned);
@@ -154,9 +161,7 @@
       this.#workers.splice(this.#workers.indexOf(worker), 1);
       await this.#addWorker();
       this.#register(worker, 'draining');
-      const canDrainPropagate =
-        this.#propagationFaults === 0 && performance.now() - this.#propagationFaultAtMs > STABLE_MS;
-      if (canDrainPropagate) this.ledger.recordDrain(worker.id);
+      if (this.isStoreStable()) this.ledger.recordDrain(worker.id);
       await sleep(DRAIN_GRACE_MS);
       this.store.remove('servers', worker.id);
       await sleep(DRAIN_GRACE_MS);
@@ -170,9 +175,26 @@
       this.store.clearHistory();
       return Promise.resolve();
     },
+    // As a store that drops its history: watches that start meanwhile miss the changes, and are not cut.
+    [SoakAction.SilenceWatches]: ({ durationMs }) =>
+      this.#runWithPropagationFault(async () => {
+        this.store.hasDeafWatches = true;
+        this.store.resetWatches();
+        this.#changeConfiguration();
+        await sleep(durationMs);
+        this.store.resetWatches();
+        await sleep(REWATCH_MS);
+        this.store.hasDeafWatches = false;
+        this.store.clearHistory();
+      }),
+    [SoakAction.SilenceStoreConnections]: () =>
+      this.#runWithPropagationFault(() => {
+        this.store.stopRespondingOnOpenConnections();
+        this.#changeConfiguration();
+        return Promise.resolve();
+      }),
     [SoakAction.ChangeConfiguration]: () => {
-      this.#version += 1;
-      this.#writeConfiguration();
+      this.#changeConfiguration();
       return Promise.resolve();
     },
   };
@@ -235,6 +257,11 @@
     registerWorker(this.store, entry, state);
   }
 
+  #changeConfiguration(): void {
+    this.#version += 1;
+    this.#writeConfiguration();
+  }
+
   #writeConfiguration(): void {
     const routes = Object.values(RequestKind).map((kind) => ({
       name: kind,
@@ -250,6 +277,7 @@
       resumable: kind === RequestKind.Resumable,
       gap_aim_ms: 200,
     }));
+    this.ledger.recordVersion(this.#version);
     this.store.write('config', 'main', {
       version: this.#version,
       routes,
