--- a/packages/platform/src/sync/ObjectSync.ts
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -224,7 +224,7 @@
     this.#watchVersion = version;
     if (peerBefore === undefined || peerBefore.changeVersion <= version) return;
     this.#refutedVersion = Math.max(this.#refutedVersion, peerBefore.changeVersion);
-    if (this.#newerPeer === peerBefore) this.#forgetPeer();
+    if (this.#newerPeer === peerBefore) this.#clearPeer();
   }
 
   #replaceObjects({ version, objects }: FeedSnapshot, receipt: SyncReceipt): void {
@@ -239,10 +239,10 @@
     this.#appliedVersion = Math.max(this.#appliedVersion, appliedVersion);
     this.#changeVersion = Math.max(this.#changeVersion, changeVersion);
     const peerVersion = this.#newerPeer?.changeVersion ?? 0;
-    if (peerVersion <= this.#appliedVersion) this.#forgetPeer();
+    if (peerVersion <= this.#appliedVersion) this.#clearPeer();
   }
 
-  #forgetPeer(): void {
+  #clearPeer(): void {
     this.#newerPeer = undefined;
     this.#isBehind = false;
   }
@@ -302,7 +302,7 @@
     } catch (thrown) {
       this.#reportFailure(toPlatformError(thrown));
       // Another peer may respond: the next report of any peer names a new one.
-      if (this.#newerPeer === peer) this.#forgetPeer();
+      if (this.#newerPeer === peer) this.#clearPeer();
     }
   }
 
--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -178,13 +178,13 @@
     // As a store that drops its history: watches that start meanwhile miss the changes, and are not cut.
     [SoakAction.SilenceWatches]: ({ durationMs }) =>
       this.#runWithPropagationFault(async () => {
-        this.store.hasDeafWatches = true;
+        this.store.hasSilentWatches = true;
         this.store.resetWatches();
         this.#changeConfiguration();
         await sleep(durationMs);
         this.store.resetWatches();
         await sleep(REWATCH_MS);
-        this.store.hasDeafWatches = false;
+        this.store.hasSilentWatches = false;
         this.store.clearHistory();
       }),
     [SoakAction.SilenceStoreConnections]: () =>
