--- a/packages/forwarder/src/exchange/ExchangeReport.ts
+++ b/packages/forwarder/src/exchange/ExchangeReport.ts
@@ -10,6 +10,9 @@
 /** One in this number of successful, timely requests is logged; failures and late answers always are. */
 const SUCCESS_SAMPLE_INTERVAL = 20;
 
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
+
 /** Workspace label of requests without an API key. */
 const PUBLIC_WORKSPACE = 'public';
 
@@ -98,7 +101,9 @@
         runs: details.runs,
         sends: details.sends,
         next: details.next,
+        events: this.#eventCount,
         ...this.#describePlacement(),
+        ...this.#describeSharedParts(),
       },
     });
   }
@@ -175,6 +180,14 @@
     return this.state.options.getNowMs() - this.admitted.arrivedAtMs;
   }
 
+  /** The shared parts of the prompt: a worker that ends may have been crashed by any of them. */
+  #describeSharedParts(): Readonly<Record<string, string>> {
+    const parts = this.admitted.caller.prompt?.parts.slice(0, -1) ?? [];
+    if (parts.length === 0) return {};
+    const ids = parts.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id);
+    return { shared_parts: ids.join(' ') };
+  }
+
   #describePlacement(): Readonly<Record<string, number>> {
     if (this.admitted.caller.prompt === undefined) return {};
     return {
--- a/packages/forwarder/src/exchange/answerFaults.test.ts
+++ b/packages/forwarder/src/exchange/answerFaults.test.ts
@@ -220,3 +220,11 @@
   const answer = await forwarder.call('unsafe', { 'deadline-ms': `${LONG_TIMEOUT_MS}` }, 'body');
   assert.deepEqual([answer.status, answer.body], [200, 'done']);
 });
+
+test('the log tells which shared parts a broken send had, and how many events were received', async (context) => {
+  const forwarder = await startTestForwarder(context, [(socket) => socket.resetAndDestroy()]);
+  await forwarder.call('stream', { tokens: '300', parts: 'system,session,own' }, 'prompt');
+  const line = forwarder.logLines.find((text) => text.includes('send failed')) ?? '';
+  assert.match(line, /"events":0/);
+  assert.match(line, /"shared_parts":"system session"/);
+});
--- a/packages/forwarder/src/testing/testProtocol.ts
+++ b/packages/forwarder/src/testing/testProtocol.ts
@@ -1,8 +1,12 @@
 import { toBranded } from '@sardinegrade/common';
 
+import type { PromptPart } from '@sardinegrade/routing';
 import type { IncomingHttpHeaders } from 'node:http';
 import type { ForwardProtocol, RawHeaders } from '../types.js';
 
+/** Size of each prompt part, in tokens. */
+const PART_TOKENS = 100;
+
 const getText = (headers: IncomingHttpHeaders, name: string): string | undefined => {
   const value = headers[name];
   return typeof value === 'string' ? value : undefined;
@@ -29,6 +33,13 @@
 const toNumber = (text: string | undefined): number | undefined =>
   text === undefined ? undefined : Number(text);
 
+/** Decodes the ids of prompt parts, separated by commas. */
+const decodeParts = (text = ''): readonly PromptPart[] =>
+  text
+    .split(',')
+    .filter((id) => id !== '')
+    .map((id) => ({ id: toBranded(id), tokens: PART_TOKENS }));
+
 /** A protocol with short header names, so that tests do not depend on the platform. */
 export const TEST_PROTOCOL: ForwardProtocol = {
   decodeRequest: (headers) => {
@@ -41,7 +52,13 @@
       key: getText(headers, 'key'),
       lastEventId: lastEventId === undefined ? undefined : toBranded(lastEventId),
       prompt:
-        tokens === undefined ? undefined : { parts: [], promptTokens: tokens, maxOutputTokens: 10 },
+        tokens === undefined
+          ? undefined
+          : {
+              parts: decodeParts(getText(headers, 'parts')),
+              promptTokens: tokens,
+              maxOutputTokens: 10,
+            },
     };
   },
   encodeSend: (headers, metadata) => [
