--- a/packages/forwarder/src/testing/startTestForwarder.ts
+++ b/packages/forwarder/src/testing/startTestForwarder.ts
@@ -149,18 +149,22 @@
     request.end(body);
   });
 
+/** Scripted workers and the configuration of a test forwarder. */
+export interface TestForwarderOptions {
+  readonly workers: readonly TestWorker[];
+  readonly configuration: RoutingConfiguration;
+}
+
 /**
- * Starts a forwarder in this process with one worker for each script.
+ * Starts a forwarder in this process in front of running workers.
  *
- * @param context - the test; forwarder and workers are closed when it ends
- * @param scripts - script of each worker
- * @param configuration - the active configuration
+ * @param context - the test; the forwarder is closed when it ends
+ * @param options - workers, registered as `w0`, `w1` and so on, and the active configuration
  * @returns the running forwarder
  */
-export const startTestForwarder = async (
+export const startForwarder = async (
   context: TestContext,
-  scripts: readonly WorkerScript[],
-  configuration = buildTestConfiguration(),
+  { workers, configuration }: TestForwarderOptions,
 ): Promise<TestForwarder> => {
   const logLines: string[] = [];
   const logger = createLogger({
@@ -176,8 +180,6 @@
     random: createRandomSource(SEED),
     getNowMs: () => performance.now(),
   });
-  const workers = scripts.map((script) => new TestWorker(script));
-  await Promise.all(workers.map((worker) => worker.listen()));
   for (const [index, worker] of workers.entries()) {
     state.fleet.directory.set({
       id: toBranded(`w${index}`),
@@ -192,10 +194,7 @@
   state.apply(configuration);
   const front = new FrontServer(state);
   const port = await front.listen({ host: '127.0.0.1', port: 0 });
-  context.after(() => {
-    front.close();
-    for (const worker of workers) worker.close();
-  });
+  context.after(() => front.close());
   return {
     state,
     workers,
@@ -205,3 +204,37 @@
     callUntil: (route, body, isEnough) => callUntil(port, route, body, isEnough),
   };
 };
+
+/**
+ * Starts one worker for each script.
+ *
+ * @param context - the test; the workers are closed when it ends
+ * @param scripts - script of each worker
+ * @returns the listening workers
+ */
+export const startTestWorkers = async (
+  context: TestContext,
+  scripts: readonly WorkerScript[],
+): Promise<readonly TestWorker[]> => {
+  const workers = scripts.map((script) => new TestWorker(script));
+  await Promise.all(workers.map((worker) => worker.listen()));
+  context.after(() => {
+    for (const worker of workers) worker.close();
+  });
+  return workers;
+};
+
+/**
+ * Starts a forwarder in this process with one worker for each script.
+ *
+ * @param context - the test; forwarder and workers are closed when it ends
+ * @param scripts - script of each worker
+ * @param configuration - the active configuration
+ * @returns the running forwarder
+ */
+export const startTestForwarder = async (
+  context: TestContext,
+  scripts: readonly WorkerScript[],
+  configuration = buildTestConfiguration(),
+): Promise<TestForwarder> =>
+  startForwarder(context, { workers: await startTestWorkers(context, scripts), configuration });
--- a/tools/runTests.js
+++ b/tools/runTests.js
@@ -1,4 +1,4 @@
-import { readdirSync } from 'node:fs';
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { run } from 'node:test';
 import { spec } from 'node:test/reporters';
@@ -9,11 +9,21 @@
 const MAX_PARALLEL_FILES = 4;
 const TEST_TIMEOUT_MS = 600_000;
 
+/** Lists the tests that fail for a known fault. Their failures are printed and do not fail the run. */
+const KNOWN_FAILURES_FILE = 'KNOWN-RED.txt';
+
 const listTests = (folder) =>
   readdirSync(folder, { recursive: true, withFileTypes: true })
     .filter((entry) => entry.isFile() && entry.name.endsWith('.test.js'))
     .map((entry) => join(entry.parentPath ?? entry.path, entry.name));
 
+/** Reads the names of the tests that may fail: the first quoted text of each entry that begins with `- test`. */
+const readKnownFailures = () => {
+  if (!existsSync(KNOWN_FAILURES_FILE)) return new Set();
+  const text = readFileSync(KNOWN_FAILURES_FILE, 'utf8');
+  return new Set([...text.matchAll(/^- test "([^"]+)"/gm)].map((match) => match[1]));
+};
+
 const { positionals } = parseArgs({ allowPositionals: true });
 
 const files = readdirSync('packages')
@@ -28,9 +38,12 @@
   process.exit(1);
 }
 
+const knownFailures = readKnownFailures();
+
 run({ files, concurrency: MAX_PARALLEL_FILES, timeout: TEST_TIMEOUT_MS })
-  .on('test:fail', () => {
-    process.exitCode = 1;
+  .on('test:fail', ({ name }) => {
+    if (knownFailures.has(name)) console.log(`Known failure (${KNOWN_FAILURES_FILE}): ${name}`);
+    else process.exitCode = 1;
   })
   .compose(new spec())
   .pipe(process.stdout);
