--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -108,6 +108,11 @@
     help: 'Requests that wait at dispatchers of this daemon.',
     labels: TRAFFIC_LABELS,
   },
+  [MetricName.RefusedParts]: {
+    kind: Gauge,
+    help: 'Prompt parts whose requests are refused because workers crashed on them.',
+    labels: [],
+  },
   [MetricName.Generation]: {
     kind: Gauge,
     help: 'Configuration generation in force.',
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,4 +1,4 @@
-import { createMetrics, MetricName, toBranded } from '@sardinegrade/common';
+import { createMetrics, MetricName } from '@sardinegrade/common';
 import { RetryBudget } from '@sardinegrade/dispatch';
 import {
   CrashTracker,
@@ -10,6 +10,7 @@
 
 import { MAX_HELD_ANSWER_BYTES } from './constants.js';
 import { HeldAnswers } from './exchange/HeldAnswers.js';
+import { isPortClosed, PartQuarantine, toInstanceId } from './quarantine/index.js';
 import { RequestQueue } from './waiting/index.js';
 import { WorkerFleet } from './workers/index.js';
 
@@ -72,10 +73,6 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Builds the id of a worker instance, that is, one process of a worker: a crash counts once per instance. */
-export const toInstanceId = (worker: Worker): UpstreamId =>
-  toBranded(`${worker.id}@${worker.startedAtMs}`);
-
 /** State of the forwarder: active configuration, known workers, load of other VMs, queue and retry budgets. */
 export class ForwarderState {
   readonly fleet = new WorkerFleet();
@@ -92,6 +89,8 @@
   readonly heldAnswers = new HeldAnswers(MAX_HELD_ANSWER_BYTES);
   /** Detects requests that crash workers. */
   readonly crashes = new CrashTracker();
+  /** Refuses requests with prompt parts that crash workers. */
+  readonly partQuarantine: PartQuarantine;
   /** Called with crashes that this VM has detected. */
   onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
@@ -111,7 +110,14 @@
 
   /** @param options - dependencies and settings */
   constructor(readonly options: ForwarderOptions) {
-    this.queue = new RequestQueue(options.getNowMs);
+    const { logger, getNowMs } = options;
+    this.queue = new RequestQueue(getNowMs);
+    this.partQuarantine = new PartQuarantine({
+      logger,
+      getNowMs,
+      isPortClosed,
+      isInService: (worker) => this.#isInService(worker),
+    });
     this.#registerGauges();
   }
 
@@ -173,6 +179,7 @@
    * suspected of having crashed it.
    */
   recordInstanceEnd(worker: Worker): void {
+    this.partQuarantine.recordInstanceEnd(worker);
     const crashes = this.crashes.recordInstanceEnd(toInstanceId(worker), this.options.getNowMs());
     if (crashes.length === 0) return;
     this.options.logger.warn('worker crashed while running requests', {
@@ -200,6 +207,11 @@
     return budget;
   }
 
+  #isInService({ id, startedAtMs }: Worker): boolean {
+    const registered = this.fleet.directory.find(id);
+    return registered?.startedAtMs === startedAtMs && !registered.isLeaving;
+  }
+
   #computeRetryLimits(): RetryBudgetLimits {
     const { slack, windowMs } = this.options.retries;
     // Half can be spent immediately and half accrues within the window, so no window exceeds the slack.
@@ -224,6 +236,9 @@
     metrics.registerGauge(MetricName.Queued, () => [
       { labels: { service: '', class: '' }, value: this.queue.size },
     ]);
+    metrics.registerGauge(MetricName.RefusedParts, () => [
+      { labels: {}, value: this.partQuarantine.refusedCount },
+    ]);
     metrics.registerGauge(MetricName.Members, () => [
       {
         labels: { state: 'alive' },
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -13,53 +13,38 @@
 } from '@sardinegrade/routing';
 
 import { ANSWER_GRACE_MS, DEFAULT_TIMEOUT_MS, MAX_EVENT_BYTES } from '../constants.js';
-import { toInstanceId } from '../ForwarderState.js';
 import { sendLocalReply } from '../front/sendLocalReply.js';
 import { EventFramer } from '../relay/index.js';
 import { selectWorker } from './selectWorker.js';
 import { ExchangeReport } from './ExchangeReport.js';
+import { recordSendFailure } from './recordSendFailure.js';
 import { isSuccess, sendToWorker } from './sendToWorker.js';
 import { computeSilenceTimeoutMs } from './computeSilenceTimeout.js';
+import { SilenceTimer } from './SilenceTimer.js';
+import { addUnansweredSend, describeRefusedPart, finishUnansweredSend } from './unansweredSends.js';
 
-import type { Fingerprint, RequestId, ServiceName, UpstreamId } from '@sardinegrade/common';
-import type { EngineRun, KeyHolder, Route, RoutedService } from '@sardinegrade/routing';
+import type { RequestId, ServiceName, UpstreamId } from '@sardinegrade/common';
+import type { RoutedService } from '@sardinegrade/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { ClaimedConnection } from '../connections/index.js';
 import type { ForwarderState } from '../ForwarderState.js';
-import type { CallerRequest } from '../types.js';
 import type { QueuedRequest } from '../waiting/index.js';
 import type { WorkerRecord } from '../workers/index.js';
-import type { AnswerHead, Send, SendEnd } from './sendToWorker.js';
-
-/** A caller's request that has been read completely and passed all checks. */
-export interface AdmittedRequest {
-  readonly caller: CallerRequest;
-  readonly route: Route;
-  /** Workspace of the caller's API key; undefined for requests without a known key. */
-  readonly holder: KeyHolder | undefined;
-  readonly body: Buffer | undefined;
-  /** Identifies the request when the caller sends it again. */
-  readonly fingerprint: Fingerprint;
-  readonly arrivedAtMs: number;
-}
-
-/** A send in progress and the resources that it uses at its worker. */
-interface ActiveSend {
-  readonly record: WorkerRecord;
-  readonly claimed: ClaimedConnection;
-  /** Undefined for plain services. */
-  readonly run: EngineRun | undefined;
-  readonly startedAtMs: number;
-  send?: Send;
-  silenceTimer?: NodeJS.Timeout;
-  silenceTimeoutMs?: number;
-  /** Whether a complete event has been received. */
-  hasFirstEvent: boolean;
-}
+import type { AnswerHead, SendEnd } from './sendToWorker.js';
+import type { ActiveSend, AdmittedRequest } from './types.js';
 
 /** Minimum time limit of timers and sends, in milliseconds. */
 const MIN_REMAINING_MS = 1;
 
+/** Minimum time after which callers may retry a request with a refused prompt part, in milliseconds. */
+const MIN_QUARANTINED_RETRY_MS = 1_000;
+
+/** Codes that say that a request has not run. */
+const REFUSALS: ReadonlySet<ResultCode> = new Set([
+  ResultCode.NoUpstream,
+  ResultCode.Overloaded,
+  ResultCode.Quarantined,
+]);
+
 /** Serves one request of a caller: sends it to workers until one answers or no further attempt is possible. */
 export class Exchange {
   readonly #framer = new EventFramer();
@@ -143,6 +128,7 @@
 
   /** Sends the request, or fails it if there is no worker. Returns false if it has to wait. */
   #tryStart(): boolean {
+    if (this.#refuseIfQuarantined()) return true;
     const service = this.#findService();
     const { prompt } = this.admitted.caller;
     const selection =
@@ -174,6 +160,7 @@
    * was refused.
    */
   #refuseIfExpired(): boolean {
+    if (this.#refuseIfQuarantined()) return true;
     const { route } = this.admitted;
     const times = {
       waitedMs: this.#getAgeMs(),
@@ -186,6 +173,17 @@
     return true;
   }
 
+  /** Refuses the request if workers crash on a part of its prompt. Returns whether it was refused. */
+  #refuseIfQuarantined(): boolean {
+    const { prompt } = this.admitted.caller;
+    const refused = prompt && this.state.partQuarantine.findRefused(prompt.parts);
+    if (refused === undefined) return false;
+    const retryAfterMs = Math.max(MIN_QUARANTINED_RETRY_MS, refused.trialAtMs - this.#getNowMs());
+    const message = describeRefusedPart(refused);
+    this.#replyFailure(this.#runs > 0, ResultCode.Quarantined, message, retryAfterMs);
+    return true;
+  }
+
   #findService(): RoutedService | undefined {
     if (this.#service === undefined) return undefined;
     const { configuration } = this.state;
@@ -204,7 +202,17 @@
     if (prompt !== undefined && run?.hasUncachedSharedParts === true) {
       this.state.onPlacement(record.worker.id, prompt.parts);
     }
-    const active: ActiveSend = { record, claimed, run, startedAtMs: nowMs, hasFirstEvent: false };
+    const { partQuarantine } = this.state;
+    const unanswered = addUnansweredSend(partQuarantine, record.worker, prompt, () => active.send);
+    const active: ActiveSend = {
+      record,
+      claimed,
+      run,
+      unanswered,
+      silenceTimer: new SilenceTimer(),
+      startedAtMs: nowMs,
+      hasFirstEvent: false,
+    };
     this.#activeSend = active;
     this.#sends += 1;
     this.#tried.add(record.worker.id);
@@ -233,17 +241,10 @@
 
   #watchSilence(active: ActiveSend): void {
     if (!this.#isRepeatable || this.#activeSend !== active) return;
-    const silenceTimeoutMs = computeSilenceTimeoutMs(this.admitted.route, active.hasFirstEvent);
-    // Called for each chunk with a complete event, mostly with the same timeout.
-    if (active.silenceTimer !== undefined && active.silenceTimeoutMs === silenceTimeoutMs) {
-      active.silenceTimer.refresh();
-      return;
-    }
-    const onSilence = (): void =>
-      active.send?.cancel(SendFailure.Silent, `no answer within ${silenceTimeoutMs} ms`);
-    clearTimeout(active.silenceTimer);
-    active.silenceTimeoutMs = silenceTimeoutMs;
-    active.silenceTimer = setTimeout(onSilence, silenceTimeoutMs);
+    const timeoutMs = computeSilenceTimeoutMs(this.admitted.route, active.hasFirstEvent);
+    active.silenceTimer.start(timeoutMs, () =>
+      active.send?.cancel(SendFailure.Silent, `no answer within ${timeoutMs} ms`),
+    );
   }
 
   #onHead(active: ActiveSend, head: AnswerHead): boolean {
@@ -264,6 +265,7 @@
     }
     if (events.length === 0) return true;
     active.hasFirstEvent = true;
+    if (active.unanswered !== undefined) this.state.partQuarantine.recordAnswer(active.unanswered);
     this.#report.recordEvents();
     if (active.run?.hasFirstEvent === false) {
       active.run.hasFirstEvent = true;
@@ -285,8 +287,9 @@
   }
 
   #onSendEnd(active: ActiveSend, end: SendEnd): void {
-    clearTimeout(active.silenceTimer);
+    active.silenceTimer.stop();
     if (active.run !== undefined) active.record.tracker.finish(active.run);
+    finishUnansweredSend(this.state.partQuarantine, active.unanswered, end);
     const { pool } = active.record;
     if (end.isComplete) pool.release(active.claimed.connection, this.#getNowMs());
     else pool.abort(active.claimed.connection);
@@ -341,7 +344,7 @@
 
   #onFailure(active: ActiveSend, failure: SendFailure, reason: string): void {
     if (canHaveRun(failure)) this.#runs += 1;
-    this.#recordHealth(active, failure);
+    recordSendFailure(this.state, active, { failure, fingerprint: this.admitted.fingerprint });
     this.#framer.clearPartialEvent();
     const budget = this.#service && this.state.getBudget(this.#service);
     const nowMs = this.#getNowMs();
@@ -380,33 +383,21 @@
     this.#replyFailure(true, ResultCode.UpstreamFailed, reason);
   }
 
-  #recordHealth(active: ActiveSend, failure: SendFailure): void {
-    const { health } = active.record;
-    if (failure === SendFailure.Rejected || failure === SendFailure.ErrorAnswer) return;
-    if (failure === SendFailure.Broken) {
-      const { fingerprint } = this.admitted;
-      this.state.crashes.recordBrokenSend(
-        fingerprint,
-        toInstanceId(active.record.worker),
-        this.#getNowMs(),
-      );
-    }
-    // A reused connection may have been closed by a healthy worker.
-    if (failure === SendFailure.Broken && active.claimed.isReused && !active.hasFirstEvent) return;
-    health.recordFailure(this.#getNowMs(), failure === SendFailure.NotSent);
-  }
-
-  #replyFailure(canHaveStarted: boolean, code: ResultCode, message: string): void {
+  #replyFailure(
+    canHaveStarted: boolean,
+    code: ResultCode,
+    message: string,
+    ownRetryAfterMs?: number,
+  ): void {
     if (this.response.headersSent) {
       this.#abortAnswer(message);
       return;
     }
     this.#finish();
-    const isRefusal = code === ResultCode.NoUpstream || code === ResultCode.Overloaded;
-    const final = canHaveStarted && isRefusal ? ResultCode.UpstreamFailed : code;
+    const final = canHaveStarted && REFUSALS.has(code) ? ResultCode.UpstreamFailed : code;
     const retryAfterMs = canHaveStarted
       ? undefined
-      : computeRetryAfterMs(this.#getRemainingMs(), this.state.options.random);
+      : (ownRetryAfterMs ?? computeRetryAfterMs(this.#getRemainingMs(), this.state.options.random));
     this.#report.recordFailure(final, message, this.#runs);
     this.#disableKeepAliveIfDraining();
     sendLocalReply(this.response, { code: final, message, retryAfterMs });
--- a/packages/forwarder/src/exchange/ExchangeReport.ts
+++ b/packages/forwarder/src/exchange/ExchangeReport.ts
@@ -5,7 +5,7 @@
 import type { ServiceName, TrafficLabels, UpstreamId } from '@sardinegrade/common';
 import type { NextStep, SendFailure } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
-import type { AdmittedRequest } from './Exchange.js';
+import type { AdmittedRequest } from './types.js';
 
 /** One in this number of successful, timely requests is logged; failures and late answers always are. */
 const SUCCESS_SAMPLE_INTERVAL = 20;
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -12,7 +12,7 @@
 import type { LocalReply } from '../front/sendLocalReply.js';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { CallerRequest } from '../types.js';
-import type { AdmittedRequest } from './Exchange.js';
+import type { AdmittedRequest } from './types.js';
 
 /** Time after which callers may retry while no configuration is known, in milliseconds. */
 const NOT_READY_RETRY_MS = 500;
--- a/packages/forwarder/src/exchange/crashingParts.test.ts
+++ b/packages/forwarder/src/exchange/crashingParts.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { toBranded } from '@sardinegrade/common';
+import { PartCrashTracker } from '@sardinegrade/routing';
 
 import {
   buildTestConfiguration,
@@ -28,6 +29,12 @@
 const PREFILL_MS = 30;
 const DECODE_MS = 60;
 
+/** Interval between requests that crash workers, in milliseconds: crashes at the same moment count as one. */
+const SEPARATE_CRASHES_MS = 200;
+
+const CONDITION_TIMEOUT_MS = 5_000;
+const POLL_INTERVAL_MS = 10;
+
 const ENGINE_CONFIGURATION: RoutingConfiguration = buildTestConfiguration({
   services: new Map([
     [
@@ -112,10 +119,72 @@
     ]);
     assert.notEqual(poisoned.status, 200);
     assert.ok(sound.status === 200 || site.crashed.length <= MAX_CRASHES);
-    await sleep(200);
+    await sleep(SEPARATE_CRASHES_MS);
     removeCrashed(site);
   }
   assert.ok(site.crashed.length <= MAX_CRASHES, `${site.crashed.length} workers ended`);
   const sound = await callVm(site, 0, 'system,session');
   assert.deepEqual([sound.status, sound.isComplete], [200, true]);
 });
+
+const waitUntil = async (isMet: () => boolean): Promise<void> => {
+  const deadlineMs = performance.now() + CONDITION_TIMEOUT_MS;
+  while (!isMet()) {
+    assert.ok(performance.now() < deadlineMs, 'the condition is not met');
+    await sleep(POLL_INTERVAL_MS);
+  }
+};
+
+const hasRefused = ({ state }: TestForwarder): boolean => state.partQuarantine.refusedCount > 0;
+
+test('every VM refuses the part as not run within a second of the second crash', async (context) => {
+  const site = await startCrashSite(context, 62, new Set(['poison']));
+  for (let index = 0; site.crashed.length < 2; index += 1) {
+    await callVm(site, index, 'system,poison');
+    await sleep(SEPARATE_CRASHES_MS);
+  }
+  const startedAtMs = performance.now();
+  await waitUntil(() => site.forwarders.every(hasRefused));
+  assert.ok(performance.now() - startedAtMs < 1_000);
+  for (let index = 0; index < VMS; index += 1) {
+    const answer = await callVm(site, index, 'other,poison');
+    assert.equal(answer.status, 503);
+    assert.match(answer.body, /"run":"not_run"/);
+    assert.ok(Number(answer.headers['retry-after']) > 1);
+  }
+  assert.equal(site.crashed.length, 2);
+});
+
+test('a worker that resets connections but keeps listening, and one that leaves, accuse no part', async (context) => {
+  const scripts = Array.from({ length: 2 }, (): WorkerScript => (socket) => socket.destroy());
+  const workers = await startTestWorkers(context, scripts);
+  const configuration = ENGINE_CONFIGURATION;
+  const [forwarder] = await startTestFleet(context, { vms: 1, subnet: 63, workers, configuration });
+  assert.ok(forwarder !== undefined);
+  const { state } = forwarder;
+  const call = (own: string): ReturnType<TestForwarder['call']> =>
+    forwarder.call('stream', { tokens: '300', parts: `system,session,${own}` }, own);
+  for (const own of ['a', 'b', 'c', 'd']) assert.equal((await call(own)).status, 502);
+  assert.equal(state.partQuarantine.collectUnsent().length, 0);
+  for (const worker of state.fleet.directory.listAll()) {
+    state.fleet.directory.set({ ...worker, isLeaving: true });
+  }
+  for (const worker of workers) worker.close();
+  for (const own of ['e', 'f']) assert.equal((await call(own)).status, 503);
+  assert.equal(state.partQuarantine.collectUnsent().length, 0);
+});
+
+test('a VM that starts after the crashes refuses the part', async (context) => {
+  const site = await startCrashSite(context, 64, new Set(['poison']));
+  for (let index = 0; site.crashed.length < 2; index += 1) {
+    await callVm(site, index, 'system,poison');
+    await sleep(SEPARATE_CRASHES_MS);
+  }
+  await waitUntil(() => site.forwarders.every(hasRefused));
+  const received = new PartCrashTracker();
+  const [forwarder] = site.forwarders;
+  await waitUntil(() => {
+    received.addEvidence(forwarder?.state.partQuarantine.collectUnsent() ?? [], 0);
+    return received.refused.size > 0;
+  });
+});
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -1,6 +1,6 @@
 import { createSocket } from 'node:dgram';
 
-import { hashText } from '@sardinegrade/common';
+import { hashText, rankByRendezvous } from '@sardinegrade/common';
 import { LoadProtocol } from '@sardinegrade/peer';
 import { computeReportInterval, LoadGossip, LoadScope } from '@sardinegrade/routing';
 
@@ -8,7 +8,9 @@
   CACHE_REQUEST_INTERVAL_MS,
   IDLE_REPORT_INTERVAL_MS,
   MAX_CACHE_REQUESTS,
+  MAX_STARTUP_PARTS,
   PARTS_PER_DATAGRAM,
+  PARTS_WITH_EVIDENCE_PER_DATAGRAM,
   PLACEMENTS_PER_DATAGRAM,
 } from './constants.js';
 import {
@@ -20,7 +22,14 @@
 } from './loadMessages.js';
 
 import type { SocketAddress, UpstreamId, VmId } from '@sardinegrade/common';
-import type { EngineLoads, LoadMessage, Peer, Placement, PromptPart } from '@sardinegrade/routing';
+import type {
+  EngineLoads,
+  LoadMessage,
+  PartEvidence,
+  Peer,
+  Placement,
+  PromptPart,
+} from '@sardinegrade/routing';
 import type { Socket } from 'node:dgram';
 import type { ForwarderState } from '../ForwarderState.js';
 
@@ -79,6 +88,9 @@
   setPeers(peers: readonly Peer[]): void {
     this.#peers = peers;
     this.#gossip.setPeers(peers);
+    const vms = [this.options.vm, ...peers.map((peer) => peer.vm)];
+    this.options.state.partQuarantine.isTrialVm = (part) =>
+      rankByRendezvous(`trial of ${part}`, vms)[0] === this.options.vm;
     this.options.state.setVmCount(peers.length + 1);
   }
 
@@ -104,7 +116,8 @@
     const nowMs = this.options.state.options.getNowMs();
     this.#requestCachedParts(nowMs);
     const loads = this.#listOwnLoads(nowMs);
-    const isBusy = loads.size > 0 || this.#gossip.hasNews;
+    const isBusy =
+      loads.size > 0 || this.#gossip.hasNews || this.options.state.partQuarantine.hasUnsent;
     // The first report without load clears this VM's load at the receivers.
     const isDue = isBusy || this.#wasBusy || nowMs - this.#sentAtMs >= IDLE_REPORT_INTERVAL_MS;
     if (this.#gossip.isDirect && !isDue) return;
@@ -121,9 +134,12 @@
   #send(loads: EngineLoads, nowMs: number): void {
     let encoded: readonly Uint8Array[] = [];
     let last: LoadMessage | undefined;
+    const evidence = this.options.state.partQuarantine.collectUnsent();
     for (const { address, message } of this.#gossip.tick(loads, nowMs)) {
       // Messages to several receivers are encoded once.
-      if (message !== last) encoded = this.#encodeLoad(message);
+      if (message !== last) {
+        encoded = [...this.#encodeLoad(message), ...this.#encodeEvidence(message, evidence)];
+      }
       last = message;
       for (const bytes of encoded) this.#socket.send(bytes, address.port, address.host);
     }
@@ -147,6 +163,24 @@
     }
   }
 
+  #encodeEvidence(message: LoadMessage, evidence: readonly PartEvidence[]): readonly Uint8Array[] {
+    const datagrams: Uint8Array[] = [];
+    const size = PARTS_WITH_EVIDENCE_PER_DATAGRAM;
+    for (let first = 0; first < evidence.length; first += size) {
+      const part: LoadMessage = {
+        ...message,
+        scope: LoadScope.News,
+        engines: new Map(),
+        crashes: [],
+        placements: [],
+        dataCentreAges: new Map(),
+        partEvidence: evidence.slice(first, first + size),
+      };
+      datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
+    }
+    return datagrams;
+  }
+
   /** Requests the engines' cached parts from one peer after another until one replies. */
   #requestCachedParts(nowMs: number): void {
     if (
@@ -175,6 +209,13 @@
     }
   }
 
+  #sendEvidence(receiver: SocketAddress): void {
+    const evidence = this.options.state.partQuarantine.listEvidence().slice(0, MAX_STARTUP_PARTS);
+    for (const bytes of this.#encodeEvidence(this.#gossip.buildEmptyMessage(), evidence)) {
+      this.#socket.send(bytes, receiver.port, receiver.host);
+    }
+  }
+
   #recordPlacement(upstream: UpstreamId, parts: readonly PromptPart[]): void {
     // The last part is unique to the request, so no other VM sends it.
     const placement: Placement = { engine: hashText(upstream), parts: parts.slice(0, -1) };
@@ -185,7 +226,10 @@
     try {
       const message = LoadProtocol.PeerMessage.decode(bytes);
       if (message.load !== undefined) this.#applyLoad(fromLoadShare(message.load), sender);
-      if (message.asksMemory) this.#sendCachedParts(sender);
+      if (message.asksMemory) {
+        this.#sendCachedParts(sender);
+        this.#sendEvidence(sender);
+      }
       if (message.memory === undefined) return;
       this.#hasCachedParts = true;
       this.#applyPlacements(message.memory.placements.map(fromWirePlacement));
@@ -204,6 +248,7 @@
     if (!this.#gossip.receive(message, sender, nowMs)) return;
     this.#applyPlacements(message.placements);
     for (const crash of message.crashes) state.crashes.addCrash(crash, nowMs);
+    state.partQuarantine.addEvidence(message.partEvidence);
     state.queue.retryAll();
   }
 
--- a/packages/forwarder/src/peers/constants.ts
+++ b/packages/forwarder/src/peers/constants.ts
@@ -12,3 +12,9 @@
 
 /** Maximum number of such requests. A VM starts without the data if no peer has any, as after a loss of all VMs. */
 export const MAX_CACHE_REQUESTS = 8;
+
+/** Maximum number of parts with evidence about crashes in a datagram: each takes 130 bytes if it has many crashes. */
+export const PARTS_WITH_EVIDENCE_PER_DATAGRAM = 9;
+
+/** Maximum number of parts about which a starting VM receives evidence at once. */
+export const MAX_STARTUP_PARTS = 90;
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -3,9 +3,9 @@
 
 import { toBranded } from '@sardinegrade/common';
 import { LoadProtocol } from '@sardinegrade/peer';
-import { LoadScope } from '@sardinegrade/routing';
+import { LoadScope, MAX_CRASHES_PER_PART } from '@sardinegrade/routing';
 
-import { PLACEMENTS_PER_DATAGRAM } from './constants.js';
+import { PARTS_WITH_EVIDENCE_PER_DATAGRAM, PLACEMENTS_PER_DATAGRAM } from './constants.js';
 import { encodePeerMessage, fromLoadShare, toLoadShare } from './loadMessages.js';
 
 import type { LoadMessage, PromptPart } from '@sardinegrade/routing';
@@ -39,6 +39,14 @@
     parts: PARTS,
   })),
   crashes: [],
+  partEvidence: [
+    {
+      part: toBranded('a1b2c3d4e5'),
+      depth: 1,
+      wasAnswered: true,
+      crashes: [{ instance: 0xff_00_00_01, ageMs: 250, isCleared: false }],
+    },
+  ],
   dataCentreAges: new Map([
     [toBranded('hobart-b'), 120],
     [toBranded('kingston'), 80],
@@ -56,6 +64,30 @@
 });
 
 test('a digest of a large site with the maximum number of placements fits into a datagram', () => {
-  const bytes = encodePeerMessage({ load: toLoadShare(buildMessage(LoadScope.Digest)) });
+  const message = { ...buildMessage(LoadScope.Digest), partEvidence: [] };
+  const bytes = encodePeerMessage({ load: toLoadShare(message) });
+  assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
+});
+
+test('evidence about the maximum number of parts fits into a datagram', () => {
+  const [evidence] = buildMessage(LoadScope.News).partEvidence;
+  assert.ok(evidence !== undefined);
+  const [crash] = evidence.crashes;
+  assert.ok(crash !== undefined);
+  const crashes = Array.from({ length: MAX_CRASHES_PER_PART }, () => ({
+    ...crash,
+    ageMs: 1_200_000,
+  }));
+  const message = {
+    ...buildMessage(LoadScope.News),
+    engines: new Map(),
+    placements: [],
+    dataCentreAges: new Map(),
+    partEvidence: Array.from({ length: PARTS_WITH_EVIDENCE_PER_DATAGRAM }, () => ({
+      ...evidence,
+      crashes,
+    })),
+  };
+  const bytes = encodePeerMessage({ load: toLoadShare(message) });
   assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
 });
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -3,7 +3,7 @@
 import { LoadScope } from '@sardinegrade/routing';
 
 import type { DataCentreName, Fingerprint, UpstreamId, VmId } from '@sardinegrade/common';
-import type { EngineLoad, LoadMessage, Placement, PromptPart } from '@sardinegrade/routing';
+import type { EngineLoad, LoadMessage, PartId, Placement, PromptPart } from '@sardinegrade/routing';
 
 /** Unit of backlogs in messages, in tokens: prefill of a hundred tokens takes two milliseconds. */
 const TOKENS_PER_UNIT = 100;
@@ -56,6 +56,10 @@
     heard: [...message.dataCentreAges].map(([name, ageMs]) => ({ name, ageMs: Math.round(ageMs) })),
     configurationVersion: message.storeVersions.configuration,
     workersVersion: message.storeVersions.workers,
+    partEvidence: message.partEvidence.map(({ crashes, ...evidence }) => ({
+      ...evidence,
+      crashes: crashes.map((crash) => ({ ...crash, ageMs: Math.round(crash.ageMs) })),
+    })),
   };
 };
 
@@ -97,4 +101,8 @@
     load.heard.map(({ name, ageMs }) => [toBranded<DataCentreName>(name), ageMs]),
   ),
   storeVersions: { configuration: load.configurationVersion, workers: load.workersVersion },
+  partEvidence: load.partEvidence.map((evidence) => ({
+    ...evidence,
+    part: toBranded<PartId>(evidence.part),
+  })),
 });
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -142,6 +142,11 @@
     return outgoing;
   }
 
+  /** @returns a message without load and news, to which evidence about prompt parts can be added */
+  buildEmptyMessage(): LoadMessage {
+    return this.#buildMessage(LoadScope.News, { engines: new Map(), vmCount: 0, news: NO_NEWS });
+  }
+
   #pushNews(received: ReceivedNews): void {
     const { placements, crashes } = received.news;
     if (placements.length === 0 && crashes.length === 0) return;
@@ -234,6 +239,7 @@
       engines,
       vmCount,
       dataCentreAges,
+      partEvidence: [],
     };
   }
 }
--- a/packages/routing/src/load/enums.ts
+++ b/packages/routing/src/load/enums.ts
@@ -9,6 +9,6 @@
   ForRelay = 'for_relay',
   /** Load of all VMs except the receiver, as known to the sender. */
   Digest = 'digest',
-  /** No load: the message carries placements that did not fit into the previous one. */
+  /** No load: the message carries placements that did not fit into the previous one, or evidence about prompt parts. */
   News = 'news',
 }
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -1,6 +1,6 @@
 import type { DataCentreName, SocketAddress, VmId } from '@sardinegrade/common';
 import type { PromptPart } from '../placement/index.js';
-import type { Crash } from '../quarantine/index.js';
+import type { Crash, PartEvidence } from '../quarantine/index.js';
 import type { LoadScope } from './enums.js';
 
 /** Load that one or more VMs put on an engine. */
@@ -52,6 +52,8 @@
   readonly scope: LoadScope;
   /** Time since each data centre was last seen by the sender, in milliseconds. */
   readonly dataCentreAges: ReadonlyMap<DataCentreName, number>;
+  /** What the sender knows of prompt parts that may crash workers. */
+  readonly partEvidence: readonly PartEvidence[];
 }
 
 /** Another VM and the address at which it receives load messages. */
--- a/packages/routing/src/retries/decideNextStep.ts
+++ b/packages/routing/src/retries/decideNextStep.ts
@@ -27,6 +27,7 @@
   SendFailure.Broken,
   SendFailure.Silent,
   SendFailure.ErrorAnswer,
+  SendFailure.Withdrawn,
 ]);
 
 /**
--- a/packages/routing/src/retries/enums.ts
+++ b/packages/routing/src/retries/enums.ts
@@ -10,6 +10,8 @@
   Silent = 'silent',
   /** A complete answer that reports a failure of the worker. */
   ErrorAnswer = 'error_answer',
+  /** This VM cancelled the send because a part of its prompt crashes workers. */
+  Withdrawn = 'withdrawn',
 }
 
 /** What happens to a request after a failed send. */
