fix(forwarder): a stream without a length or chunks that ends before its first event is broken

A worker that ends right after the head of an unframed answer, as one that crashes when it begins to write may, looked like a complete stream without events: the caller got 200 with an empty body, and the parts of its prompt counted as answered.

Such a stream now is a broken send, and its prompt a suspect. Its test failed before (200 instead of 502). Also new: tests of unframed streams that end after an event (complete, also while draining), inside one, and by a reset; these passed before.

--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -18,7 +18,7 @@
 import { selectWorker } from './selectWorker.js';
 import { ExchangeReport } from './ExchangeReport.js';
 import { recordSendFailure } from './recordSendFailure.js';
-import { isSuccess, sendToWorker } from './sendToWorker.js';
+import { isFramed, isSuccess, sendToWorker } from './sendToWorker.js';
 import { computeSilenceTimeoutMs } from './computeSilenceTimeout.js';
 import { SilenceTimer } from './SilenceTimer.js';
 import { addUnansweredSend, describeRefusedPart, finishUnansweredSend } from './unansweredSends.js';
@@ -208,6 +208,7 @@
       record,
       claimed,
       run,
+      isStream: this.admitted.route.kind === RouteKind.Streaming,
       unanswered,
       silenceTimer: new SilenceTimer(),
       startedAtMs: nowMs,
@@ -289,7 +290,7 @@
   #onSendEnd(active: ActiveSend, end: SendEnd): void {
     active.silenceTimer.stop();
     if (active.run !== undefined) active.record.tracker.finish(active.run);
-    finishUnansweredSend(this.state.partQuarantine, active.unanswered, end);
+    finishUnansweredSend(this.state.partQuarantine, active, end);
     const { pool } = active.record;
     if (end.isComplete) pool.release(active.claimed.connection, this.#getNowMs());
     else pool.abort(active.claimed.connection);
@@ -308,9 +309,11 @@
         this.#report.recordEvents();
         this.#report.recordAnswer(active.record.worker.id);
         this.#relayAnswer(end);
-      } else if (this.#framer.hasPartialEvent)
+      } else if (this.#framer.hasPartialEvent) {
         this.#onFailure(active, SendFailure.Broken, 'the stream ended in the middle of an event');
-      else this.#finishStream(active);
+      } else if (!active.hasFirstEvent && !isFramed(end.head)) {
+        this.#onFailure(active, SendFailure.Broken, 'the stream ended before its first event');
+      } else this.#finishStream(active);
       return;
     }
     if (end.head.status >= HTTP_STATUS[ResultCode.Internal]) {
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -68,8 +68,8 @@
 
 const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
 
-/** Returns whether an answer tells its own end; others end with their connection. */
-const isFramed = ({ headers }: AnswerHead): boolean =>
+/** @returns whether an answer tells its own end; others end with their connection */
+export const isFramed = ({ headers }: AnswerHead): boolean =>
   headers.some((name, index) => index % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()));
 
 /** Returns why an answer cannot be the worker's answer to the request, or undefined if it can. */
--- a/packages/forwarder/src/exchange/streams.test.ts
+++ b/packages/forwarder/src/exchange/streams.test.ts
@@ -133,3 +133,49 @@
   }
   assert.equal(worker?.closed, 1);
 });
+
+/** Formats a stream with neither a length nor chunks, which ends with its connection. */
+const formatUnframedStream = (head: string, events: readonly string[]): string =>
+  `HTTP/1.1 200 OK\r\nrequest-id: ${readHeader(head, 'request-id')}\r\nseal: s\r\n` +
+  `content-type: text/event-stream\r\nconnection: close\r\n\r\n` +
+  events.map((text, index) => `id: ${index + 1}\ndata: ${text}\n\n`).join('');
+
+test('a stream without a length or chunks that ends after an event is complete, also at a VM that drains', async (context) => {
+  const forwarder = await startTestForwarder(context, [
+    (socket, head) => socket.end(formatUnframedStream(head, EVENTS)),
+  ]);
+  for (const isDraining of [false, true]) {
+    if (isDraining) forwarder.state.startDraining();
+    const answer = await forwarder.call('stream', {}, 'prompt');
+    assert.deepEqual([answer.status, answer.isComplete], [200, true]);
+    assert.deepEqual(listIds(answer.body), ['1', '2', '3', '4']);
+  }
+});
+
+test('a stream without a length or chunks that ends inside an event is broken', async (context) => {
+  const answerHalf: WorkerScript = (socket, head) =>
+    socket.end(`${formatUnframedStream(head, EVENTS.slice(0, 2))}id: 3\ndata: hal`);
+  const forwarder = await startTestForwarder(context, [answerHalf]);
+  const answer = await forwarder.call('stream', {}, 'prompt');
+  assert.equal(answer.isComplete, false);
+  assert.deepEqual(listIds(answer.body), ['1', '2']);
+});
+
+test('a stream without a length or chunks that is reset after an event is broken', async (context) => {
+  const answerAndReset: WorkerScript = (socket, head) =>
+    socket.write(formatUnframedStream(head, EVENTS.slice(0, 2)), () =>
+      setTimeout(() => socket.resetAndDestroy(), 50),
+    );
+  const forwarder = await startTestForwarder(context, [answerAndReset]);
+  const answer = await forwarder.call('stream', {}, 'prompt');
+  assert.equal(answer.isComplete, false);
+});
+
+// Guards against the head of an answer from a worker that crashed being relayed as a complete stream without events.
+test('a stream without a length or chunks that ends before its first event is broken', async (context) => {
+  const forwarder = await startTestForwarder(context, [
+    (socket, head) => socket.end(formatUnframedStream(head, [])),
+  ]);
+  const answer = await forwarder.call('stream', {}, 'prompt');
+  assert.equal(answer.status, 502);
+});
--- a/packages/forwarder/src/exchange/types.ts
+++ b/packages/forwarder/src/exchange/types.ts
@@ -25,6 +25,8 @@
   readonly claimed: ClaimedConnection;
   /** Undefined for plain services. */
   readonly run: EngineRun | undefined;
+  /** Whether the answer is a stream of events. */
+  readonly isStream: boolean;
   /** Undefined for prompts without shared parts. */
   readonly unanswered: UnansweredSend | undefined;
   readonly startedAtMs: number;
--- a/packages/forwarder/src/exchange/unansweredSends.ts
+++ b/packages/forwarder/src/exchange/unansweredSends.ts
@@ -5,6 +5,7 @@
 import type { PromptShape, RefusedPart, Worker } from '@sardinegrade/routing';
 import type { PartQuarantine, UnansweredSend } from '../quarantine/index.js';
 import type { Send, SendEnd } from './sendToWorker.js';
+import type { ActiveSend } from './types.js';
 
 /** Number of parts from which a prompt has one that other prompts share: the last belongs to the request only. */
 const MIN_PARTS_TO_SHARE = 2;
@@ -37,19 +38,22 @@
 };
 
 /**
- * Records how a send has ended.
+ * Records how a send has ended. Its answer has begun if it had an event; a stream that ends before its first event may
+ * have been cut by the end of its worker.
  *
  * @param quarantine - tracks the send until its answer begins
- * @param send - the send; undefined if it is not tracked
+ * @param active - the send
  * @param end - how it ended
  */
 export const finishUnansweredSend = (
   quarantine: PartQuarantine,
-  send: UnansweredSend | undefined,
+  { unanswered, isStream }: Pick<ActiveSend, 'unanswered' | 'isStream'>,
   end: SendEnd,
 ): void => {
-  if (send === undefined) return;
-  if (end.isComplete && isSuccess(end.head.status)) quarantine.recordAnswer(send);
-  else if (!end.isComplete && end.failure === SendFailure.Broken) quarantine.recordBrokenSend(send);
-  else quarantine.removeSend(send);
+  if (unanswered === undefined) return;
+  const isAnswer = end.isComplete && isSuccess(end.head.status);
+  const isBroken = !end.isComplete && end.failure === SendFailure.Broken;
+  if (isAnswer && !isStream) quarantine.recordAnswer(unanswered);
+  else if (isAnswer || isBroken) quarantine.recordBrokenSend(unanswered);
+  else quarantine.removeSend(unanswered);
 };
