test(soak): prompt parts that crash workers, and the rule that few requests with them reach workers

Checked: after five crashes and the stable window at most three more requests with the part.

Faults of workers no longer assume that one is running.

--- a/soak/src/SoakCaller.ts
+++ b/soak/src/SoakCaller.ts
@@ -25,6 +25,11 @@
 const VERSIONED_SHARE = 0.3;
 const KEY_VERSION_CHOICES = 4;
 
+/** Numbers of different prompt parts, and share of prompts with the part that crashes workers while there is one. */
+const FIRST_PARTS = 3;
+const SESSIONS = 20;
+const POISONED_SHARE = 0.15;
+
 /**
  * Stable window, in milliseconds. Whether a planned shutdown cut a connection is checked only for
  * requests sent more than this time after the last disturbance of their VM.
@@ -47,6 +52,8 @@
   readonly random: RandomSource;
   /** Returns the newest version of the configuration. */
   readonly getVersion: () => number;
+  /** Returns the prompt part that crashes workers at present; undefined if there is none. */
+  readonly getPoisonedPart: () => string | undefined;
   /** Whether workers, links and the store have been free of faults for the stable window. */
   readonly isStable: () => boolean;
   /** Whether the store has been free of faults for the stable window. */
@@ -122,6 +129,20 @@
     if (result.status === 0 || shouldDisconnect) this.#reconnect();
   }
 
+  /** Prompts share one of a few first parts; some have the part that crashes workers at present. */
+  #buildPromptHeaders(id: string): Readonly<Record<string, string>> {
+    const { random, getPoisonedPart } = this.options;
+    const first = `first${Math.floor(random() * FIRST_PARTS)}`;
+    const isPoisoned = random() < POISONED_SHARE;
+    const poison = isPoisoned ? getPoisonedPart() : undefined;
+    const second = poison ?? `session${Math.floor(random() * SESSIONS)}`;
+    return {
+      'X-Model': 'm',
+      'X-Token-Counts': '300,20',
+      'X-Prompt-Prefix': `${first}:100,${second}:100,${id}:100`,
+    };
+  }
+
   #pickKeyVersion(): number {
     const { random, getVersion } = this.options;
     if (random() >= VERSIONED_SHARE) return 0;
@@ -163,6 +184,7 @@
             'X-Request-Id': id,
             'X-Deadline-Ms': String(DEADLINE_MS),
             'X-Key': key,
+            ...(kind.startsWith('stream') ? this.#buildPromptHeaders(id) : {}),
           },
         },
         (response) => {
--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -7,7 +7,7 @@
 import { RequestKind, SoakLedger } from './SoakLedger.js';
 import { LinkFault } from './SoakProxy.js';
 import { SoakVm } from './SoakVm.js';
-import { SoakWorker } from './SoakWorker.js';
+import { formatPoisonedPart, SoakWorker } from './SoakWorker.js';
 
 import type { PlannedAction } from './buildPlan.js';
 import type { Violation } from './SoakLedger.js';
@@ -17,6 +17,9 @@
 /** More slots than the callers of a soak use at one worker, so that slots never limit them. */
 const WORKER_SLOTS = 32;
 
+/** Capacity of the workers as engines. */
+const ENGINE = { slots: WORKER_SLOTS, kv_capacity: 600_000 };
+
 /**
  * The stable window, in milliseconds: after this time without faults, maintenance must not cut
  * any connection.
@@ -26,6 +29,15 @@
 /** How long a drained worker stays registered, and then keeps running, before it is closed, in milliseconds. */
 const DRAIN_GRACE_MS = 4_000;
 
+/** Ratio of the time in which a part crashes workers to the duration of other actions: the rule counts from 3 s on. */
+const POISON_RATIO = 3;
+
+/** Time after which a crashed worker is replaced, in milliseconds. */
+const RESTART_MS = 1_500;
+
+/** Time after a crash in which its registration is still there, in milliseconds. */
+const LAPSE_MS = 3_000;
+
 /** Time in which VMs replace a watch that was reset, in milliseconds. */
 const REWATCH_MS = 150;
 
@@ -57,6 +69,9 @@
   /** Current faults of the store or of a VM that may keep a drain from reaching a VM. */
   #propagationFaults = 0;
   #propagationFaultAtMs = 0;
+  #isStopped = false;
+  #poisonedParts = 0;
+  #hasPoison = false;
 
   /**
    * Starts the store, the workers and the VMs.
@@ -86,6 +101,10 @@
   /** Returns the newest version of the configuration. */
   readonly getVersion = (): number => this.#version;
 
+  /** Returns the prompt part that crashes workers at present; undefined if there is none. */
+  readonly getPoisonedPart = (): string | undefined =>
+    this.#hasPoison ? formatPoisonedPart(this.#poisonedParts) : undefined;
+
   /** Whether workers, links and the store have been free of faults for the stable window. */
   readonly isStable = (): boolean =>
     this.#disturbances === 0 && performance.now() - this.#disturbedAtMs > STABLE_MS;
@@ -112,6 +131,7 @@
 
   /** Stops all VMs, workers and the store. */
   async stop(): Promise<void> {
+    this.#isStopped = true;
     await Promise.all(this.vms.map((vm) => vm.abort()));
     for (const worker of this.#workers) worker.close();
     this.store.close();
@@ -147,8 +167,8 @@
     [SoakAction.CutWorkerOneWay]: (planned) => this.#applyLinkFault(planned, LinkFault.OneWay),
     [SoakAction.CrashWorker]: ({ target, durationMs }) =>
       this.#runWithDisturbance(async () => {
-        const worker = this.#pick(this.#workers, target);
         if (this.#workers.length < 2) return;
+        const worker = this.#pick(this.#workers, target);
         this.#workers.splice(this.#workers.indexOf(worker), 1);
         worker.close();
         await sleep(durationMs);
@@ -167,6 +187,14 @@
       await sleep(DRAIN_GRACE_MS);
       worker.close();
     },
+    [SoakAction.PoisonPart]: ({ durationMs }) =>
+      this.#runWithDisturbance(async () => {
+        if (this.#hasPoison) return;
+        this.#poisonedParts += 1;
+        this.#hasPoison = true;
+        await sleep(POISON_RATIO * durationMs);
+        this.#hasPoison = false;
+      }),
     [SoakAction.StoreDown]: (planned) => this.#applyStoreFault(planned, StoreMode.Down),
     [SoakAction.StoreLimited]: (planned) => this.#applyStoreFault(planned, StoreMode.Limited),
     [SoakAction.StoreSilent]: (planned) => this.#applyStoreFault(planned, StoreMode.Silent),
@@ -226,6 +254,8 @@
 
   #applyLinkFault({ target, durationMs }: PlannedAction, fault: LinkFault): Promise<void> {
     return this.#runWithDisturbance(async () => {
+      // All workers may have been crashed by a prompt part.
+      if (this.#workers.length === 0) return;
       const worker = this.#pick(this.#workers, target);
       worker.proxy.setFault(fault);
       await sleep(durationMs);
@@ -245,12 +275,29 @@
 
   async #addWorker(): Promise<void> {
     this.#nextWorker += 1;
-    const worker = new SoakWorker(`w${this.#nextWorker}`, this.ledger);
+    const worker = new SoakWorker(`w${this.#nextWorker}`, this.ledger, (part) => {
+      this.ledger.recordCrash(part);
+      void this.#crash(worker);
+    });
     await worker.listen();
     this.#workers.push(worker);
     this.#register(worker, 'ready');
   }
 
+  /** Closes a worker as a crash does, and replaces it. Its registration lapses later. */
+  async #crash(worker: SoakWorker): Promise<void> {
+    const index = this.#workers.indexOf(worker);
+    worker.close();
+    if (index < 0) return;
+    this.#workers.splice(index, 1);
+    await this.#runWithDisturbance(async () => {
+      await sleep(RESTART_MS);
+      if (!this.#isStopped) await this.#addWorker();
+      await sleep(LAPSE_MS - RESTART_MS);
+      this.store.remove('servers', worker.id);
+    });
+  }
+
   #register(worker: SoakWorker, state: string): void {
     const { id, proxy } = worker;
     const entry = { id, address: proxy.address, service: SERVICE, slots: WORKER_SLOTS };
@@ -281,7 +328,7 @@
     this.store.write('config', 'main', {
       version: this.#version,
       routes,
-      services: [{ name: SERVICE, max_conns: 400 }],
+      services: [{ name: SERVICE, max_conns: 400, engine: ENGINE }],
       limits: {
         max_header_bytes: 16_384,
         max_body_bytes: 65_536,
--- a/soak/src/SoakLedger.ts
+++ b/soak/src/SoakLedger.ts
@@ -84,6 +84,13 @@
 const BUDGET_SHARE = 0.2;
 const BUDGET_SLACK = 54;
 
+/** Number of crashes of a prompt part from which the rule counts, and of requests that may still reach workers. */
+const CRASHES_BEFORE_RULE = 5;
+const MAX_SENDS_AFTER_CRASHES = 3;
+
+/** Time after the last of these crashes from which the rule counts, in milliseconds: the stable window. */
+const CRASHES_KNOWN_MS = 3_000;
+
 const describeRuns = (runs: readonly RunRecord[]): string =>
   runs.map(({ worker, atMs }) => `${worker} (${Math.round(atMs)} ms)`).join(', ');
 
@@ -94,6 +101,14 @@
   readonly #drainedAtMs = new Map<string, number>();
   readonly #versionAtMs = new Map<number, number>();
 
+  /** When each prompt part crashed a worker. */
+  readonly #crashedAtMs = new Map<string, number[]>();
+
+  /** Records that a prompt part crashes a worker now. */
+  recordCrash(part: string, atMs = performance.now()): void {
+    this.#crashedAtMs.set(part, [...(this.#crashedAtMs.get(part) ?? []), atMs]);
+  }
+
   recordRun(run: RunRecord): void {
     this.#runs.set(run.id, [...(this.#runs.get(run.id) ?? []), run]);
   }
@@ -138,6 +153,7 @@
       ...this.#checkVersions(),
       ...this.#checkLateVersions(),
       ...this.#checkRetryBudget(),
+      ...this.#checkCrashes(),
     ];
   }
 
@@ -262,6 +278,18 @@
     return [];
   }
 
+  /** Reports parts whose requests go on reaching workers after they have crashed several. */
+  #checkCrashes(): readonly Violation[] {
+    return [...this.#crashedAtMs].flatMap(([part, times]) => {
+      const lastMs = times[CRASHES_BEFORE_RULE - 1];
+      if (lastMs === undefined) return [];
+      const sends = times.filter((atMs) => atMs > lastMs + CRASHES_KNOWN_MS).length;
+      if (sends <= MAX_SENDS_AFTER_CRASHES) return [];
+      const detail = `${part} crashed ${times.length} workers, ${sends} of them after it was known`;
+      return [{ rule: 'parts that crash workers', requestId: '-', detail }];
+    });
+  }
+
   #checkDrains(): readonly Violation[] {
     return [...this.#runs.values()].flat().flatMap(({ id, worker, atMs }) => {
       const drainedAtMs = this.#drainedAtMs.get(worker);
--- a/soak/src/SoakWorker.ts
+++ b/soak/src/SoakWorker.ts
@@ -13,14 +13,28 @@
 /** Time before an answer that is not a stream is sent, in milliseconds. */
 const ANSWER_DELAY_MS = 15;
 
+/** Prefix of the ids of prompt parts that crash workers. */
+const POISON_PREFIX = 'bad';
+
+/** @returns id of the nth prompt part that crashes workers */
+export const formatPoisonedPart = (index: number): string => `${POISON_PREFIX}${index}`;
+
+const isPoisonedPart = (part: string): boolean => part.startsWith(POISON_PREFIX);
+
 /** Stand-in for an upstream, called a worker here, behind a proxy. It records each request that it executes in the ledger. */
 export class SoakWorker {
   readonly #server: Server;
   #proxy: SoakProxy | undefined;
 
+  /**
+   * @param id - id of the worker
+   * @param ledger - records the requests that the worker executes
+   * @param onPoisoned - called with the crashing part of a stream that is about to begin; the worker has to be closed
+   */
   constructor(
     readonly id: string,
     private readonly ledger: SoakLedger,
+    private readonly onPoisoned: (part: string) => void,
   ) {
     this.#server = createServer((request, response) => this.#serve(request, response));
   }
@@ -62,6 +76,12 @@
         remainingMs: Number(request.headers['x-deadline-ms']),
         isResumed: request.headers['last-event-id'] !== undefined,
       });
+      const parts = String(request.headers['x-prompt-prefix'] ?? '').split(',');
+      const poison = parts.map((part) => part.split(':')[0] ?? '').find(isPoisonedPart);
+      if (poison !== undefined) {
+        setTimeout(() => this.onPoisoned(poison), ANSWER_DELAY_MS);
+        return;
+      }
       const headers = { 'X-Request-Id': id, 'X-Response-Seal': `seal of ${this.id}` };
       if (request.url?.includes('stream') === true) this.#stream(request, response, headers);
       else
--- a/soak/src/buildPlan.ts
+++ b/soak/src/buildPlan.ts
@@ -11,6 +11,7 @@
   CutWorkerOneWay = 'cut_worker_one_way',
   CrashWorker = 'crash_worker',
   DrainWorker = 'drain_worker',
+  PoisonPart = 'poison_part',
   StoreDown = 'store_down',
   StoreLimited = 'store_limited',
   StoreSilent = 'store_silent',
--- a/soak/src/runSoak.ts
+++ b/soak/src/runSoak.ts
@@ -76,7 +76,7 @@
   try {
     await environment.start(options, folder);
     await sleep(VM_STARTUP_MS, signal);
-    const { ledger, getVersion, isStable, isStoreStable } = environment;
+    const { ledger, getVersion, getPoisonedPart, isStable, isStoreStable } = environment;
     const soakCallers = Array.from(
       { length: callers },
       (_, index) =>
@@ -86,6 +86,7 @@
           ledger,
           random: createRandomSource(seed * 1_000 + index),
           getVersion,
+          getPoisonedPart,
           isStable,
           isStoreStable,
         }),
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -76,6 +76,15 @@
   }
 });
 
+test('the ledger reports a prompt part that goes on crashing workers', () => {
+  const ledger = new SoakLedger();
+  for (let count = 0; count < 8; count += 1) ledger.recordCrash('bad1', count * 1_000);
+  for (let count = 0; count < 3; count += 1) ledger.recordCrash('bad1', 8_000 + count);
+  assert.deepEqual(listRules(ledger), []);
+  ledger.recordCrash('bad1', 9_000);
+  assert.deepEqual(listRules(ledger), ['parts that crash workers']);
+});
+
 test('the ledger reports retries beyond the budget', () => {
   const ledger = new SoakLedger();
   const addRetries = (first: number, count: number): void => {
