feat(forwarder,platform): limits that workers name are read from their answers, logged and counted

Log lines for a limit that is named, changes or ends, one per worker for a value that is no decimal number; a gauge of limited workers. Placement is unchanged.

--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -108,6 +108,11 @@
     help: 'Requests that wait at dispatchers of this daemon.',
     labels: TRAFFIC_LABELS,
   },
+  [MetricName.LimitedWorkers]: {
+    kind: Gauge,
+    help: 'Workers that name a limit for the requests of all daemons together.',
+    labels: [],
+  },
   [MetricName.RefusedParts]: {
     kind: Gauge,
     help: 'Prompt parts whose requests are refused because workers crashed on them.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -20,6 +20,7 @@
   RequestDuration = 'sardinegrade_request_seconds',
   Attainment = 'sardinegrade_attainment_ratio',
   Queued = 'sardinegrade_queued_requests',
+  LimitedWorkers = 'sardinegrade_limited_workers',
   RefusedParts = 'sardinegrade_refused_prompt_parts',
   Generation = 'sardinegrade_configuration_generation',
   ConfigurationAge = 'sardinegrade_configuration_age_seconds',
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -10,9 +10,10 @@
 
 import { MAX_HELD_ANSWER_BYTES } from './constants.js';
 import { HeldAnswers } from './exchange/HeldAnswers.js';
-import { isPortClosed, PartQuarantine, toInstanceId } from './quarantine/index.js';
+import { WorkerLimits } from './limits/index.js';
+import { isPortClosed, PartQuarantine } from './quarantine/index.js';
 import { RequestQueue } from './waiting/index.js';
-import { WorkerFleet } from './workers/index.js';
+import { toInstanceId, WorkerFleet } from './workers/index.js';
 
 import type {
   DataCentreName,
@@ -91,6 +92,8 @@
   readonly crashes = new CrashTracker();
   /** Refuses requests with prompt parts that crash workers. */
   readonly partQuarantine: PartQuarantine;
+  /** Limits that workers name in their answers. */
+  readonly workerLimits: WorkerLimits;
   /** Called with crashes that this VM has detected. */
   onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
@@ -112,6 +115,7 @@
   constructor(readonly options: ForwarderOptions) {
     const { logger, getNowMs } = options;
     this.queue = new RequestQueue(getNowMs);
+    this.workerLimits = new WorkerLimits({ logger, getNowMs });
     this.partQuarantine = new PartQuarantine({
       logger,
       getNowMs,
@@ -239,6 +243,9 @@
     metrics.registerGauge(MetricName.RefusedParts, () => [
       { labels: {}, value: this.partQuarantine.refusedCount },
     ]);
+    metrics.registerGauge(MetricName.LimitedWorkers, () => [
+      { labels: {}, value: this.workerLimits.limitedCount },
+    ]);
     metrics.registerGauge(MetricName.Members, () => [
       {
         labels: { state: 'alive' },
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -18,9 +18,10 @@
 import { selectWorker } from './selectWorker.js';
 import { ExchangeReport } from './ExchangeReport.js';
 import { recordSendFailure } from './recordSendFailure.js';
-import { isFramed, isSuccess, sendToWorker } from './sendToWorker.js';
+import { isFramed, isSuccess, NOT_RUN_STATUSES, sendToWorker } from './sendToWorker.js';
 import { computeSilenceTimeoutMs } from './computeSilenceTimeout.js';
 import { SilenceTimer } from './SilenceTimer.js';
+import { toFinalCode } from './toFinalCode.js';
 import { addUnansweredSend, describeRefusedPart, finishUnansweredSend } from './unansweredSends.js';
 
 import type { RequestId, ServiceName, UpstreamId } from '@sardinegrade/common';
@@ -38,13 +39,6 @@
 /** Minimum time after which callers may retry a request with a refused prompt part, in milliseconds. */
 const MIN_QUARANTINED_RETRY_MS = 1_000;
 
-/** Codes that say that a request has not run. */
-const REFUSALS: ReadonlySet<ResultCode> = new Set([
-  ResultCode.NoUpstream,
-  ResultCode.Overloaded,
-  ResultCode.Quarantined,
-]);
-
 /** Serves one request of a caller: sends it to workers until one answers or no further attempt is possible. */
 export class Exchange {
   readonly #framer = new EventFramer();
@@ -249,6 +243,10 @@
   }
 
   #onHead(active: ActiveSend, head: AnswerHead): boolean {
+    if (!NOT_RUN_STATUSES.has(head.status)) {
+      const { limit } = head.metadata;
+      this.state.workerLimits.recordAnswer(active.record, limit, active.startedAtMs);
+    }
     this.state.dataCentres.recordWorkerActivity(active.record.worker.dataCentre, this.#getNowMs());
     const isRelayed = this.admitted.route.kind === RouteKind.Streaming && isSuccess(head.status);
     if (isRelayed && !this.#headToRelay) this.#headToRelay = head;
@@ -397,7 +395,7 @@
       return;
     }
     this.#finish();
-    const final = canHaveStarted && REFUSALS.has(code) ? ResultCode.UpstreamFailed : code;
+    const final = toFinalCode(code, canHaveStarted);
     const retryAfterMs = canHaveStarted
       ? undefined
       : (ownRetryAfterMs ?? computeRetryAfterMs(this.#getRemainingMs(), this.state.options.random));
--- a/packages/forwarder/src/exchange/recordSendFailure.ts
+++ b/packages/forwarder/src/exchange/recordSendFailure.ts
@@ -1,6 +1,6 @@
 import { SendFailure } from '@sardinegrade/routing';
 
-import { toInstanceId } from '../quarantine/index.js';
+import { toInstanceId } from '../workers/index.js';
 
 import type { Fingerprint } from '@sardinegrade/common';
 import type { ForwarderState } from '../ForwarderState.js';
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -59,7 +59,7 @@
   status >= SUCCESS_FIRST && status <= SUCCESS_LAST;
 
 /** Status codes by which a worker rejects a request without running it: 421, it is not the expected worker. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([421]);
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([421]);
 
 const toRawHeaders = (raw: Dispatcher.DispatchController['rawHeaders']): string[] => {
   if (!Array.isArray(raw)) return [];
--- /dev/null
+++ b/packages/forwarder/src/limits/index.ts
@@ -0,0 +1,2 @@
+/** Limits that workers name for the requests of all VMs together. */
+export * from './WorkerLimits.js';
--- a/packages/forwarder/src/quarantine/PartQuarantine.ts
+++ b/packages/forwarder/src/quarantine/PartQuarantine.ts
@@ -1,7 +1,7 @@
 import { hashText } from '@sardinegrade/common';
 import { PartCrashTracker } from '@sardinegrade/routing';
 
-import { toInstanceId } from './toInstanceId.js';
+import { toInstanceId } from '../workers/index.js';
 
 import type { Logger, UpstreamId } from '@sardinegrade/common';
 import type { PartEvidence, PartId, PromptParts, RefusedPart, Worker } from '@sardinegrade/routing';
--- a/packages/forwarder/src/quarantine/index.ts
+++ b/packages/forwarder/src/quarantine/index.ts
@@ -1,4 +1,3 @@
 /** Refuses requests with prompt parts that crash workers. */
 export * from './isPortClosed.js';
 export * from './PartQuarantine.js';
-export * from './toInstanceId.js';
--- a/packages/forwarder/src/testing/testProtocol.ts
+++ b/packages/forwarder/src/testing/testProtocol.ts
@@ -1,4 +1,5 @@
 import { toBranded } from '@sardinegrade/common';
+import { parseLimit } from '@sardinegrade/routing';
 
 import type { PromptPart } from '@sardinegrade/routing';
 import type { IncomingHttpHeaders } from 'node:http';
@@ -81,6 +82,9 @@
       isNotRun: find('not-run') !== undefined,
       isSealed: find('seal') !== undefined,
       isEncoded: find('content-encoding') !== undefined,
+      limit: parseLimit(
+        headers.filter((_, index) => index % 2 === 1 && names[index - 1] === 'limit'),
+      ),
     };
   },
   encodeAnswer: filterHeaders,
--- a/packages/forwarder/src/types.ts
+++ b/packages/forwarder/src/types.ts
@@ -1,4 +1,4 @@
-import type { PromptShape } from '@sardinegrade/routing';
+import type { NamedLimit, PromptShape } from '@sardinegrade/routing';
 import type { Branded, RequestId, UpstreamId, WorkspaceName } from '@sardinegrade/common';
 import type { IncomingHttpHeaders } from 'node:http';
 
@@ -46,6 +46,8 @@
   readonly isSealed: boolean;
   /** The answer has a content encoding, which no worker uses. */
   readonly isEncoded: boolean;
+  /** How many requests a second the worker accepts from all VMs together. */
+  readonly limit: NamedLimit;
 }
 
 /** Decodes and encodes the headers of the platform that the forwarder runs on. Implemented outside this package. */
--- a/packages/forwarder/src/workers/WorkerFleet.ts
+++ b/packages/forwarder/src/workers/WorkerFleet.ts
@@ -2,6 +2,7 @@
 import { EngineRanking, EngineTracker, WorkerDirectory, WorkerHealth } from '@sardinegrade/routing';
 
 import { ConnectionPool } from '../connections/index.js';
+import { toInstanceId } from './toInstanceId.js';
 
 import type { UpstreamId } from '@sardinegrade/common';
 import type { EngineLoad, PromptPart, RoutedService, Worker } from '@sardinegrade/routing';
@@ -11,6 +12,8 @@
   readonly worker: Worker;
   /** Hash of the worker's id, which identifies it in load messages. */
   readonly hash: number;
+  /** Hash of the id of this instance of the worker. */
+  readonly instance: number;
   readonly pool: ConnectionPool;
   readonly health: WorkerHealth;
   readonly tracker: EngineTracker;
@@ -62,6 +65,7 @@
     const record: WorkerRecord = {
       worker,
       hash: hashText(worker.id),
+      instance: hashText(toInstanceId(worker)),
       pool: new ConnectionPool(worker.address),
       health: new WorkerHealth(),
       tracker: new EngineTracker(cacheTokens ?? DEFAULT_CACHE_TOKENS),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,6 +3,7 @@
  * caller passes in the current time and the source of randomness.
  */
 export * from './configuration/index.js';
+export * from './limits/index.js';
 export * from './load/index.js';
 export * from './placement/index.js';
 export * from './quarantine/index.js';
--- /dev/null
+++ b/packages/routing/src/limits/index.ts
@@ -0,0 +1,4 @@
+/** Limits that workers name for the requests of all VMs together. */
+export * from './parseLimit.js';
+export * from './types.js';
+export * from './WorkerLimitTracker.js';
