--- /dev/null
+++ b/packages/forwarder/src/exchange/workerLimits.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import {
+  buildTestConfiguration,
+  formatAnswer,
+  startTestFleet,
+  startTestWorkers,
+} from '../testing/index.js';
+
+import type { TestContext } from 'node:test';
+import type { TestForwarder, WorkerScript } from '../testing/index.js';
+
+const VMS = 5;
+
+/** Interval between two requests, in milliseconds: many times the limits. */
+const REQUEST_INTERVAL_MS = 30;
+
+/** Time after a worker first named its limit from which the operators' rule counts, and the length of its windows. */
+const STABLE_WINDOW_MS = 3_000;
+const WINDOW_MS = 4_000;
+
+/** The rule allows one and a half times the limit and five more requests in each window. */
+const computeAllowance = (perSecond: number): number => (1.5 * perSecond * WINDOW_MS) / 1_000 + 5;
+
+/** Share of a limit that has to be used while there is work for it. */
+const MIN_USED_SHARE = 0.7;
+
+const answerWithLimit = (head: string, limit: string | undefined): string => {
+  const answer = formatAnswer(head, 'done');
+  return limit === undefined ? answer : answer.replace('seal: s', `seal: s\r\nlimit: ${limit}`);
+};
+
+interface LimitSite {
+  readonly forwarders: readonly TestForwarder[];
+  /** When each request reached each worker. */
+  readonly arrivedAtMs: readonly number[][];
+}
+
+/** Starts a fleet whose workers name limits; undefined for none. */
+const startLimitSite = async (
+  context: TestContext,
+  subnet: number,
+  limits: readonly (string | undefined)[],
+): Promise<LimitSite> => {
+  const arrivedAtMs = limits.map((): number[] => []);
+  const scripts = limits.map((limit, index): WorkerScript => (socket, head) => {
+    arrivedAtMs[index]?.push(performance.now());
+    socket.write(answerWithLimit(head, limit));
+  });
+  const workers = await startTestWorkers(context, scripts);
+  const configuration = buildTestConfiguration();
+  const forwarders = await startTestFleet(context, { vms: VMS, subnet, workers, configuration });
+  return { forwarders, arrivedAtMs };
+};
+
+const sendRequests = async (
+  { forwarders }: LimitSite,
+  durationMs: number,
+): Promise<readonly number[]> => {
+  const endMs = performance.now() + durationMs;
+  const calls: Promise<number>[] = [];
+  for (let index = 0; performance.now() < endMs; index += 1) {
+    const forwarder = forwarders[index % forwarders.length];
+    if (forwarder !== undefined) {
+      calls.push(forwarder.call('safe', {}).then(({ status }) => status));
+    }
+    await sleep(REQUEST_INTERVAL_MS);
+  }
+  return Promise.all(calls);
+};
+
+const countWorstWindow = (times: readonly number[], fromMs: number): number => {
+  const counted = times.filter((atMs) => atMs >= fromMs);
+  const counts = counted.map(
+    (startMs) => counted.filter((atMs) => atMs >= startMs && atMs < startMs + WINDOW_MS).length,
+  );
+  return Math.max(0, ...counts);
+};
+
+// Guards against a worker in need getting a multiple of the requests a second that it accepts.
+test('a worker gets no more requests than the limit that it has named allows, and makes use of it', async (context) => {
+  const limits = ['1', '5', undefined];
+  const site = await startLimitSite(context, 65, limits);
+  const statuses = await sendRequests(site, STABLE_WINDOW_MS + 1.5 * WINDOW_MS);
+  assert.ok(statuses.every((status) => status === 200));
+  for (const [index, limit] of limits.entries()) {
+    if (limit === undefined) continue;
+    const times = site.arrivedAtMs[index] ?? [];
+    const startMs = (times[0] ?? 0) + STABLE_WINDOW_MS;
+    const count = countWorstWindow(times, startMs);
+    assert.ok(count <= computeAllowance(Number(limit)), `${count} at a limit of ${limit}`);
+    const used = times.filter((atMs) => atMs >= startMs).length;
+    const available = (Number(limit) * 1.5 * WINDOW_MS) / 1_000;
+    assert.ok(used >= MIN_USED_SHARE * available, `${used} of ${available} at ${limit}`);
+  }
+});
