fix(routing,forwarder): VMs share the limit that a worker names (LIMIT)

Cause: nothing read the limit.

Change: a limit is divided among a few VMs chosen by rendezvous among those that are alive (limit + 4 of them), each with a token bucket that starts empty; a fleet of any size sends at most one second of the limit, or one request for each of these VMs, at once. VMs tell each other at once of a limit that is named, changed or ended, and again every second. It ends with an answer without it, to a request that was sent after the limit was known, and with the worker's process. All sends pass the same selection and count: first attempts, retries, resumed streams, queued requests. If all workers are limited, requests wait in the queue by priority, and those that would wait too long are refused at arrival.

Why it works: the sum of the shares is the limit, whatever each VM decides alone, and new shares add no burst.

--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -16,18 +16,22 @@
 import { sendLocalReply } from '../front/sendLocalReply.js';
 import { EventFramer } from '../relay/index.js';
 import { selectWorker } from './selectWorker.js';
+import { findLimitRefusal, findQuarantineRefusal } from './findRefusal.js';
 import { ExchangeReport } from './ExchangeReport.js';
 import { recordSendFailure } from './recordSendFailure.js';
-import { isFramed, isSuccess, NOT_RUN_STATUSES, sendToWorker } from './sendToWorker.js';
+import { findService } from './findService.js';
+import { recordLimit } from './recordLimit.js';
+import { isFramed, isSuccess, sendToWorker } from './sendToWorker.js';
 import { computeSilenceTimeoutMs } from './computeSilenceTimeout.js';
 import { SilenceTimer } from './SilenceTimer.js';
 import { toFinalCode } from './toFinalCode.js';
-import { addUnansweredSend, describeRefusedPart, finishUnansweredSend } from './unansweredSends.js';
+import { addUnansweredSend, finishUnansweredSend } from './unansweredSends.js';
 
-import type { RequestId, ServiceName, UpstreamId } from '@sardinegrade/common';
+import type { ServiceName, UpstreamId } from '@sardinegrade/common';
 import type { RoutedService } from '@sardinegrade/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ForwarderState } from '../ForwarderState.js';
+import type { LocalReply } from '../front/sendLocalReply.js';
 import type { QueuedRequest } from '../waiting/index.js';
 import type { WorkerRecord } from '../workers/index.js';
 import type { AnswerHead, SendEnd } from './sendToWorker.js';
@@ -36,9 +40,6 @@
 /** Minimum time limit of timers and sends, in milliseconds. */
 const MIN_REMAINING_MS = 1;
 
-/** Minimum time after which callers may retry a request with a refused prompt part, in milliseconds. */
-const MIN_QUARANTINED_RETRY_MS = 1_000;
-
 /** Serves one request of a caller: sends it to workers until one answers or no further attempt is possible. */
 export class Exchange {
   readonly #framer = new EventFramer();
@@ -78,10 +79,6 @@
     this.#sendNext();
   }
 
-  get #requestId(): RequestId | undefined {
-    return this.admitted.caller.requestId;
-  }
-
   /** Priority rank; 0 is the most urgent. */
   get #priorityRank(): number {
     const { holder, route } = this.admitted;
@@ -123,7 +120,7 @@
   /** Sends the request, or fails it if there is no worker. Returns false if it has to wait. */
   #tryStart(): boolean {
     if (this.#refuseIfQuarantined()) return true;
-    const service = this.#findService();
+    const service = findService(this.state.configuration, this.#service);
     const { prompt } = this.admitted.caller;
     const selection =
       service &&
@@ -136,6 +133,9 @@
         isRepeatable: this.#isRepeatable,
         nowMs: this.#getNowMs(),
       });
+    if (selection !== undefined && selection.limited.length > 0) {
+      return this.#refuseIfLimited(selection.limited);
+    }
     if (service === undefined || selection?.record === undefined) {
       this.#replyFailure(
         this.#runs > 0,
@@ -167,22 +167,25 @@
     return true;
   }
 
-  /** Refuses the request if workers crash on a part of its prompt. Returns whether it was refused. */
-  #refuseIfQuarantined(): boolean {
-    const { prompt } = this.admitted.caller;
-    const refused = prompt && this.state.partQuarantine.findRefused(prompt.parts);
-    if (refused === undefined) return false;
-    const retryAfterMs = Math.max(MIN_QUARANTINED_RETRY_MS, refused.trialAtMs - this.#getNowMs());
-    const message = describeRefusedPart(refused);
-    this.#replyFailure(this.#runs > 0, ResultCode.Quarantined, message, retryAfterMs);
+  /** Refuses the request if there is a reason. Returns whether it was refused. */
+  #refuseFor(refusal: LocalReply | undefined): boolean {
+    if (refusal === undefined) return false;
+    const { code, message, retryAfterMs } = refusal;
+    this.#replyFailure(this.#runs > 0, code, message, retryAfterMs);
     return true;
   }
 
-  #findService(): RoutedService | undefined {
-    if (this.#service === undefined) return undefined;
-    const { configuration } = this.state;
-    const known = configuration?.services.get(this.#service);
-    return known ?? { name: this.#service, connectionLimit: 0, engine: undefined };
+  #refuseIfQuarantined(): boolean {
+    return this.#refuseFor(findQuarantineRefusal(this.state, this.admitted.caller.prompt));
+  }
+
+  /** Refuses a request that arrives while all workers are limited if it would wait too long. */
+  #refuseIfLimited(limited: readonly WorkerRecord[]): boolean {
+    if (this.#queuedRequest !== undefined) return false;
+    const { route } = this.admitted;
+    const priority = this.#priorityRank;
+    const request = { route, priority, remainingMs: this.#getRemainingMs() };
+    return this.#refuseFor(findLimitRefusal(this.state, limited, request));
   }
 
   #sendTo(record: WorkerRecord, service: RoutedService, backlogTokens: number): void {
@@ -193,6 +196,7 @@
     const run = prompt === undefined ? undefined : record.tracker.start(prompt, nowMs);
     const uncachedTokens = run?.uncachedTokens ?? 0;
     this.#report.recordSend({ queuedMs: this.#getAgeMs(), backlogTokens, uncachedTokens });
+    this.state.workerLimits.recordSend(record);
     if (prompt !== undefined && run?.hasUncachedSharedParts === true) {
       this.state.onPlacement(record.worker.id, prompt.parts);
     }
@@ -223,7 +227,7 @@
       path: this.request.url ?? '/',
       headers,
       body,
-      requestId: this.#requestId,
+      requestId: this.admitted.caller.requestId,
     };
     const { heldAnswers, options } = this.state;
     active.send = sendToWorker(workerRequest, claimed, options.protocol, heldAnswers, {
@@ -243,10 +247,7 @@
   }
 
   #onHead(active: ActiveSend, head: AnswerHead): boolean {
-    if (!NOT_RUN_STATUSES.has(head.status)) {
-      const { limit } = head.metadata;
-      this.state.workerLimits.recordAnswer(active.record, limit, active.startedAtMs);
-    }
+    recordLimit(this.state.workerLimits, active, head);
     this.state.dataCentres.recordWorkerActivity(active.record.worker.dataCentre, this.#getNowMs());
     const isRelayed = this.admitted.route.kind === RouteKind.Streaming && isSuccess(head.status);
     if (isRelayed && !this.#headToRelay) this.#headToRelay = head;
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -46,14 +46,32 @@
   readonly record: WorkerRecord | undefined;
   /** Prompt tokens that the engine has yet to prefill; 0 for plain services. */
   readonly backlogTokens: number;
-  /** Whether the request waits in this VM's queue, because the engine has too large a backlog or no free slot. */
+  /**
+   * Whether the request waits in this VM's queue, because the engine has too large a backlog or no free slot, or no worker
+   * accepts more requests a second.
+   */
   readonly shouldWait: boolean;
+  /** Workers that are usable but accept no more requests a second at present; empty if another one is usable. */
+  readonly limited: readonly WorkerRecord[];
 }
 
+const NO_WORKER: WorkerSelection = {
+  record: undefined,
+  shouldWait: false,
+  backlogTokens: 0,
+  limited: [],
+};
+
+/** Lists the workers whose limits allow a request of this VM now. */
+const listAccepting = (state: ForwarderState, all: CandidateSet): CandidateSet => {
+  if (state.workerLimits.limitedCount === 0) return all;
+  const records = all.records.filter((record) => state.workerLimits.canSend(record));
+  return records.length === all.records.length ? all : { records, ranking: all.ranking };
+};
+
 /** Lists the workers that were not tried yet, or all workers if each was tried. */
-const listCandidates = (context: SelectionContext): CandidateSet => {
-  const { state, service, tried, nowMs } = context;
-  const all = state.fleet.listCandidates(service, nowMs);
+const listCandidates = (context: SelectionContext, all: CandidateSet): CandidateSet => {
+  const { tried } = context;
   if (tried.size === 0) return all;
   const untried = all.records.filter(({ worker }) => !tried.has(worker.id));
   if (untried.length === 0 || untried.length === all.records.length) return all;
@@ -71,9 +89,11 @@
   return !(isRepeatable && state.dataCentres.claimProbe(worker.dataCentre, nowMs));
 };
 
-const selectForPlainService = (context: SelectionContext): WorkerSelection => {
+const selectForPlainService = (
+  context: SelectionContext,
+  { records: candidates }: CandidateSet,
+): WorkerSelection => {
   const { state } = context;
-  const { records: candidates } = listCandidates(context);
   const views = candidates.map((record) => ({
     id: record.worker.id,
     runs: record.pool.busyCount,
@@ -82,11 +102,7 @@
     failureShare: record.health.failureShare,
   }));
   const chosen = chooseWorker(views, state.options.random);
-  return {
-    record: candidates.find(({ worker }) => worker.id === chosen),
-    shouldWait: false,
-    backlogTokens: 0,
-  };
+  return { ...NO_WORKER, record: candidates.find(({ worker }) => worker.id === chosen) };
 };
 
 const buildEngineView = (
@@ -106,10 +122,13 @@
   };
 };
 
-const selectForPrompt = (context: SelectionContext, prompt: PromptShape): WorkerSelection => {
+const selectForPrompt = (
+  context: SelectionContext,
+  prompt: PromptShape,
+  { records: candidates, ranking }: CandidateSet,
+): WorkerSelection => {
   const { state, service, targetMs, nowMs } = context;
   const peerCount = state.sharedLoad.countLive(nowMs);
-  const { records: candidates, ranking } = listCandidates(context);
   const views = candidates.map((record) => buildEngineView(context, prompt, record));
   const lane = targetMs <= TIGHT_TARGET_MS ? PromptLane.Tight : PromptLane.Bulk;
   const choice = chooseEngine(prompt, views, {
@@ -118,7 +137,7 @@
     hasPeerReports: peerCount > 0,
     homeCount: peerCount + 1 <= MAX_DIRECT_VMS ? DIRECT_HOME_COUNT : RELAYED_HOME_COUNT,
   });
-  if (choice === undefined) return { record: undefined, shouldWait: false, backlogTokens: 0 };
+  if (choice === undefined) return NO_WORKER;
   const view = views.find(({ id }) => id === choice.id);
   const backlogTokens = view?.backlogTokens ?? 0;
   const isFull = (view?.runs ?? 0) >= (service.engine?.slots ?? Infinity);
@@ -126,6 +145,7 @@
     record: candidates.find(({ worker }) => worker.id === choice.id),
     shouldWait: isFull || shouldWait(lane, backlogTokens),
     backlogTokens,
+    limited: [],
   };
 };
 
@@ -136,7 +156,15 @@
  * @returns the worker, and whether the request has to wait
  */
 export const selectWorker = (context: SelectionContext): WorkerSelection => {
-  const { prompt, service } = context;
-  if (prompt === undefined || service.engine === undefined) return selectForPlainService(context);
-  return selectForPrompt(context, prompt);
+  const { state, prompt, service, nowMs } = context;
+  const all = state.fleet.listCandidates(service, nowMs);
+  const accepting = listAccepting(state, all);
+  if (accepting.records.length === 0 && all.records.length > 0) {
+    return { ...NO_WORKER, shouldWait: true, limited: all.records };
+  }
+  const candidates = listCandidates(context, accepting);
+  if (prompt === undefined || service.engine === undefined) {
+    return selectForPlainService(context, candidates);
+  }
+  return selectForPrompt(context, prompt, candidates);
 };
--- a/packages/forwarder/src/limits/WorkerLimits.ts
+++ b/packages/forwarder/src/limits/WorkerLimits.ts
@@ -1,7 +1,7 @@
 import { LimitHeader, WorkerLimitTracker } from '@sardinegrade/routing';
 
 import type { Logger } from '@sardinegrade/common';
-import type { LimitChange, NamedLimit } from '@sardinegrade/routing';
+import type { LimitChange, LimitFleet, LimitReport, NamedLimit } from '@sardinegrade/routing';
 import type { WorkerRecord } from '../workers/index.js';
 
 /** Maximum number of workers whose invalid limits are remembered as logged. */
@@ -19,9 +19,12 @@
 
 /** The limits that workers name in their answers. */
 export class WorkerLimits {
-  readonly #tracker = new WorkerLimitTracker();
+  readonly #tracker = new WorkerLimitTracker(() => this.getFleet());
   readonly #loggedInvalid = new Set<number>();
 
+  /** Returns the VMs that share the limits; undefined until they are known. */
+  getFleet: () => LimitFleet | undefined = () => undefined;
+
   /** @param options - dependencies */
   constructor(private readonly options: WorkerLimitsOptions) {}
 
@@ -30,6 +33,47 @@
     return this.#tracker.limitedCount;
   }
 
+  /** Whether changes have to be sent to other VMs. */
+  get hasUnsent(): boolean {
+    return this.#tracker.hasUnsent;
+  }
+
+  /** @returns whether this VM may send a request to a worker now */
+  canSend({ instance }: WorkerRecord): boolean {
+    return this.#tracker.canSend(instance, this.options.getNowMs());
+  }
+
+  /** Records that a request is sent to a worker. */
+  recordSend({ instance }: WorkerRecord): void {
+    this.#tracker.recordSend(instance, this.options.getNowMs());
+  }
+
+  /**
+   * Estimates when this VM may send a request to one of several limited workers.
+   *
+   * @param records - the workers
+   * @param ahead - number of requests that are sent before
+   * @returns the time, in milliseconds; Infinity if this VM has no share in any limit
+   */
+  estimateWaitMs(records: readonly WorkerRecord[], ahead: number): number {
+    const instances = records.map(({ instance }) => instance);
+    return this.#tracker.estimateWaitMs(instances, ahead, this.options.getNowMs());
+  }
+
+  /** Applies the reports of another VM. */
+  applyReports(reports: readonly LimitReport[]): void {
+    for (const report of reports) {
+      const change = this.#tracker.applyReport(report, this.options.getNowMs());
+      if (change === undefined) continue;
+      this.#logChange(change, { upstream: String(report.instance), source: 'peer' });
+    }
+  }
+
+  /** @returns the reports for the next message to other VMs */
+  collectUnsent(): readonly LimitReport[] {
+    return this.#tracker.collectUnsent(this.options.getNowMs());
+  }
+
   /**
    * Records the limit that an answer names.
    *
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -24,6 +24,7 @@
 import type { SocketAddress, UpstreamId, VmId } from '@sardinegrade/common';
 import type {
   EngineLoads,
+  LimitReport,
   LoadMessage,
   PartEvidence,
   Peer,
@@ -33,6 +34,15 @@
 import type { Socket } from 'node:dgram';
 import type { ForwarderState } from '../ForwarderState.js';
 
+/** Fields of a message that carries only what VMs tell each other about workers. */
+const NO_LOAD: Partial<LoadMessage> = {
+  scope: LoadScope.News,
+  engines: new Map(),
+  crashes: [],
+  placements: [],
+  dataCentreAges: new Map(),
+};
+
 /** Dependencies of `LoadReporter`. */
 export interface LoadReporterOptions {
   readonly state: ForwarderState;
@@ -89,7 +99,12 @@
     this.#peers = peers;
     this.#gossip.setPeers(peers);
     const vms = [this.options.vm, ...peers.map((peer) => peer.vm)];
-    this.options.state.partQuarantine.isTrialVm = (part) =>
+    const { partQuarantine, workerLimits, options } = this.options.state;
+    workerLimits.getFleet = () => ({
+      vm: this.options.vm,
+      vms: this.#gossip.listVms(options.getNowMs()),
+    });
+    partQuarantine.isTrialVm = (part) =>
       rankByRendezvous(`trial of ${part}`, vms)[0] === this.options.vm;
     this.options.state.setVmCount(peers.length + 1);
   }
@@ -116,8 +131,9 @@
     const nowMs = this.options.state.options.getNowMs();
     this.#requestCachedParts(nowMs);
     const loads = this.#listOwnLoads(nowMs);
-    const isBusy =
-      loads.size > 0 || this.#gossip.hasNews || this.options.state.partQuarantine.hasUnsent;
+    const { partQuarantine, workerLimits } = this.options.state;
+    const hasUnsent = partQuarantine.hasUnsent || workerLimits.hasUnsent;
+    const isBusy = loads.size > 0 || this.#gossip.hasNews || hasUnsent;
     // The first report without load clears this VM's load at the receivers.
     const isDue = isBusy || this.#wasBusy || nowMs - this.#sentAtMs >= IDLE_REPORT_INTERVAL_MS;
     if (this.#gossip.isDirect && !isDue) return;
@@ -134,11 +150,17 @@
   #send(loads: EngineLoads, nowMs: number): void {
     let encoded: readonly Uint8Array[] = [];
     let last: LoadMessage | undefined;
-    const evidence = this.options.state.partQuarantine.collectUnsent();
+    const { partQuarantine, workerLimits } = this.options.state;
+    const evidence = partQuarantine.collectUnsent();
+    const limits = workerLimits.collectUnsent();
     for (const { address, message } of this.#gossip.tick(loads, nowMs)) {
       // Messages to several receivers are encoded once.
       if (message !== last) {
-        encoded = [...this.#encodeLoad(message), ...this.#encodeEvidence(message, evidence)];
+        encoded = [
+          ...this.#encodeLoad(message),
+          ...this.#encodeEvidence(message, evidence),
+          ...this.#encodeLimits(message, limits),
+        ];
       }
       last = message;
       for (const bytes of encoded) this.#socket.send(bytes, address.port, address.host);
@@ -167,20 +189,19 @@
     const datagrams: Uint8Array[] = [];
     const size = PARTS_WITH_EVIDENCE_PER_DATAGRAM;
     for (let first = 0; first < evidence.length; first += size) {
-      const part: LoadMessage = {
-        ...message,
-        scope: LoadScope.News,
-        engines: new Map(),
-        crashes: [],
-        placements: [],
-        dataCentreAges: new Map(),
-        partEvidence: evidence.slice(first, first + size),
-      };
+      const partEvidence = evidence.slice(first, first + size);
+      const part: LoadMessage = { ...message, ...NO_LOAD, partEvidence };
       datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
     }
     return datagrams;
   }
 
+  #encodeLimits(message: LoadMessage, workerLimits: readonly LimitReport[]): readonly Uint8Array[] {
+    if (workerLimits.length === 0) return [];
+    const part: LoadMessage = { ...message, ...NO_LOAD, workerLimits };
+    return [encodePeerMessage({ load: toLoadShare(part) })];
+  }
+
   /** Requests the engines' cached parts from one peer after another until one replies. */
   #requestCachedParts(nowMs: number): void {
     if (
@@ -249,6 +270,7 @@
     this.#applyPlacements(message.placements);
     for (const crash of message.crashes) state.crashes.addCrash(crash, nowMs);
     state.partQuarantine.addEvidence(message.partEvidence);
+    state.workerLimits.applyReports(message.workerLimits);
     state.queue.retryAll();
   }
 
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -39,6 +39,10 @@
     parts: PARTS,
   })),
   crashes: [],
+  workerLimits: [
+    { instance: 7, perSecond: 1.25, ageMs: 20 },
+    { instance: 8, perSecond: undefined, ageMs: 40 },
+  ],
   partEvidence: [
     {
       part: toBranded('a1b2c3d4e5'),
@@ -64,7 +68,7 @@
 });
 
 test('a digest of a large site with the maximum number of placements fits into a datagram', () => {
-  const message = { ...buildMessage(LoadScope.Digest), partEvidence: [] };
+  const message = { ...buildMessage(LoadScope.Digest), partEvidence: [], workerLimits: [] };
   const bytes = encodePeerMessage({ load: toLoadShare(message) });
   assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
 });
@@ -83,6 +87,7 @@
     engines: new Map(),
     placements: [],
     dataCentreAges: new Map(),
+    workerLimits: [],
     partEvidence: Array.from({ length: PARTS_WITH_EVIDENCE_PER_DATAGRAM }, () => ({
       ...evidence,
       crashes,
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -56,6 +56,10 @@
     heard: [...message.dataCentreAges].map(([name, ageMs]) => ({ name, ageMs: Math.round(ageMs) })),
     configurationVersion: message.storeVersions.configuration,
     workersVersion: message.storeVersions.workers,
+    workerLimits: message.workerLimits.map((limit) => ({
+      ...limit,
+      ageMs: Math.round(limit.ageMs),
+    })),
     partEvidence: message.partEvidence.map(({ crashes, ...evidence }) => ({
       ...evidence,
       crashes: crashes.map((crash) => ({ ...crash, ageMs: Math.round(crash.ageMs) })),
@@ -101,6 +105,11 @@
     load.heard.map(({ name, ageMs }) => [toBranded<DataCentreName>(name), ageMs]),
   ),
   storeVersions: { configuration: load.configurationVersion, workers: load.workersVersion },
+  workerLimits: load.workerLimits.map(({ instance, perSecond, ageMs }) => ({
+    instance,
+    perSecond,
+    ageMs,
+  })),
   partEvidence: load.partEvidence.map((evidence) => ({
     ...evidence,
     part: toBranded<PartId>(evidence.part),
--- a/packages/forwarder/src/waiting/RequestQueue.ts
+++ b/packages/forwarder/src/waiting/RequestQueue.ts
@@ -35,6 +35,13 @@
     return this.#requests.size;
   }
 
+  /** @returns number of queued requests that are at least as urgent as one with this priority rank */
+  countAhead(priority: number): number {
+    let count = 0;
+    for (const request of this.#requests) if (request.priority <= priority) count += 1;
+    return count;
+  }
+
   /** Adds a request that could not be started immediately. */
   add(request: QueuedRequest): void {
     this.#requests.add(request);
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -63,6 +63,7 @@
   readonly #relaySelector: RelaySelector;
   readonly #subscribers = new Map<VmId, Subscriber>();
   #relays: readonly Peer[] = [];
+  #peers: readonly VmId[] = [];
   #isRelay = false;
   #isDirect = true;
   #pendingNews: ReceivedNews[] = [];
@@ -90,6 +91,7 @@
     const relays = listRelays([...peers, self]);
     this.#isRelay = relays.includes(self);
     this.#isDirect = relays.length === peers.length + 1;
+    this.#peers = peers.map(({ vm }) => vm);
     this.#relays = relays.filter((relay) => relay !== self);
     this.#relaySelector.setRelays(this.#relays);
   }
@@ -142,6 +144,21 @@
     return outgoing;
   }
 
+  /**
+   * Lists the VMs that are alive, as far as this VM knows: through relays it does not hear of single VMs.
+   *
+   * @param nowMs - current time, in milliseconds
+   * @returns this VM and the others
+   */
+  listVms(nowMs: number): readonly VmId[] {
+    const { identity, view } = this.options;
+    view.countLive(nowMs);
+    const others = this.#isDirect
+      ? this.#peers.filter((vm) => view.find(vm) !== undefined)
+      : this.#peers;
+    return [identity.vm, ...others];
+  }
+
   /** @returns a message without load and news, to which evidence about prompt parts can be added */
   buildEmptyMessage(): LoadMessage {
     return this.#buildMessage(LoadScope.News, { engines: new Map(), vmCount: 0, news: NO_NEWS });
@@ -240,6 +257,7 @@
       vmCount,
       dataCentreAges,
       partEvidence: [],
+      workerLimits: [],
     };
   }
 }
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -1,4 +1,5 @@
 import type { DataCentreName, SocketAddress, VmId } from '@sardinegrade/common';
+import type { LimitReport } from '../limits/index.js';
 import type { PromptPart } from '../placement/index.js';
 import type { Crash, PartEvidence } from '../quarantine/index.js';
 import type { LoadScope } from './enums.js';
@@ -54,6 +55,8 @@
   readonly dataCentreAges: ReadonlyMap<DataCentreName, number>;
   /** What the sender knows of prompt parts that may crash workers. */
   readonly partEvidence: readonly PartEvidence[];
+  /** Limits that workers have named to the sender, or no longer name. */
+  readonly workerLimits: readonly LimitReport[];
 }
 
 /** Another VM and the address at which it receives load messages. */
--- a/packages/routing/src/quarantine/PartCrashTracker.ts
+++ b/packages/routing/src/quarantine/PartCrashTracker.ts
@@ -1,3 +1,4 @@
+import { ChangeSchedule } from '../sharing/index.js';
 import { listRefusedParts, MIN_CRASHES_TO_REFUSE } from './listRefusedParts.js';
 
 import type { PartId, PromptPart } from '../placement/index.js';
@@ -20,15 +21,6 @@
 const RECENT_ANSWER_MS = 30_000;
 const MAX_ANSWERED_PARTS = 4_096;
 
-/** Number of messages in which a change is repeated, because messages may be lost. */
-const REPEATS_PER_CHANGE = 4;
-
-/** Interval at which evidence without changes is sent, for VMs that start or were cut off, in milliseconds. */
-const RESEND_INTERVAL_MS = 1_000;
-
-/** Maximum number of parts in one message. */
-const MAX_SENT_PARTS = 24;
-
 /** Time after a trial in which its result is awaited before another one, in milliseconds. */
 const TRIAL_RESULT_MS = 5_000;
 
@@ -41,8 +33,6 @@
   readonly depth: number;
   readonly wasAnswered: boolean;
   readonly crashes: ReadonlyMap<number, CrashRecord>;
-  /** Number of messages in which the record still has to be sent. */
-  unsentRepeats: number;
 }
 
 /** A prompt of a request that waited for its first event on a worker that ended. */
@@ -94,9 +84,8 @@
   /** When answers on a part last began, least recent first. */
   readonly #answeredAtMs = new Map<PartId, number>();
   readonly #trialAtMs = new Map<PartId, number>();
+  readonly #changes = new ChangeSchedule<PartId>();
   #refused: ReadonlyMap<PartId, RefusedPart> = new Map();
-  #resentAtMs = Number.NEGATIVE_INFINITY;
-  #resendOffset = 0;
 
   /** Parts whose requests are refused. */
   get refused(): ReadonlyMap<PartId, RefusedPart> {
@@ -105,8 +94,7 @@
 
   /** Whether a change has not been sent in enough messages yet. */
   get hasUnsent(): boolean {
-    for (const { unsentRepeats } of this.#records.values()) if (unsentRepeats > 0) return true;
-    return false;
+    return this.#changes.hasUnsent;
   }
 
   /**
@@ -119,7 +107,7 @@
   recordCrash(parts: PromptParts, instance: number, nowMs: number): void {
     for (const [depth, { id }] of listShared(parts).entries()) {
       const crashes = new Map([[instance, { atMs: nowMs, isCleared: false }]]);
-      this.#merge(id, { depth, wasAnswered: false, crashes, unsentRepeats: 0 }, nowMs);
+      this.#merge(id, { depth, wasAnswered: false, crashes }, nowMs);
     }
     this.#update(nowMs);
   }
@@ -140,7 +128,8 @@
       const crashes = new Map(
         [...record.crashes].map(([instance, { atMs }]) => [instance, { atMs, isCleared: true }]),
       );
-      this.#records.set(id, { ...record, crashes, unsentRepeats: REPEATS_PER_CHANGE });
+      this.#records.set(id, { ...record, crashes });
+      this.#changes.markChanged(id);
       isChanged = true;
     }
     const [oldest] = this.#answeredAtMs.keys();
@@ -165,7 +154,7 @@
           { atMs: nowMs - ageMs, isCleared },
         ]),
       );
-      const record = { depth, wasAnswered, crashes: received, unsentRepeats: 0 };
+      const record = { depth, wasAnswered, crashes: received };
       isChanged = this.#merge(part, record, nowMs) || isChanged;
     }
     if (isChanged) this.#update(nowMs);
@@ -178,12 +167,11 @@
    * @returns the evidence, mostly empty
    */
   collectUnsent(nowMs: number): readonly PartEvidence[] {
-    const due = [...this.#records].filter(([, { unsentRepeats }]) => unsentRepeats > 0);
-    const collected = due.slice(0, MAX_SENT_PARTS);
-    for (const [, record] of collected) record.unsentRepeats -= 1;
-    return [...collected, ...this.#listResent(nowMs)].map((entry) =>
-      this.#toEvidence(entry, nowMs),
-    );
+    const keys = this.#changes.collect(nowMs, () => this.#listSuspects().map(([part]) => part));
+    return keys.flatMap((part) => {
+      const record = this.#records.get(part);
+      return record === undefined ? [] : [this.#toEvidence([part, record], nowMs)];
+    });
   }
 
   /**
@@ -193,7 +181,7 @@
    * @returns evidence about the parts that are suspect, refused ones first
    */
   listEvidence(nowMs: number): readonly PartEvidence[] {
-    const suspects = [...this.#records].filter(([, record]) => isSuspect(record));
+    const suspects = this.#listSuspects();
     const refused = suspects.filter(([part]) => this.#refused.has(part));
     const others = suspects.filter(([part]) => !this.#refused.has(part));
     return [...refused, ...others].map((entry) => this.#toEvidence(entry, nowMs));
@@ -251,21 +239,21 @@
         known?.wasAnswered === true ||
         (known === undefined && nowMs - answeredAtMs < RECENT_ANSWER_MS),
       crashes: mergeCrashes(known?.crashes ?? new Map(), received.crashes),
-      unsentRepeats: REPEATS_PER_CHANGE,
     };
     if (!hasNews(record, known)) return false;
     this.#records.set(part, record);
+    this.#changes.markChanged(part);
     return true;
   }
 
   #update(nowMs: number): void {
     for (const [part, record] of this.#records) {
       const lifetimeMs = isSuspect(record) ? EVIDENCE_LIFETIME_MS : CLEARED_LIFETIME_MS;
-      if (nowMs - findLastCrashMs(record) > lifetimeMs) this.#records.delete(part);
+      if (nowMs - findLastCrashMs(record) > lifetimeMs) this.#remove(part);
     }
     for (const part of this.#records.keys()) {
       if (this.#records.size <= MAX_PARTS) break;
-      this.#records.delete(part);
+      this.#remove(part);
     }
     const suspects: SuspectPart[] = [];
     for (const [part, { depth, wasAnswered, crashes }] of this.#records) {
@@ -280,14 +268,13 @@
     }
   }
 
-  #listResent(nowMs: number): readonly (readonly [PartId, PartRecord])[] {
-    if (nowMs - this.#resentAtMs < RESEND_INTERVAL_MS) return [];
-    this.#resentAtMs = nowMs;
-    const suspects = [...this.#records].filter(([, record]) => isSuspect(record));
-    if (this.#resendOffset >= suspects.length) this.#resendOffset = 0;
-    const chunk = suspects.slice(this.#resendOffset, this.#resendOffset + MAX_SENT_PARTS);
-    this.#resendOffset += chunk.length;
-    return chunk;
+  #remove(part: PartId): void {
+    this.#records.delete(part);
+    this.#changes.remove(part);
+  }
+
+  #listSuspects(): readonly (readonly [PartId, PartRecord])[] {
+    return [...this.#records].filter(([, record]) => isSuspect(record));
   }
 
   #toEvidence([part, record]: readonly [PartId, PartRecord], nowMs: number): PartEvidence {
--- a/packages/routing/src/refusal/computePatience.ts
+++ b/packages/routing/src/refusal/computePatience.ts
@@ -20,6 +20,15 @@
 export const computePatienceMs = (route: Route): number =>
   Math.max(MIN_PATIENCE_MS, route.targetMs * PATIENCE_TARGETS, route.eventGapMs * PATIENCE_GAPS);
 
+/**
+ * Computes the longest time that a request may spend in the queue.
+ *
+ * @param route - route of the request
+ * @returns the time, in milliseconds
+ */
+export const computeLongestWaitMs = (route: Route): number =>
+  computePatienceMs(route) * MAX_WAIT_SHARE;
+
 /** Elapsed, remaining and expected times of a queued request, in milliseconds. */
 export interface WaitingTimes {
   readonly waitedMs: number;
@@ -42,5 +51,5 @@
  * @returns whether it is refused now, as not run
  */
 export const shouldRefuse = (route: Route, times: WaitingTimes): boolean =>
-  times.waitedMs > computePatienceMs(route) * MAX_WAIT_SHARE ||
+  times.waitedMs > computeLongestWaitMs(route) ||
   times.remainingMs < times.prefillMs + times.streamMs;
