--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -32,6 +32,10 @@
 /** Ratio of the time in which a part crashes workers to the duration of other actions: the rule counts from 3 s on. */
 const POISON_RATIO = 3;
 
+/** Ratio of the time in which a worker names a limit to the duration of other actions, and the range of limits. */
+const LIMIT_RATIO = 3;
+const MAX_EXTRA_LIMIT = 4;
+
 /** Time after which a crashed worker is replaced, in milliseconds. */
 const RESTART_MS = 1_500;
 
@@ -195,6 +199,17 @@
         await sleep(POISON_RATIO * durationMs);
         this.#hasPoison = false;
       }),
+    [SoakAction.LimitWorker]: async ({ target, durationMs }) => {
+      if (this.#workers.length < 2) return;
+      const worker = this.#pick(this.#workers, target);
+      if (worker.limit !== undefined) return;
+      worker.limit = 1 + Math.round(target * MAX_EXTRA_LIMIT);
+      const startMs = performance.now();
+      await sleep(LIMIT_RATIO * durationMs);
+      const { id, limit } = worker;
+      this.ledger.recordLimit({ worker: id, perSecond: limit, startMs, endMs: performance.now() });
+      worker.limit = undefined;
+    },
     [SoakAction.StoreDown]: (planned) => this.#applyStoreFault(planned, StoreMode.Down),
     [SoakAction.StoreLimited]: (planned) => this.#applyStoreFault(planned, StoreMode.Limited),
     [SoakAction.StoreSilent]: (planned) => this.#applyStoreFault(planned, StoreMode.Silent),
--- a/soak/src/SoakLedger.ts
+++ b/soak/src/SoakLedger.ts
@@ -88,8 +88,25 @@
 const CRASHES_BEFORE_RULE = 5;
 const MAX_SENDS_AFTER_CRASHES = 3;
 
-/** Time after the last of these crashes from which the rule counts, in milliseconds: the stable window. */
-const CRASHES_KNOWN_MS = 3_000;
+/**
+ * Time after the last of these crashes, and after a limit was named, from which the rules count, in milliseconds: the
+ * stable window.
+ */
+const STABLE_MS = 3_000;
+
+/** Length of the windows in which requests to a limited worker are counted, in milliseconds. */
+const LIMIT_WINDOW_MS = 4_000;
+
+/** Requests in a window beyond one and a half times the limit. */
+const LIMIT_SLACK = 5;
+
+/** Time in which a worker names a limit, in milliseconds of the monotonic clock. */
+export interface LimitPeriod {
+  readonly worker: string;
+  readonly perSecond: number;
+  readonly startMs: number;
+  readonly endMs: number;
+}
 
 const describeRuns = (runs: readonly RunRecord[]): string =>
   runs.map(({ worker, atMs }) => `${worker} (${Math.round(atMs)} ms)`).join(', ');
@@ -109,6 +126,13 @@
     this.#crashedAtMs.set(part, [...(this.#crashedAtMs.get(part) ?? []), atMs]);
   }
 
+  readonly #limits: LimitPeriod[] = [];
+
+  /** Records that a worker has named a limit for some time. */
+  recordLimit(period: LimitPeriod): void {
+    this.#limits.push(period);
+  }
+
   recordRun(run: RunRecord): void {
     this.#runs.set(run.id, [...(this.#runs.get(run.id) ?? []), run]);
   }
@@ -154,6 +178,7 @@
       ...this.#checkLateVersions(),
       ...this.#checkRetryBudget(),
       ...this.#checkCrashes(),
+      ...this.#checkLimits(),
     ];
   }
 
@@ -283,13 +308,33 @@
     return [...this.#crashedAtMs].flatMap(([part, times]) => {
       const lastMs = times[CRASHES_BEFORE_RULE - 1];
       if (lastMs === undefined) return [];
-      const sends = times.filter((atMs) => atMs > lastMs + CRASHES_KNOWN_MS).length;
+      const sends = times.filter((atMs) => atMs > lastMs + STABLE_MS).length;
       if (sends <= MAX_SENDS_AFTER_CRASHES) return [];
       const detail = `${part} crashed ${times.length} workers, ${sends} of them after it was known`;
       return [{ rule: 'parts that crash workers', requestId: '-', detail }];
     });
   }
 
+  /** Reports workers that got more requests than the limit that they had named. */
+  #checkLimits(): readonly Violation[] {
+    return this.#limits.flatMap(({ worker, perSecond, startMs, endMs }) => {
+      const times = [...this.#runs.values()]
+        .flat()
+        .filter((run) => run.worker === worker)
+        .map(({ atMs }) => atMs)
+        .filter((atMs) => atMs >= startMs + STABLE_MS && atMs < endMs);
+      const counts = times.map(
+        (fromMs) =>
+          times.filter((atMs) => atMs >= fromMs && atMs < fromMs + LIMIT_WINDOW_MS).length,
+      );
+      const worst = Math.max(0, ...counts);
+      const allowed = (1.5 * perSecond * LIMIT_WINDOW_MS) / 1_000 + LIMIT_SLACK;
+      if (worst <= allowed) return [];
+      const detail = `${worker} got ${worst} requests in ${LIMIT_WINDOW_MS} ms at a limit of ${perSecond} a second`;
+      return [{ rule: 'limits of workers', requestId: '-', detail }];
+    });
+  }
+
   #checkDrains(): readonly Violation[] {
     return [...this.#runs.values()].flat().flatMap(({ id, worker, atMs }) => {
       const drainedAtMs = this.#drainedAtMs.get(worker);
--- a/soak/src/SoakWorker.ts
+++ b/soak/src/SoakWorker.ts
@@ -25,6 +25,8 @@
 export class SoakWorker {
   readonly #server: Server;
   #proxy: SoakProxy | undefined;
+  /** Limit that it names in its answers, in requests a second; undefined for none. */
+  limit: number | undefined;
 
   /**
    * @param id - id of the worker
@@ -82,7 +84,11 @@
         setTimeout(() => this.onPoisoned(poison), ANSWER_DELAY_MS);
         return;
       }
-      const headers = { 'X-Request-Id': id, 'X-Response-Seal': `seal of ${this.id}` };
+      const headers = {
+        'X-Request-Id': id,
+        'X-Response-Seal': `seal of ${this.id}`,
+        ...(this.limit === undefined ? {} : { 'Server-Limit': String(this.limit) }),
+      };
       if (request.url?.includes('stream') === true) this.#stream(request, response, headers);
       else
         setTimeout(() => {
--- a/soak/src/buildPlan.ts
+++ b/soak/src/buildPlan.ts
@@ -12,6 +12,7 @@
   CrashWorker = 'crash_worker',
   DrainWorker = 'drain_worker',
   PoisonPart = 'poison_part',
+  LimitWorker = 'limit_worker',
   StoreDown = 'store_down',
   StoreLimited = 'store_limited',
   StoreSilent = 'store_silent',
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -85,6 +85,22 @@
   assert.deepEqual(listRules(ledger), ['parts that crash workers']);
 });
 
+test('the ledger reports a worker that gets more requests than its limit allows', () => {
+  const ledger = new SoakLedger();
+  ledger.recordLimit({ worker: 'w1', perSecond: 1, startMs: 0, endMs: 20_000 });
+  const addRuns = (count: number, startMs: number): void => {
+    for (let index = 0; index < count; index += 1) {
+      const atMs = startMs + index * 100;
+      ledger.recordRun({ id: `l${atMs}`, worker: 'w1', atMs, remainingMs: 1, isResumed: false });
+    }
+  };
+  addRuns(20, 0);
+  addRuns(11, 5_000);
+  assert.deepEqual(listRules(ledger), []);
+  addRuns(12, 12_000);
+  assert.deepEqual(listRules(ledger), ['limits of workers']);
+});
+
 test('the ledger reports retries beyond the budget', () => {
   const ledger = new SoakLedger();
   const addRetries = (first: number, count: number): void => {
