fix(forwarder): a VM that has been draining for three seconds refuses new requests as not run

A request came to a VM 3.1 s after its SIGTERM, was sent to a worker, and was cut when the process exited 7.7 s after the SIGTERM; the caller got half a stream.

Cause: the process listens for 3.2 s after SIGTERM, since the platform may still open connections, and took every request that came. An answer that takes longer than the rest of the grace period is cut.

From 2.9 s on such a request is refused at arrival with 503 and a Retry-After of 0.1 s, and its connection is closed; the caller is served by another VM. The test failed before (the request was sent to a worker).

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -72,6 +72,12 @@
  */
 const USABLE_BUDGET_SHARE = 0.8;
 
+/**
+ * How long a draining process accepts requests, in milliseconds: the host platform's operators excuse an answer that the
+ * exit cuts only if its request was sent within three seconds.
+ */
+const ACCEPT_WHILE_DRAINING_MS = 2_900;
+
 const MS_PER_SECOND = 1_000;
 
 /** State of the forwarder: active configuration, known workers, load of other VMs, queue and retry budgets. */
@@ -107,7 +113,7 @@
   /** When the store last answered a call, by kind; kinds without an answer so far are missing. */
   readonly #storeAnsweredAtMs = new Map<SyncedKind, number>();
   #routes = new RouteTable([]);
-  #isDraining = false;
+  #drainingSinceMs: number | undefined;
   #vmCount = DEFAULT_VM_COUNT;
   readonly #budgets = new Map<ServiceName, RetryBudget>();
 
@@ -143,12 +149,22 @@
 
   /** Whether the process is shutting down: it still serves requests, but asks callers to close their connections. */
   get isDraining(): boolean {
-    return this.#isDraining;
+    return this.#drainingSinceMs !== undefined;
+  }
+
+  /** Whether the process has been draining for so long that a new request may not be complete when it exits. */
+  get isDrainingTooLong(): boolean {
+    if (this.#drainingSinceMs === undefined) return false;
+    return this.options.getNowMs() - this.#drainingSinceMs >= ACCEPT_WHILE_DRAINING_MS;
   }
 
-  /** Starts draining: callers are asked to close their connections. */
-  startDraining(): void {
-    this.#isDraining = true;
+  /**
+   * Starts draining: callers are asked to close their connections.
+   *
+   * @param nowMs - current time, in milliseconds
+   */
+  startDraining(nowMs = this.options.getNowMs()): void {
+    this.#drainingSinceMs = nowMs;
   }
 
   /**
--- a/packages/forwarder/src/exchange/admission.test.ts
+++ b/packages/forwarder/src/exchange/admission.test.ts
@@ -108,6 +108,18 @@
   assert.equal(answer.headers.connection, 'close');
 });
 
+// Guards against a request that is taken late in a drain and cut by the exit of the process.
+test('a VM that has been draining for three seconds refuses requests as not run, with a retry time', async (context) => {
+  const forwarder = await startTestForwarder(context, [answerDone]);
+  forwarder.state.startDraining(performance.now() - 3_000);
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 503);
+  assert.match(answer.body, /"run":"not_run"/);
+  assert.equal(answer.headers.connection, 'close');
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+  assert.equal(forwarder.workers[0]?.heads.length, 0);
+});
+
 /** Source of a worker thread that sends a request and immediately closes its connection. */
 const LEAVING_CALLER = `
   const { workerData, parentPort } = require('node:worker_threads');
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -29,6 +29,15 @@
   retryAfterMs: NOT_READY_RETRY_MS,
 };
 
+/** Time after which callers may retry a request at another VM, in milliseconds. */
+const DRAINING_RETRY_MS = 100;
+
+const DRAINING: LocalReply = {
+  code: ResultCode.NotReady,
+  message: 'This VM is shutting down.',
+  retryAfterMs: DRAINING_RETRY_MS,
+};
+
 /** Time after which callers may retry a quarantined request, in milliseconds. */
 const QUARANTINED_RETRY_MS = 30_000;
 
@@ -125,6 +134,10 @@
     refuse(state, response, caller, permission);
     return undefined;
   }
+  if (state.isDrainingTooLong) {
+    refuse(state, response, caller, DRAINING);
+    return undefined;
+  }
   const fingerprint = hashRequest(request.url ?? '', caller.key, read.body);
   if (state.crashes.isQuarantined(fingerprint, state.options.getNowMs())) {
     refuse(state, response, caller, QUARANTINED);
