--- a/packages/routing/src/limits/WorkerLimitTracker.ts
+++ b/packages/routing/src/limits/WorkerLimitTracker.ts
@@ -17,7 +17,7 @@
   /** When the limit became known, in milliseconds. */
   readonly knownAtMs: number;
   readonly bucket: LimitBucket;
-  /** Whether this VM has a share, and when that was determined, in milliseconds. */
+  /** Share of this VM, undefined if it has none, and when it was determined, in milliseconds. */
   share: LimitShare | undefined;
   shareAtMs: number;
 }
--- a/packages/routing/src/quarantine/PartCrashTracker.ts
+++ b/packages/routing/src/quarantine/PartCrashTracker.ts
@@ -35,7 +35,7 @@
   readonly crashes: ReadonlyMap<number, CrashRecord>;
 }
 
-/** A prompt of a request that waited for its first event on a worker that ended. */
+/** Parts of a prompt, in order; the last one belongs to its request only. */
 export type PromptParts = readonly PromptPart[];
 
 const listShared = (parts: PromptParts): readonly PromptPart[] => parts.slice(0, -1);
