feat(platform): answers of the store carry their era; logs and metrics name it

The log lines could not tell which history of the store a revision belongs to, nor that the store had been restored from an older copy. The client now reads the header Store-Era of every answer. Gauge sardinegrade_store_era.

--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -133,6 +133,11 @@
     help: 'Time since the store last answered a list or watch, by kind of objects.',
     labels: ['kind'],
   },
+  [MetricName.StoreEra]: {
+    kind: Gauge,
+    help: 'Number of times that the store has been restored from an older copy.',
+    labels: [],
+  },
   [MetricName.Members]: {
     kind: Gauge,
     help: 'Daemons known to this one, by state.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -25,6 +25,7 @@
   Generation = 'sardinegrade_configuration_generation',
   ConfigurationAge = 'sardinegrade_configuration_age_seconds',
   StoreAnswerAge = 'sardinegrade_store_answer_age_seconds',
+  StoreEra = 'sardinegrade_store_era',
   Members = 'sardinegrade_members',
   Upstreams = 'sardinegrade_upstreams',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -104,6 +104,8 @@
   onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
   onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
+  /** Returns the number of times that the store has been restored from an older copy, as far as this VM knows. */
+  getStoreEra: () => number = () => 0;
   /** Returns the versions of the newest changes in the store that this VM has applied; peers receive them. */
   getStoreVersions: () => StoreVersions = () => ({ configuration: 0, workers: 0 });
   /** Called with the versions that another VM has applied, and the address of its peer port. */
@@ -253,6 +255,7 @@
         value: (this.getStoreAnswerAgeMs(kind) ?? 0) / MS_PER_SECOND,
       })),
     );
+    metrics.registerGauge(MetricName.StoreEra, () => [{ labels: {}, value: this.getStoreEra() }]);
     metrics.registerGauge(MetricName.Queued, () => [
       { labels: { service: '', class: '' }, value: this.queue.size },
     ]);
--- a/packages/platform/src/RenewablePool.ts
+++ b/packages/platform/src/RenewablePool.ts
@@ -1,8 +1,10 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher, Pool } from 'undici';
 
-/** Status and body of an HTTP answer. */
+/** Status, headers and body of an HTTP answer. */
 export interface TextResponse {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
 }
 
@@ -28,8 +30,8 @@
   async request(options: Dispatcher.RequestOptions): Promise<TextResponse> {
     const pool = this.#pool;
     try {
-      const { statusCode, body } = await pool.request(options);
-      return { status: statusCode, text: await body.text() };
+      const { statusCode, headers, body } = await pool.request(options);
+      return { status: statusCode, headers, text: await body.text() };
     } catch (error) {
       this.#replace(pool);
       throw error;
--- a/packages/platform/src/sync/ObjectSync.test.ts
+++ b/packages/platform/src/sync/ObjectSync.test.ts
@@ -10,7 +10,14 @@
 import { ObjectSync } from './ObjectSync.js';
 
 import type { TestContext } from 'node:test';
-import type { FeedChanges, FeedObject, FeedPage, FeedSnapshot, SyncReceipt } from './types.js';
+import type {
+  FeedChanges,
+  FeedObject,
+  FeedPage,
+  FeedSnapshot,
+  StoreVersion,
+  SyncReceipt,
+} from './types.js';
 
 const COALESCE_MS = 50;
 
@@ -19,19 +26,21 @@
 /** Time in which a change that a peer reports has to be listed, in milliseconds, with a margin for a busy machine. */
 const REPORT_LIMIT_MS = COALESCE_MS + MISSED_CHANGE_MARGIN_MS + 1_000;
 
-const buildObject = (version: number): FeedObject => ({
+const buildObject = (revision: number): FeedObject => ({
   name: 'main',
-  value: { version },
-  version,
+  value: { revision },
+  revision,
   isDeleting: false,
 });
 
+const toVersion = (revision: number, era = 0): StoreVersion => ({ era, revision });
+
 /** A store whose answers the test gives, and the synchronizer that calls it. */
 class TestFeed {
   lists = 0;
   missed = 0;
   readonly receipts: SyncReceipt[] = [];
-  page: FeedPage = { objects: [buildObject(1)], next: undefined, version: 1 };
+  page: FeedPage = { objects: [buildObject(1)], next: undefined, version: toVersion(1) };
   isRejecting = false;
   readonly sync: ObjectSync;
   readonly #abortController = new AbortController();
@@ -72,7 +81,7 @@
     void this.sync.run();
     context.after(() => {
       this.#abortController.abort();
-      this.answerWatch({ changes: [], version: 0 });
+      this.answerWatch({ changes: [], version: toVersion(0) });
     });
   }
 
@@ -81,10 +90,10 @@
   }
 
   report(
-    changeVersion: number,
+    revision: number,
     fetchSnapshot = (): Promise<FeedSnapshot> => Promise.reject(new Error('no snapshot')),
   ): void {
-    this.sync.addPeerReport({ changeVersion, fetchSnapshot });
+    this.sync.addPeerReport({ changeVersion: toVersion(revision), fetchSnapshot });
   }
 }
 
@@ -106,7 +115,7 @@
   feed.report(5);
   feed.answerWatch({
     changes: [{ object: buildObject(5), isRemoved: false }],
-    version: 7,
+    version: toVersion(7),
   });
   await sleep(REPORT_LIMIT_MS);
   assert.deepEqual([feed.lists, feed.missed, feed.sync.knownVersion], [1, 0, 5]);
@@ -114,8 +123,8 @@
 
 test('an empty answer of a watch does not count as proof that a reported change was applied', async (context) => {
   const feed = await startFeed(context);
-  feed.answerWatch({ changes: [], version: 9 });
-  feed.page = { objects: [buildObject(5)], next: undefined, version: 9 };
+  feed.answerWatch({ changes: [], version: toVersion(9) });
+  feed.page = { objects: [buildObject(5)], next: undefined, version: toVersion(9) };
   feed.report(5);
   await sleep(REPORT_LIMIT_MS);
   assert.deepEqual([feed.lists, feed.missed, feed.sync.knownVersion], [2, 1, 5]);
@@ -133,13 +142,13 @@
 test('the snapshot of a peer is used only where the store does not answer, and only if it is newer', async (context) => {
   const feed = await startFeed(context);
   feed.isRejecting = true;
-  feed.report(5, () => Promise.resolve({ version: 1, objects: [buildObject(1)] }));
+  feed.report(5, () => Promise.resolve({ version: toVersion(1), objects: [buildObject(1)] }));
   await sleep(REPORT_LIMIT_MS);
-  assert.equal(feed.sync.snapshot?.version, 1);
-  feed.report(6, () => Promise.resolve({ version: 6, objects: [buildObject(6)] }));
+  assert.deepEqual(feed.sync.snapshot?.version, toVersion(1));
+  feed.report(6, () => Promise.resolve({ version: toVersion(6), objects: [buildObject(6)] }));
   await sleep(REPORT_LIMIT_MS);
   assert.equal(feed.receipts.at(-1)?.source, 'peer');
-  assert.deepEqual(feed.sync.snapshot, { version: 6, objects: [buildObject(6)] });
+  assert.deepEqual(feed.sync.snapshot, { version: toVersion(6), objects: [buildObject(6)] });
 });
 
 test('a watch lasts longer than the wait of an isolated VM only while peers report', async (context) => {
--- a/packages/platform/src/sync/ObjectSync.ts
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -69,7 +69,7 @@
       );
 
 const computeChangeVersion = (objects: readonly FeedObject[]): number =>
-  objects.reduce((highest, { version }) => Math.max(highest, version), 0);
+  objects.reduce((highest, { revision }) => Math.max(highest, revision), 0);
 
 /**
  * Keeps up with the objects of a kind by list and watch. Silence of a watch proves nothing, so there are three further
@@ -83,6 +83,8 @@
   #hasObjects = false;
   /** Version of the newest change that has been applied. */
   #changeVersion = 0;
+  /** Era of the last answer with objects or changes. */
+  #era = 0;
   /** All changes up to this version have been applied. Only answers with objects raise it, not silence. */
   #appliedVersion = 0;
   /** The peer with the newest change, while that change has not been applied. */
@@ -107,13 +109,16 @@
 
   /** Version of the newest change that has been applied, or reported by a peer and not refuted; 0 before the first. */
   get knownVersion(): number {
-    return Math.max(this.#changeVersion, this.#newerPeer?.changeVersion ?? 0);
+    return Math.max(this.#changeVersion, this.#newerPeer?.changeVersion.revision ?? 0);
   }
 
   /** All objects as they are known now; undefined before the first list. */
   get snapshot(): FeedSnapshot | undefined {
     if (!this.#hasObjects) return undefined;
-    return { version: this.#appliedVersion, objects: [...this.#objects.values()] };
+    return {
+      version: { era: this.#era, revision: this.#appliedVersion },
+      objects: [...this.#objects.values()],
+    };
   }
 
   /** Reports objects and changes to the observer until the signal aborts. */
@@ -142,9 +147,9 @@
     const knownVersion = Math.max(
       this.#appliedVersion,
       this.#refutedVersion,
-      this.#newerPeer?.changeVersion ?? 0,
+      this.#newerPeer?.changeVersion.revision ?? 0,
     );
-    if (peer.changeVersion > knownVersion) this.#newerPeer = peer;
+    if (peer.changeVersion.revision > knownVersion) this.#newerPeer = peer;
     if (this.#newerPeer === undefined || this.#missedChangeTimer !== undefined) return;
     const delayMs = this.options.coalesceMs + MISSED_CHANGE_MARGIN_MS;
     // An answer that arrived while the process was blocked is read before the check.
@@ -156,7 +161,10 @@
     this.#missedChangeTimer = undefined;
     if (this.#newerPeer === undefined) return;
     this.#isBehind = true;
-    this.options.observer.onChangeMissed(this.#newerPeer.changeVersion, this.#appliedVersion);
+    this.options.observer.onChangeMissed(
+      this.#newerPeer.changeVersion.revision,
+      this.#appliedVersion,
+    );
     this.#watchVersion = undefined;
     this.#interruption.abort();
   }
@@ -185,7 +193,8 @@
       else this.#objects.set(change.object.name, change.object);
       observer.onChange(change, receipt);
     }
-    this.#watchVersion = version;
+    this.#watchVersion = version.revision;
+    this.#era = version.era;
     if (changes.length === 0) return;
     const changeVersion = computeChangeVersion(changes.map(({ object }) => object));
     this.#recordApplied(changeVersion, changeVersion);
@@ -221,9 +230,9 @@
     }
     const silentMs = this.#handleSuccess();
     this.#replaceObjects({ version, objects }, { source: SyncSource.List, version, silentMs });
-    this.#watchVersion = version;
-    if (peerBefore === undefined || peerBefore.changeVersion <= version) return;
-    this.#refutedVersion = Math.max(this.#refutedVersion, peerBefore.changeVersion);
+    this.#watchVersion = version.revision;
+    if (peerBefore === undefined || peerBefore.changeVersion.revision <= version.revision) return;
+    this.#refutedVersion = Math.max(this.#refutedVersion, peerBefore.changeVersion.revision);
     if (this.#newerPeer === peerBefore) this.#clearPeer();
   }
 
@@ -232,13 +241,14 @@
     for (const object of objects) this.#objects.set(object.name, object);
     this.options.observer.onList(objects, receipt);
     this.#hasObjects = true;
-    this.#recordApplied(version, computeChangeVersion(objects));
+    this.#era = version.era;
+    this.#recordApplied(version.revision, computeChangeVersion(objects));
   }
 
   #recordApplied(appliedVersion: number, changeVersion: number): void {
     this.#appliedVersion = Math.max(this.#appliedVersion, appliedVersion);
     this.#changeVersion = Math.max(this.#changeVersion, changeVersion);
-    const peerVersion = this.#newerPeer?.changeVersion ?? 0;
+    const peerVersion = this.#newerPeer?.changeVersion.revision ?? 0;
     if (peerVersion <= this.#appliedVersion) this.#clearPeer();
   }
 
@@ -295,7 +305,7 @@
     this.#callStartedAtMs = this.options.getNowMs();
     try {
       const snapshot = await peer.fetchSnapshot();
-      if (snapshot.version <= this.#appliedVersion) return;
+      if (snapshot.version.revision <= this.#appliedVersion) return;
       const silentMs = this.options.getNowMs() - this.#lastSuccessAtMs;
       const { version } = snapshot;
       this.#replaceObjects(snapshot, { source: SyncSource.Peer, version, silentMs });
--- a/packages/platform/src/sync/enums.ts
+++ b/packages/platform/src/sync/enums.ts
@@ -5,3 +5,10 @@
   /** Objects that another VM received from the store. */
   Peer = 'peer',
 }
+
+/** Who told this VM of an era of the store. */
+export enum EraSource {
+  Store = 'store',
+  /** Another VM. */
+  Peer = 'peer',
+}
--- a/packages/platform/src/sync/index.ts
+++ b/packages/platform/src/sync/index.ts
@@ -2,4 +2,5 @@
 export * from './enums.js';
 export * from './ObjectSync.js';
 export * from './snapshotMessages.js';
+export * from './StoreEra.js';
 export type * from './types.js';
--- a/packages/platform/src/sync/snapshotMessages.ts
+++ b/packages/platform/src/sync/snapshotMessages.ts
@@ -6,6 +6,7 @@
 
 const snapshotSchema = z.object({
   version: z.number(),
+  era: z.number().default(0),
   objects: z.array(
     z.object({
       name: z.string(),
@@ -19,8 +20,14 @@
 /** @returns the JSON text by which a VM sends a snapshot to another one */
 export const encodeSnapshot = ({ version, objects }: FeedSnapshot): string =>
   JSON.stringify({
-    version,
-    objects: objects.map(({ isDeleting, ...object }) => ({ ...object, is_deleting: isDeleting })),
+    version: version.revision,
+    era: version.era,
+    objects: objects.map(({ name, value, revision, isDeleting }) => ({
+      name,
+      value,
+      version: revision,
+      is_deleting: isDeleting,
+    })),
   });
 
 /**
@@ -32,10 +39,15 @@
  */
 export const decodeSnapshot = (text: string): FeedSnapshot => {
   try {
-    const { version, objects } = snapshotSchema.parse(JSON.parse(text));
+    const { version, era, objects } = snapshotSchema.parse(JSON.parse(text));
     return {
-      version,
-      objects: objects.map(({ is_deleting: isDeleting, ...object }) => ({ ...object, isDeleting })),
+      version: { era, revision: version },
+      objects: objects.map((object) => ({
+        name: object.name,
+        value: object.value,
+        revision: object.version,
+        isDeleting: object.is_deleting,
+      })),
     };
   } catch (error) {
     const message = "The peer's snapshot does not match the schema.";
--- a/packages/platform/src/sync/types.ts
+++ b/packages/platform/src/sync/types.ts
@@ -1,13 +1,23 @@
 import type { PlatformError } from '../PlatformError.js';
 import type { SyncSource } from './enums.js';
 
+/**
+ * Position in the history of the store. A store that is restored from an older copy gives out revisions again, so that two
+ * revisions can be compared only if they belong to the same era.
+ */
+export interface StoreVersion {
+  /** Number of times that the store has been restored from a copy. */
+  readonly era: number;
+  readonly revision: number;
+}
+
 /** Object of the store's feed. */
 export interface FeedObject {
   readonly name: string;
   /** Content as parsed JSON; readers have to validate it. */
   readonly value: unknown;
-  /** Version of the last change of this object; every change in the store gets a higher one. */
-  readonly version: number;
+  /** Revision of the last change of this object; every change in one era of the store gets a higher one. */
+  readonly revision: number;
   /** Whether the object is marked for removal. */
   readonly isDeleting: boolean;
 }
@@ -24,19 +34,19 @@
   /** Name after which the next page begins; undefined on the last. */
   readonly next: string | undefined;
   /** Version to watch from. */
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /** All objects of a kind as of a version. */
 export interface FeedSnapshot {
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly objects: readonly FeedObject[];
 }
 
 /** Another VM that has applied a change which this VM may have missed. */
 export interface SyncPeer {
   /** Version of the newest change that the peer has applied. */
-  readonly changeVersion: number;
+  readonly changeVersion: StoreVersion;
   /** Fetches all objects from the peer. Rejects with PlatformError. */
   readonly fetchSnapshot: () => Promise<FeedSnapshot>;
 }
@@ -45,7 +55,7 @@
 export interface FeedChanges {
   readonly changes: readonly FeedChange[];
   /** Version to watch from next. */
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /**
@@ -69,7 +79,7 @@
 export interface SyncReceipt {
   readonly source: SyncSource;
   /** Store version of the answer. */
-  readonly version: number;
+  readonly version: StoreVersion;
   /** Time since the previous answer for this kind of objects, in milliseconds. */
   readonly silentMs: number;
 }
