fix(platform): versions of the store are compared by era first (CONFIG)

What callers saw: a confirmed configuration was not in force in time after the store had come back from an older copy. Cause: revisions were compared as if they only rose, though a restored store gives them out again. The highest revision of the lost history outranked every new one, so a VM whose watch survived the restore, or that the store rejected, served by the older version for good, and peers could not help.

A version is now the pair of era and revision, compared by era first. Whatever goes on from an earlier answer ends when a higher era is seen: a watch that returns in another era is followed by a list, pages of two eras are not joined, an answer of an era lower than the known one is ignored.

--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -54,6 +54,7 @@
     scope: WIRE_SCOPES[message.scope],
     vmCount: Math.max(0, message.vmCount),
     heard: [...message.dataCentreAges].map(([name, ageMs]) => ({ name, ageMs: Math.round(ageMs) })),
+    storeEra: message.storeVersions.era,
     configurationVersion: message.storeVersions.configuration,
     workersVersion: message.storeVersions.workers,
     workerLimits: message.workerLimits.map((limit) => ({
@@ -104,7 +105,11 @@
   dataCentreAges: new Map(
     load.heard.map(({ name, ageMs }) => [toBranded<DataCentreName>(name), ageMs]),
   ),
-  storeVersions: { configuration: load.configurationVersion, workers: load.workersVersion },
+  storeVersions: {
+    era: load.storeEra,
+    configuration: load.configurationVersion,
+    workers: load.workersVersion,
+  },
   workerLimits: load.workerLimits.map(({ instance, perSecond, ageMs }) => ({
     instance,
     perSecond,
--- a/packages/platform/src/sync/ObjectSync.test.ts
+++ b/packages/platform/src/sync/ObjectSync.test.ts
@@ -4,10 +4,13 @@
 import { PlatformError, PlatformFailure } from '../PlatformError.js';
 import {
   ISOLATION_CHECK_INTERVAL_MS,
+  LIST_SPREAD_MS,
   MISSED_CHANGE_MARGIN_MS,
   PEER_CONTACT_TIMEOUT_MS,
 } from './constants.js';
+import { EraSource } from './enums.js';
 import { ObjectSync } from './ObjectSync.js';
+import { StoreEra } from './StoreEra.js';
 
 import type { TestContext } from 'node:test';
 import type {
@@ -41,19 +44,24 @@
   missed = 0;
   readonly receipts: SyncReceipt[] = [];
   page: FeedPage = { objects: [buildObject(1)], next: undefined, version: toVersion(1) };
+  secondPage: FeedPage = this.page;
   isRejecting = false;
+  readonly era = new StoreEra();
   readonly sync: ObjectSync;
   readonly #abortController = new AbortController();
   #answerWatch: (changes: FeedChanges) => void = () => undefined;
 
   constructor(context: TestContext, isolatedWaitMs: number) {
     this.sync = new ObjectSync({
+      era: this.era,
       feed: {
-        listPage: () => {
+        listPage: (_kind, after) => {
           this.lists += 1;
           if (this.isRejecting)
             throw new PlatformError(PlatformFailure.Unavailable, 'rejected by the test');
-          return Promise.resolve(this.page);
+          const page = after === undefined ? this.page : this.secondPage;
+          this.era.observe(page.version.era, EraSource.Store);
+          return Promise.resolve(page);
         },
         watchChanges: (_kind, _version, _waitMs, signal) =>
           new Promise((resolve, reject) => {
@@ -92,8 +100,9 @@
   report(
     revision: number,
     fetchSnapshot = (): Promise<FeedSnapshot> => Promise.reject(new Error('no snapshot')),
+    era = 0,
   ): void {
-    this.sync.addPeerReport({ changeVersion: toVersion(revision), fetchSnapshot });
+    this.sync.addPeerReport({ changeVersion: toVersion(revision, era), fetchSnapshot });
   }
 }
 
@@ -118,7 +127,7 @@
     version: toVersion(7),
   });
   await sleep(REPORT_LIMIT_MS);
-  assert.deepEqual([feed.lists, feed.missed, feed.sync.knownVersion], [1, 0, 5]);
+  assert.deepEqual([feed.lists, feed.missed, feed.sync.knownVersion.revision], [1, 0, 5]);
 });
 
 test('an empty answer of a watch does not count as proof that a reported change was applied', async (context) => {
@@ -127,7 +136,7 @@
   feed.page = { objects: [buildObject(5)], next: undefined, version: toVersion(9) };
   feed.report(5);
   await sleep(REPORT_LIMIT_MS);
-  assert.deepEqual([feed.lists, feed.missed, feed.sync.knownVersion], [2, 1, 5]);
+  assert.deepEqual([feed.lists, feed.missed, feed.sync.knownVersion.revision], [2, 1, 5]);
 });
 
 test('a reported version that a later list of the store does not reach is listed once', async (context) => {
@@ -163,3 +172,53 @@
   assert.equal(listsInContact, 1);
   assert.ok(feed.lists > listsInContact);
 });
+
+/** Time in which the objects are listed after a rise of the era, in milliseconds, with a margin for a busy machine. */
+const RISE_LIMIT_MS = LIST_SPREAD_MS + 700;
+
+test('changes that a watch from the lost history returns are not applied; the objects are listed', async (context) => {
+  const feed = await startFeed(context);
+  feed.page = { objects: [buildObject(4)], next: undefined, version: toVersion(4, 1) };
+  feed.answerWatch({
+    changes: [{ object: buildObject(3), isRemoved: false }],
+    version: toVersion(3, 1),
+  });
+  await sleep(RISE_LIMIT_MS);
+  assert.deepEqual(feed.sync.snapshot, { version: toVersion(4, 1), objects: [buildObject(4)] });
+  assert.deepEqual([feed.lists, feed.receipts.at(-1)?.source], [2, 'list']);
+});
+
+test('pages of one list that come from two histories are not joined', async (context) => {
+  const feed = await startFeed(context);
+  feed.page = { objects: [buildObject(8)], next: 'main', version: toVersion(8) };
+  feed.secondPage = { objects: [buildObject(9)], next: undefined, version: toVersion(2, 1) };
+  feed.report(8);
+  await sleep(REPORT_LIMIT_MS);
+  assert.deepEqual(feed.sync.snapshot, { version: toVersion(1), objects: [buildObject(1)] });
+  feed.page = { objects: [buildObject(2)], next: undefined, version: toVersion(2, 1) };
+  await sleep(REPORT_LIMIT_MS);
+  assert.deepEqual(feed.sync.snapshot, { version: toVersion(2, 1), objects: [buildObject(2)] });
+});
+
+test('a watch ends when another call or a peer shows that the store was restored', async (context) => {
+  const feed = await startFeed(context);
+  feed.page = { objects: [buildObject(1)], next: undefined, version: toVersion(1, 2) };
+  feed.era.observe(2, EraSource.Peer);
+  assert.deepEqual(feed.sync.knownVersion, toVersion(0, 2));
+  await sleep(RISE_LIMIT_MS);
+  assert.deepEqual([feed.lists, feed.sync.knownVersion], [2, toVersion(1, 2)]);
+});
+
+test('neither a late answer nor a snapshot of the lost history replaces the restored state', async (context) => {
+  const feed = await startFeed(context);
+  feed.era.observe(1, EraSource.Peer);
+  feed.page = { objects: [buildObject(9)], next: undefined, version: toVersion(9) };
+  await sleep(RISE_LIMIT_MS);
+  assert.deepEqual(feed.sync.snapshot?.version, toVersion(1));
+  feed.page = { objects: [buildObject(2)], next: undefined, version: toVersion(2, 1) };
+  await sleep(RISE_LIMIT_MS);
+  feed.isRejecting = true;
+  feed.report(3, () => Promise.resolve({ version: toVersion(9), objects: [buildObject(9)] }), 1);
+  await sleep(REPORT_LIMIT_MS);
+  assert.deepEqual(feed.sync.snapshot, { version: toVersion(2, 1), objects: [buildObject(2)] });
+});
--- a/packages/platform/src/sync/ObjectSync.ts
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -2,20 +2,24 @@
 import {
   INITIAL_RETRY_DELAY_MS,
   ISOLATION_CHECK_INTERVAL_MS,
+  LIST_SPREAD_MS,
   MAX_INITIAL_RETRY_DELAY_MS,
   MAX_RETRY_DELAY_MS,
   MISSED_CHANGE_MARGIN_MS,
   OUTAGE_THRESHOLD_MS,
   PEER_CONTACT_TIMEOUT_MS,
 } from './constants.js';
+import { compareVersions, INITIAL_VERSION, selectLaterVersion } from './compareVersions.js';
 import { SyncSource } from './enums.js';
 
+import type { StoreEra } from './StoreEra.js';
 import type {
   FailedSyncCall,
   FeedChange,
   FeedObject,
   FeedSnapshot,
   ObjectFeed,
+  StoreVersion,
   SyncPeer,
   SyncReceipt,
 } from './types.js';
@@ -29,7 +33,7 @@
   readonly onAnswer: () => void;
   readonly onCallFailed: (call: FailedSyncCall) => void;
   /** Called when a peer has applied a newer change, and the own watch has not returned it in time. */
-  readonly onChangeMissed: (peerVersion: number, ownVersion: number) => void;
+  readonly onChangeMissed: (peerVersion: StoreVersion, ownVersion: StoreVersion) => void;
   /** Called once per outage: at the first failure that comes OUTAGE_THRESHOLD_MS or more after the last success. */
   readonly onUnavailable: (error: PlatformError) => void;
   /** Called with the duration of an outage when it has ended, before the objects or changes are passed on. */
@@ -39,6 +43,8 @@
 /** The feed and kind of objects to follow, the observer, and intervals. */
 export interface SyncOptions {
   readonly feed: ObjectFeed;
+  /** The highest era that this VM knows of, from any call or peer. */
+  readonly era: StoreEra;
   readonly kind: string;
   readonly observer: SyncObserver;
   /**
@@ -68,31 +74,37 @@
         thrown,
       );
 
-const computeChangeVersion = (objects: readonly FeedObject[]): number =>
-  objects.reduce((highest, { revision }) => Math.max(highest, revision), 0);
+const computeChangeVersion = (era: number, objects: readonly FeedObject[]): StoreVersion => ({
+  era,
+  revision: objects.reduce((highest, { revision }) => Math.max(highest, revision), 0),
+});
+
+const createRestoredError = (failure: PlatformFailure, moment: string): PlatformError =>
+  new PlatformError(failure, `The store was restored from an older copy ${moment}.`);
 
 /**
  * Keeps up with the objects of a kind by list and watch. Silence of a watch proves nothing, so there are three further
  * signs of a change: each failed watch is followed by a list, a watch ends after a bounded time, and peers tell which
  * changes they have applied.
+ *
+ * A store that is restored from an older copy gives out revisions again. Nothing goes on across a restore: neither a watch
+ * nor a list of several pages, and a version of an earlier era is older than any version of a later one.
  */
 export class ObjectSync {
   /** Version to watch from; undefined while all objects have to be listed. */
-  #watchVersion: number | undefined;
+  #watchVersion: StoreVersion | undefined;
   readonly #objects = new Map<string, FeedObject>();
   #hasObjects = false;
   /** Version of the newest change that has been applied. */
-  #changeVersion = 0;
-  /** Era of the last answer with objects or changes. */
-  #era = 0;
+  #changeVersion = INITIAL_VERSION;
   /** All changes up to this version have been applied. Only answers with objects raise it, not silence. */
-  #appliedVersion = 0;
+  #appliedVersion = INITIAL_VERSION;
   /** The peer with the newest change, while that change has not been applied. */
   #newerPeer: SyncPeer | undefined;
   /** Whether a change that a peer has applied did not arrive in time. */
   #isBehind = false;
   /** Reports up to this version are ignored: a list of the store that was requested later does not contain it. */
-  #refutedVersion = 0;
+  #refutedVersion = INITIAL_VERSION;
   #missedChangeTimer: NodeJS.Timeout | undefined;
   #peerReportedAtMs = Number.NEGATIVE_INFINITY;
   #interruption = new AbortController();
@@ -105,20 +117,23 @@
   /** @param options - the feed and kind of objects to follow, the observer, and intervals */
   constructor(private readonly options: SyncOptions) {
     this.#lastSuccessAtMs = options.getNowMs();
+    options.era.addListener(({ era }) => this.#scheduleListOfEra(era));
   }
 
-  /** Version of the newest change that has been applied, or reported by a peer and not refuted; 0 before the first. */
-  get knownVersion(): number {
-    return Math.max(this.#changeVersion, this.#newerPeer?.changeVersion.revision ?? 0);
+  /**
+   * Version of the newest change that has been applied, or reported by a peer and not refuted. Its revision is 0 before the
+   * first change in the current era of the store.
+   */
+  get knownVersion(): StoreVersion {
+    const eraStart: StoreVersion = { era: this.options.era.current, revision: 0 };
+    const ownVersion = selectLaterVersion(this.#changeVersion, eraStart);
+    return selectLaterVersion(ownVersion, this.#newerPeer?.changeVersion ?? ownVersion);
   }
 
   /** All objects as they are known now; undefined before the first list. */
   get snapshot(): FeedSnapshot | undefined {
     if (!this.#hasObjects) return undefined;
-    return {
-      version: { era: this.#era, revision: this.#appliedVersion },
-      objects: [...this.#objects.values()],
-    };
+    return { version: this.#appliedVersion, objects: [...this.#objects.values()] };
   }
 
   /** Reports objects and changes to the observer until the signal aborts. */
@@ -144,12 +159,12 @@
    */
   addPeerReport(peer: SyncPeer): void {
     this.#peerReportedAtMs = this.options.getNowMs();
-    const knownVersion = Math.max(
-      this.#appliedVersion,
-      this.#refutedVersion,
-      this.#newerPeer?.changeVersion.revision ?? 0,
+    const ownVersion = selectLaterVersion(this.#appliedVersion, this.#refutedVersion);
+    const knownVersion = selectLaterVersion(
+      ownVersion,
+      this.#newerPeer?.changeVersion ?? ownVersion,
     );
-    if (peer.changeVersion.revision > knownVersion) this.#newerPeer = peer;
+    if (compareVersions(peer.changeVersion, knownVersion) > 0) this.#newerPeer = peer;
     if (this.#newerPeer === undefined || this.#missedChangeTimer !== undefined) return;
     const delayMs = this.options.coalesceMs + MISSED_CHANGE_MARGIN_MS;
     // An answer that arrived while the process was blocked is read before the check.
@@ -161,21 +176,31 @@
     this.#missedChangeTimer = undefined;
     if (this.#newerPeer === undefined) return;
     this.#isBehind = true;
-    this.options.observer.onChangeMissed(
-      this.#newerPeer.changeVersion.revision,
-      this.#appliedVersion,
-    );
+    this.options.observer.onChangeMissed(this.#newerPeer.changeVersion, this.#appliedVersion);
+    this.#listNext();
+  }
+
+  /** Ends the current watch or pause; the objects are listed next. */
+  #listNext(): void {
     this.#watchVersion = undefined;
     this.#interruption.abort();
   }
 
+  /** Lists the objects of a restored store. The VMs of a fleet learn of it together, so their lists are spread. */
+  #scheduleListOfEra(era: number): void {
+    const listIfOutdated = (): void => {
+      if (this.#appliedVersion.era < era && !this.options.signal.aborted) this.#listNext();
+    };
+    setTimeout(listIfOutdated, this.options.random() * LIST_SPREAD_MS).unref();
+  }
+
   async #step(): Promise<void> {
     this.#callStartedAtMs = this.options.getNowMs();
     if (this.#watchVersion === undefined) await this.#list();
     else await this.#watch(this.#watchVersion);
   }
 
-  async #watch(fromVersion: number): Promise<void> {
+  async #watch(fromVersion: StoreVersion): Promise<void> {
     const { feed, kind, observer, coalesceMs } = this.options;
     this.#source = SyncSource.Watch;
     const { signal } = this.#interruption;
@@ -184,19 +209,22 @@
       ISOLATION_CHECK_INTERVAL_MS,
     ).unref();
     const { changes, version } = await feed
-      .watchChanges(kind, fromVersion, this.#chooseWatchWaitMs(), signal)
+      .watchChanges(kind, fromVersion.revision, this.#chooseWatchWaitMs(), signal)
       .finally(() => clearInterval(isolationTimer));
     const silentMs = this.#handleSuccess();
+    if (version.era > fromVersion.era)
+      throw createRestoredError(PlatformFailure.Truncated, 'during the watch');
+    this.#checkEra(version);
     const receipt: SyncReceipt = { source: SyncSource.Watch, version, silentMs };
     for (const change of changes) {
       if (change.isRemoved) this.#objects.delete(change.object.name);
       else this.#objects.set(change.object.name, change.object);
       observer.onChange(change, receipt);
     }
-    this.#watchVersion = version.revision;
-    this.#era = version.era;
+    this.#watchVersion = version;
     if (changes.length === 0) return;
-    const changeVersion = computeChangeVersion(changes.map(({ object }) => object));
+    const changed = changes.map(({ object }) => object);
+    const changeVersion = computeChangeVersion(version.era, changed);
     this.#recordApplied(changeVersion, changeVersion);
     await this.#pause(coalesceMs);
   }
@@ -211,8 +239,7 @@
     const nowMs = this.options.getNowMs();
     if (nowMs - this.#peerReportedAtMs <= PEER_CONTACT_TIMEOUT_MS) return;
     if (nowMs - this.#callStartedAtMs < this.options.isolatedWaitMs) return;
-    this.#watchVersion = undefined;
-    this.#interruption.abort();
+    this.#listNext();
   }
 
   async #list(): Promise<void> {
@@ -226,30 +253,44 @@
     objects.push(...page.objects);
     while (page.next !== undefined) {
       page = await feed.listPage(kind, page.next);
+      if (page.version.era !== version.era)
+        throw createRestoredError(PlatformFailure.Unavailable, 'between two pages');
       objects.push(...page.objects);
     }
+    this.#checkEra(version);
     const silentMs = this.#handleSuccess();
     this.#replaceObjects({ version, objects }, { source: SyncSource.List, version, silentMs });
-    this.#watchVersion = version.revision;
-    if (peerBefore === undefined || peerBefore.changeVersion.revision <= version.revision) return;
-    this.#refutedVersion = Math.max(this.#refutedVersion, peerBefore.changeVersion.revision);
+    this.#watchVersion = version;
+    if (peerBefore === undefined) return;
+    if (compareVersions(peerBefore.changeVersion, version) <= 0) return;
+    this.#refutedVersion = selectLaterVersion(this.#refutedVersion, peerBefore.changeVersion);
     if (this.#newerPeer === peerBefore) this.#clearPeer();
   }
 
+  /** Checks that an answer does not come from before a restore that this VM knows of. */
+  #checkEra({ era }: StoreVersion): void {
+    const currentEra = this.options.era.current;
+    if (era >= currentEra) return;
+    throw new PlatformError(
+      PlatformFailure.Invalid,
+      `The answer belongs to era ${era} of the store, which is in era ${currentEra}.`,
+    );
+  }
+
   #replaceObjects({ version, objects }: FeedSnapshot, receipt: SyncReceipt): void {
     this.#objects.clear();
     for (const object of objects) this.#objects.set(object.name, object);
     this.options.observer.onList(objects, receipt);
     this.#hasObjects = true;
-    this.#era = version.era;
-    this.#recordApplied(version.revision, computeChangeVersion(objects));
+    this.#recordApplied(version, computeChangeVersion(version.era, objects));
   }
 
-  #recordApplied(appliedVersion: number, changeVersion: number): void {
-    this.#appliedVersion = Math.max(this.#appliedVersion, appliedVersion);
-    this.#changeVersion = Math.max(this.#changeVersion, changeVersion);
-    const peerVersion = this.#newerPeer?.changeVersion.revision ?? 0;
-    if (peerVersion <= this.#appliedVersion) this.#clearPeer();
+  #recordApplied(appliedVersion: StoreVersion, changeVersion: StoreVersion): void {
+    this.#appliedVersion = selectLaterVersion(this.#appliedVersion, appliedVersion);
+    this.#changeVersion = selectLaterVersion(this.#changeVersion, changeVersion);
+    if (this.#newerPeer === undefined) return;
+    if (compareVersions(this.#newerPeer.changeVersion, this.#appliedVersion) <= 0)
+      this.#clearPeer();
   }
 
   #clearPeer(): void {
@@ -305,7 +346,10 @@
     this.#callStartedAtMs = this.options.getNowMs();
     try {
       const snapshot = await peer.fetchSnapshot();
-      if (snapshot.version.revision <= this.#appliedVersion) return;
+      if (compareVersions(snapshot.version, this.#appliedVersion) <= 0) {
+        if (this.#newerPeer === peer) this.#clearPeer();
+        return;
+      }
       const silentMs = this.options.getNowMs() - this.#lastSuccessAtMs;
       const { version } = snapshot;
       this.#replaceObjects(snapshot, { source: SyncSource.Peer, version, silentMs });
--- a/packages/platform/src/sync/constants.ts
+++ b/packages/platform/src/sync/constants.ts
@@ -25,3 +25,9 @@
 
 /** Interval at which a VM with a waiting watch checks whether it is isolated, in milliseconds. */
 export const ISOLATION_CHECK_INTERVAL_MS = 250;
+
+/**
+ * Time over which the lists of a fleet are spread that has learned of a restored store, in milliseconds: short beside the
+ * time within which a configuration has to be applied.
+ */
+export const LIST_SPREAD_MS = 300;
--- a/packages/platform/src/sync/types.ts
+++ b/packages/platform/src/sync/types.ts
@@ -88,7 +88,7 @@
 export interface FailedSyncCall {
   readonly source: SyncSource;
   /** Version that was watched from; undefined for a list. */
-  readonly version: number | undefined;
+  readonly version: StoreVersion | undefined;
   readonly durationMs: number;
   readonly error: PlatformError;
 }
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -40,8 +40,10 @@
   readonly crashes: readonly Crash[];
 }
 
-/** Versions of the newest changes in the platform's store that a VM has applied; 0 before the first. */
+/** Versions of the newest changes in the platform's store that a VM has applied; 0 before the first of the era. */
 export interface StoreVersions {
+  /** Number of times that the store has been restored from an older copy, as far as the VM knows. */
+  readonly era: number;
   readonly configuration: number;
   readonly workers: number;
 }
