--- a/packages/forwarder/src/testing/startTestForwarder.ts
+++ b/packages/forwarder/src/testing/startTestForwarder.ts
@@ -189,6 +189,7 @@
       slots: 6,
       isLeaving: false,
       startedAtMs: 1,
+      sequence: 1,
     });
   }
   state.apply(configuration);
--- a/packages/routing/src/workers/WorkerDirectory.test.ts
+++ b/packages/routing/src/workers/WorkerDirectory.test.ts
@@ -10,14 +10,15 @@
 
 const DESK = toBranded<ServiceName>('desk');
 
-const buildWorker = (id: string, isLeaving = false): Worker => ({
+const buildWorker = (id: string, isLeaving = false, startedAtMs = 1, sequence = 1): Worker => ({
   id: toBranded(id),
   service: DESK,
   address: '10.0.0.1:80',
   dataCentre: toBranded('dc'),
   slots: 6,
   isLeaving,
-  startedAtMs: 1,
+  startedAtMs,
+  sequence,
 });
 
 const listIds = (directory: WorkerDirectory, nowMs: number): readonly string[] =>
@@ -58,3 +59,54 @@
   directory.set(buildWorker('w1'));
   assert.deepEqual(listIds(directory, 10_000), ['w1']);
 });
+
+test('after a restore of the store, an earlier process of a worker does not replace a later one', () => {
+  const directory = new WorkerDirectory();
+  const current = buildWorker('w1', false, 2);
+  directory.set(current);
+  directory.recordStoreRestore(1_000);
+  assert.deepEqual(directory.replaceAll([buildWorker('w1', false, 1, 9)], 1_000), [
+    buildWorker('w1', false, 1, 9),
+  ]);
+  assert.equal(directory.find(current.id), current);
+  assert.equal(directory.set(buildWorker('w1', false, 3)), true);
+});
+
+test('after a restore of the store, a worker that was leaving stays so until its next process', () => {
+  const directory = new WorkerDirectory();
+  directory.set(buildWorker('w1', true, 1, 5));
+  directory.recordStoreRestore(1_000);
+  for (const sequence of [4, 5, 6]) directory.set(buildWorker('w1', false, 1, sequence));
+  assert.deepEqual(listIds(directory, 1_000), []);
+  directory.set(buildWorker('w1', false, 2, 1));
+  assert.deepEqual(listIds(directory, 1_000), ['w1']);
+});
+
+test('after a restore of the store, a removed worker stays removed until it reports again', () => {
+  const directory = new WorkerDirectory();
+  directory.set(buildWorker('w1', false, 1, 5));
+  directory.remove(toBranded('w1'), 500);
+  directory.recordStoreRestore(1_000);
+  directory.recordStoreRestore(2_000);
+  directory.replaceAll([buildWorker('w1', false, 1, 5)], 2_000);
+  assert.deepEqual(listIds(directory, 2_000), []);
+  directory.set(buildWorker('w1', false, 1, 6));
+  assert.deepEqual(listIds(directory, 2_000), ['w1']);
+});
+
+test('after a restore of the store, a worker that it lacks is kept until registrations have been renewed', () => {
+  const directory = new WorkerDirectory();
+  directory.set(buildWorker('w1'));
+  directory.recordStoreRestore(1_000);
+  directory.replaceAll([], 1_000);
+  assert.deepEqual(listIds(directory, 1_000 + LAPSED_GRACE_MS - 1), ['w1']);
+  assert.deepEqual(listIds(directory, 1_000 + LAPSED_GRACE_MS), []);
+});
+
+test('without a restore, the newest registration counts whatever its sequence is', () => {
+  const directory = new WorkerDirectory();
+  directory.set(buildWorker('w1', true, 2, 5));
+  directory.remove(toBranded('w1'), 500);
+  directory.set(buildWorker('w1', false, 2, 1));
+  assert.deepEqual(listIds(directory, 1_000), ['w1']);
+});
--- a/packages/routing/src/workers/types.ts
+++ b/packages/routing/src/workers/types.ts
@@ -13,4 +13,6 @@
   readonly isLeaving: boolean;
   /** Start of the worker's process, in Unix milliseconds. It distinguishes consecutive instances with the same id. */
   readonly startedAtMs: number;
+  /** Rises with each report of one process. */
+  readonly sequence: number;
 }
