--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -107,7 +107,12 @@
   /** Returns the number of times that the store has been restored from an older copy, as far as this VM knows. */
   getStoreEra: () => number = () => 0;
   /** Returns the versions of the newest changes in the store that this VM has applied; peers receive them. */
-  getStoreVersions: () => StoreVersions = () => ({ era: 0, configuration: 0, workers: 0 });
+  getStoreVersions: () => StoreVersions = () => ({
+    era: 0,
+    configuration: 0,
+    workers: 0,
+    activeGeneration: 0,
+  });
   /** Called with the versions that another VM has applied, and the address of its peer port. */
   onPeerVersions: (versions: StoreVersions, peer: SocketAddress) => void = () => undefined;
   #configuration: RoutingConfiguration | undefined;
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -27,7 +27,12 @@
   dataCentre: toBranded('hobart-a'),
   scope,
   vmCount: 75,
-  storeVersions: { era: 3, configuration: 4_000_000_000, workers: 4_000_000_100 },
+  storeVersions: {
+    era: 3,
+    configuration: 4_000_000_000,
+    workers: 4_000_000_100,
+    activeGeneration: 12,
+  },
   engines: new Map(
     Array.from({ length: ENGINES }, (_, index) => [
       0xff_00_00_00 + index,
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -57,6 +57,7 @@
     storeEra: message.storeVersions.era,
     configurationVersion: message.storeVersions.configuration,
     workersVersion: message.storeVersions.workers,
+    activeGeneration: message.storeVersions.activeGeneration,
     workerLimits: message.workerLimits.map((limit) => ({
       ...limit,
       ageMs: Math.round(limit.ageMs),
@@ -109,6 +110,7 @@
     era: load.storeEra,
     configuration: load.configurationVersion,
     workers: load.workersVersion,
+    activeGeneration: load.activeGeneration,
   },
   workerLimits: load.workerLimits.map(({ instance, perSecond, ageMs }) => ({
     instance,
--- a/packages/platform/src/sync/ObjectSync.ts
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -11,6 +11,7 @@
 } from './constants.js';
 import { compareVersions, INITIAL_VERSION, selectLaterVersion } from './compareVersions.js';
 import { SyncSource } from './enums.js';
+import { toSyncError } from './toSyncError.js';
 
 import type { StoreEra } from './StoreEra.js';
 import type {
@@ -65,15 +66,6 @@
   readonly signal: AbortSignal;
 }
 
-const toPlatformError = (thrown: unknown): PlatformError =>
-  thrown instanceof PlatformError
-    ? thrown
-    : new PlatformError(
-        PlatformFailure.Invalid,
-        `Synchronizing objects failed: ${String(thrown)}`,
-        thrown,
-      );
-
 const computeChangeVersion = (era: number, objects: readonly FeedObject[]): StoreVersion => ({
   era,
   revision: objects.reduce((highest, { revision }) => Math.max(highest, revision), 0),
@@ -147,7 +139,7 @@
         // A watch that was ended because a change was missed has not failed; a list follows.
         const isInterrupted =
           this.#source === SyncSource.Watch && this.#interruption.signal.aborted;
-        if (!isInterrupted) await this.#handleFailure(toPlatformError(thrown));
+        if (!isInterrupted) await this.#handleFailure(toSyncError(thrown));
       }
     }
     clearTimeout(this.#missedChangeTimer);
@@ -354,7 +346,7 @@
       const { version } = snapshot;
       this.#replaceObjects(snapshot, { source: SyncSource.Peer, version, silentMs });
     } catch (thrown) {
-      this.#reportFailure(toPlatformError(thrown));
+      this.#reportFailure(toSyncError(thrown));
       // Another peer may respond: the next report of any peer names a new one.
       if (this.#newerPeer === peer) this.#clearPeer();
     }
--- a/packages/platform/src/sync/index.ts
+++ b/packages/platform/src/sync/index.ts
@@ -4,3 +4,4 @@
 export * from './snapshotMessages.js';
 export * from './StoreEra.js';
 export type * from './types.js';
+export * from './ValueSync.js';
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -46,6 +46,8 @@
   readonly era: number;
   readonly configuration: number;
   readonly workers: number;
+  /** Generation of the configuration in force at the VM, which a restored store may not have; 0 without one. */
+  readonly activeGeneration: number;
 }
 
 /** A load message between VMs. */
