test(soak): the store is restored from a copy while it serves

New action restore_store: the store is copied, a configuration is changed, and after a while the store is restored; its watches stay or are cut. The operator and the workers write again within 1.5 s, with higher sequence numbers, and registrations that no worker renews are removed after 3.6 s.

--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -45,6 +45,19 @@
 /** Time in which VMs replace a watch that was reset, in milliseconds. */
 const REWATCH_MS = 150;
 
+/** Time after a restore of the store in which its writers write again, in milliseconds. */
+const REWRITE_MS = 1_500;
+
+/** Time after a restore at which registrations that no worker has renewed are removed, in milliseconds. */
+const EXPIRY_MS = 3_600;
+
+/** What a worker has last written into the store. */
+interface Registration {
+  readonly worker: SoakWorker;
+  readonly state: string;
+  readonly seq: number;
+}
+
 const sleep = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
 
@@ -66,6 +79,7 @@
   readonly store = new StoreStandIn();
   readonly vms: SoakVm[] = [];
   readonly #workers: SoakWorker[] = [];
+  readonly #registrations = new Map<string, Registration>();
   #nextWorker = 0;
   #version = 1;
   #disturbedAtMs = 0;
@@ -176,7 +190,7 @@
         this.#workers.splice(this.#workers.indexOf(worker), 1);
         worker.close();
         await sleep(durationMs);
-        this.store.remove('servers', worker.id);
+        this.#unregister(worker);
         await this.#addWorker();
       }),
     [SoakAction.DrainWorker]: async ({ target }) => {
@@ -187,7 +201,7 @@
       this.#register(worker, 'draining');
       if (this.isStoreStable()) this.ledger.recordDrain(worker.id);
       await sleep(DRAIN_GRACE_MS);
-      this.store.remove('servers', worker.id);
+      this.#unregister(worker);
       await sleep(DRAIN_GRACE_MS);
       worker.close();
     },
@@ -218,6 +232,8 @@
       this.store.clearHistory();
       return Promise.resolve();
     },
+    [SoakAction.RestoreStore]: (planned) =>
+      this.#runWithPropagationFault(() => this.#restoreStore(planned)),
     // As a store that drops its history: watches that start meanwhile miss the changes, and are not cut.
     [SoakAction.SilenceWatches]: ({ durationMs }) =>
       this.#runWithPropagationFault(async () => {
@@ -309,22 +325,51 @@
       await sleep(RESTART_MS);
       if (!this.#isStopped) await this.#addWorker();
       await sleep(LAPSE_MS - RESTART_MS);
-      this.store.remove('servers', worker.id);
+      this.#unregister(worker);
     });
   }
 
   #register(worker: SoakWorker, state: string): void {
     const { id, proxy } = worker;
-    const entry = { id, address: proxy.address, service: SERVICE, slots: WORKER_SLOTS };
+    const seq = (this.#registrations.get(id)?.seq ?? 0) + 1;
+    this.#registrations.set(id, { worker, state, seq });
+    const entry = { id, address: proxy.address, service: SERVICE, slots: WORKER_SLOTS, seq };
     registerWorker(this.store, entry, state);
   }
 
+  #unregister({ id }: SoakWorker): void {
+    this.#registrations.delete(id);
+    this.store.remove('servers', id);
+  }
+
+  /** Restores the store from a copy; the operator and the workers write again, and silent registrations expire. */
+  async #restoreStore({ target, durationMs }: PlannedAction): Promise<void> {
+    const copy = this.store.createCopy();
+    this.#changeConfiguration();
+    await sleep(durationMs);
+    this.store.restore(copy);
+    if (target < 0.5) this.store.resetWatches();
+    await sleep(target * REWRITE_MS);
+    if (this.#isStopped) return;
+    this.store.write('config', 'main', this.#buildConfiguration());
+    for (const { worker, state } of [...this.#registrations.values()])
+      this.#register(worker, state);
+    await sleep(EXPIRY_MS - target * REWRITE_MS);
+    const silent = this.store.listNames('servers').filter((id) => !this.#registrations.has(id));
+    for (const id of silent) this.store.remove('servers', id);
+  }
+
   #changeConfiguration(): void {
     this.#version += 1;
     this.#writeConfiguration();
   }
 
   #writeConfiguration(): void {
+    this.ledger.recordVersion(this.#version);
+    this.store.write('config', 'main', this.#buildConfiguration());
+  }
+
+  #buildConfiguration(): object {
     const routes = Object.values(RequestKind).map((kind) => ({
       name: kind,
       host: 'soak.example',
@@ -339,8 +384,7 @@
       resumable: kind === RequestKind.Resumable,
       gap_aim_ms: 200,
     }));
-    this.ledger.recordVersion(this.#version);
-    this.store.write('config', 'main', {
+    return {
       version: this.#version,
       routes,
       services: [{ name: SERVICE, max_conns: 400, engine: ENGINE }],
@@ -357,6 +401,6 @@
           priority: 1,
         },
       ],
-    });
+    };
   }
 }
--- a/soak/src/buildPlan.ts
+++ b/soak/src/buildPlan.ts
@@ -18,6 +18,7 @@
   StoreSilent = 'store_silent',
   StoreReset = 'store_reset',
   ClearStoreHistory = 'store_forgets',
+  RestoreStore = 'restore_store',
   SilenceWatches = 'silence_watches',
   SilenceStoreConnections = 'silence_store_connections',
   ChangeConfiguration = 'change_configuration',
@@ -50,6 +51,7 @@
   SoakAction.StoreLimited,
   SoakAction.StoreSilent,
   SoakAction.StoreReset,
+  SoakAction.RestoreStore,
   SoakAction.SilenceWatches,
   SoakAction.SilenceStoreConnections,
 ]);
