fix(routing): a worker that only a restored store knows is held back until it reports (CONFIG)

What was seen: a VM that had started after a worker left took that worker for ready when a restored store listed it again, and sent it requests; it had no removal to remember.

In the first list of a new era a worker that was not known right before has left before the restore, or registered while the VM heard nothing. Such a worker is held back until it reports again, or until its registration has outlasted the store's own expiry (three intervals of reports; 5 s). This covers the workers whose removal the VM has seen too, so the memory of removals goes away and with it a hold of up to two minutes on a worker that only the store's copy shows.

--- a/packages/routing/src/workers/WorkerDirectory.test.ts
+++ b/packages/routing/src/workers/WorkerDirectory.test.ts
@@ -3,7 +3,7 @@
 
 import { toBranded } from '@sardinegrade/common';
 
-import { LAPSED_GRACE_MS, WorkerDirectory } from './WorkerDirectory.js';
+import { HELD_MS, LAPSED_GRACE_MS, WorkerDirectory } from './WorkerDirectory.js';
 
 import type { ServiceName } from '@sardinegrade/common';
 import type { Worker } from './types.js';
@@ -94,6 +94,17 @@
   assert.deepEqual(listIds(directory, 2_000), ['w1']);
 });
 
+test('after a restore of the store, an unknown worker is used once its registration has outlasted expiry', () => {
+  const directory = new WorkerDirectory();
+  directory.recordStoreRestore(1_000);
+  const listed = [buildWorker('w1'), buildWorker('w2')];
+  assert.deepEqual(directory.replaceAll(listed, 1_000), listed);
+  assert.deepEqual(directory.replaceAll(listed, 2_000), listed);
+  directory.remove(toBranded('w2'), 4_600);
+  assert.deepEqual(listIds(directory, 1_000 + HELD_MS - 1), []);
+  assert.deepEqual(listIds(directory, 1_000 + HELD_MS), ['w1']);
+});
+
 test('after a restore of the store, a worker that it lacks is kept until registrations have been renewed', () => {
   const directory = new WorkerDirectory();
   directory.set(buildWorker('w1'));
--- a/packages/routing/src/workers/WorkerDirectory.ts
+++ b/packages/routing/src/workers/WorkerDirectory.ts
@@ -10,10 +10,11 @@
 export const LAPSED_GRACE_MS = 2_200;
 
 /**
- * Time for which removed workers are remembered, in milliseconds. A copy from which the store is restored is some seconds
- * old, and the store removes a registration that no worker renews some seconds after its return.
+ * Time after a restore of the store in which a worker that it lists, but that was not known before, gets no requests, in
+ * milliseconds. It may have left before the restore; the store then removes its registration after three intervals of
+ * status reports, 3.6 s in the platform's deployments.
  */
-export const REMOVED_RETENTION_MS = 120_000;
+export const HELD_MS = 5_000;
 
 interface Entry {
   readonly worker: Worker;
@@ -23,11 +24,10 @@
   readonly goneAtMs: number | undefined;
 }
 
-/** A worker whose registration was removed. */
-interface RemovedEntry {
+/** A worker that gets no requests until it reports, or until its registration has outlasted the time limit. */
+interface HeldWorker {
   readonly worker: Worker;
-  readonly restores: number;
-  readonly forgottenAtMs: number;
+  readonly untilMs: number;
 }
 
 /**
@@ -40,24 +40,20 @@
   return listed.sequence < known.sequence;
 };
 
-/** Whether a registration from a copy of the store was written before the worker's removal. */
-const isFromBeforeRemoval = (listed: Worker, removed: Worker): boolean =>
-  listed.startedAtMs === removed.startedAtMs
-    ? listed.sequence <= removed.sequence
-    : listed.startedAtMs < removed.startedAtMs;
-
 /**
  * The workers registered in the platform's store, including those whose registration lapsed during an outage of the
  * store. A store that was restored from an older copy shows earlier states of workers until they report again; these do
- * not replace what is known of them.
+ * not replace what is known of them, and workers that were not known before are held back.
  */
 export class WorkerDirectory {
   readonly #entries = new Map<UpstreamId, Entry>();
-  readonly #removed = new Map<UpstreamId, RemovedEntry>();
+  readonly #held = new Map<UpstreamId, HeldWorker>();
   /** Results of `listUsable` by service; cleared on every change. */
   readonly #usable = new Map<ServiceName, readonly Worker[]>();
   #storeRecoveredAtMs = Number.NEGATIVE_INFINITY;
   #restores = 0;
+  /** Whether the next list is the first one since a restore of the store. */
+  #isRestored = false;
 
   /** Records that the store is available again after an outage. */
   recordStoreRecovery(nowMs: number): void {
@@ -68,9 +64,7 @@
   recordStoreRestore(nowMs: number): void {
     this.recordStoreRecovery(nowMs);
     this.#restores += 1;
-    for (const [id, removed] of this.#removed) {
-      this.#removed.set(id, { ...removed, forgottenAtMs: nowMs + REMOVED_RETENTION_MS });
-    }
+    this.#isRestored = true;
   }
 
   /**
@@ -80,9 +74,11 @@
    * @returns whether it was applied; false if a later state is known from before a restore of the store
    */
   set(worker: Worker): boolean {
-    if (this.#isOutdated(worker)) return false;
+    const entry = this.#entries.get(worker.id);
+    const isFromBeforeRestore = entry !== undefined && entry.restores < this.#restores;
+    if (isFromBeforeRestore && isEarlierState(worker, entry.worker)) return false;
     this.#usable.clear();
-    this.#removed.delete(worker.id);
+    this.#held.delete(worker.id);
     this.#entries.set(worker.id, { worker, restores: this.#restores, goneAtMs: undefined });
     return true;
   }
@@ -95,20 +91,16 @@
    * @param nowMs - current time, in milliseconds
    */
   remove(id: UpstreamId, nowMs: number): void {
+    this.#held.delete(id);
     const entry = this.#entries.get(id);
     if (entry?.goneAtMs !== undefined) return;
     this.#usable.clear();
     const graceEndMs = this.#storeRecoveredAtMs + LAPSED_GRACE_MS;
-    if (entry === undefined) return;
-    if (!entry.worker.isLeaving && nowMs < graceEndMs) {
-      this.#entries.set(id, { ...entry, goneAtMs: graceEndMs });
+    if (entry === undefined || entry.worker.isLeaving || nowMs >= graceEndMs) {
+      this.#entries.delete(id);
       return;
     }
-    this.#entries.delete(id);
-    this.#forgetRemoved(nowMs);
-    const { worker } = entry;
-    const forgottenAtMs = nowMs + REMOVED_RETENTION_MS;
-    this.#removed.set(id, { worker, restores: this.#restores, forgottenAtMs });
+    this.#entries.set(id, { ...entry, goneAtMs: graceEndMs });
   }
 
   /**
@@ -116,17 +108,20 @@
    *
    * @param workers - all registered workers
    * @param nowMs - current time, in milliseconds
-   * @returns the listed workers that were not applied, because a later state of them is known
+   * @returns the listed workers that were not applied: a later state of them is known, or they were not known before a
+   *   restore of the store
    */
   replaceAll(workers: readonly Worker[], nowMs: number): readonly Worker[] {
     const listed = new Set(workers.map((worker) => worker.id));
-    for (const id of [...this.#entries.keys()]) {
+    for (const id of [...this.#entries.keys(), ...this.#held.keys()]) {
       if (!listed.has(id)) this.remove(id, nowMs);
     }
-    return workers.filter((worker) => !this.set(worker));
+    if (this.#isRestored) this.#holdUnknown(workers, nowMs);
+    this.#isRestored = false;
+    return workers.filter((worker) => this.#isHeld(worker) || !this.set(worker));
   }
 
-  /** @returns the worker, or undefined if it is not known */
+  /** @returns the worker, or undefined if it is not known or held back */
   find(id: UpstreamId): Worker | undefined {
     return this.#entries.get(id)?.worker;
   }
@@ -139,6 +134,7 @@
    * @returns workers that are not leaving; the same array as long as nothing changes
    */
   listUsable(service: ServiceName, nowMs: number): readonly Worker[] {
+    this.#releaseHeld(nowMs);
     const cached = this.#usable.get(service);
     if (cached !== undefined) return cached;
     const usable: Worker[] = [];
@@ -160,20 +156,24 @@
     return [...this.#entries.values()].map((entry) => entry.worker);
   }
 
-  /** Whether a registration shows an earlier state than the one known from before a restore of the store. */
-  #isOutdated(worker: Worker): boolean {
-    const entry = this.#entries.get(worker.id);
-    if (entry !== undefined) {
-      return entry.restores < this.#restores && isEarlierState(worker, entry.worker);
+  /** Holds back listed workers that are not known: they had left before the restore of the store. */
+  #holdUnknown(workers: readonly Worker[], nowMs: number): void {
+    for (const worker of workers) {
+      if (!this.#entries.has(worker.id)) {
+        this.#held.set(worker.id, { worker, untilMs: nowMs + HELD_MS });
+      }
     }
-    const removed = this.#removed.get(worker.id);
-    if (removed === undefined || removed.restores === this.#restores) return false;
-    return isFromBeforeRemoval(worker, removed.worker);
   }
 
-  #forgetRemoved(nowMs: number): void {
-    for (const [id, { forgottenAtMs }] of this.#removed) {
-      if (forgottenAtMs <= nowMs) this.#removed.delete(id);
+  /** Whether a listed worker is held back and has not reported since. */
+  #isHeld(worker: Worker): boolean {
+    const held = this.#held.get(worker.id)?.worker;
+    return held?.startedAtMs === worker.startedAtMs && held.sequence === worker.sequence;
+  }
+
+  #releaseHeld(nowMs: number): void {
+    for (const { worker, untilMs } of [...this.#held.values()]) {
+      if (untilMs <= nowMs) this.set(worker);
     }
   }
 }
