--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -188,7 +188,7 @@
         if (this.#workers.length < 2) return;
         const worker = this.#pick(this.#workers, target);
         this.#workers.splice(this.#workers.indexOf(worker), 1);
-        worker.close();
+        this.#close(worker);
         await sleep(durationMs);
         this.#unregister(worker);
         await this.#addWorker();
@@ -318,7 +318,7 @@
   /** Closes a worker as a crash does, and replaces it. Its registration lapses later. */
   async #crash(worker: SoakWorker): Promise<void> {
     const index = this.#workers.indexOf(worker);
-    worker.close();
+    this.#close(worker);
     if (index < 0) return;
     this.#workers.splice(index, 1);
     await this.#runWithDisturbance(async () => {
@@ -337,6 +337,12 @@
     registerWorker(this.store, entry, state);
   }
 
+  /** Closes a worker, which writes nothing more into the store. */
+  #close(worker: SoakWorker): void {
+    this.#registrations.delete(worker.id);
+    worker.close();
+  }
+
   #unregister({ id }: SoakWorker): void {
     this.#registrations.delete(id);
     this.store.remove('servers', id);
