--- a/packages/common/src/ids/types.ts
+++ b/packages/common/src/ids/types.ts
@@ -14,5 +14,7 @@
 export type PoolName = Branded<'PoolName'>;
 export type UpstreamId = Branded<'UpstreamId'>;
 export type RequestId = Branded<'RequestId'>;
+/** Version of a worker's software. */
+export type BuildName = Branded<'BuildName'>;
 export type AttemptId = Branded<'AttemptId'>;
 export type Fingerprint = Branded<'Fingerprint'>;
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -195,7 +195,8 @@
     const prompt = service.engine === undefined ? undefined : caller.prompt;
     const run = prompt === undefined ? undefined : record.tracker.start(prompt, nowMs);
     const uncachedTokens = run?.uncachedTokens ?? 0;
-    this.#report.recordSend({ queuedMs: this.#getAgeMs(), backlogTokens, uncachedTokens });
+    const placement = { queuedMs: this.#getAgeMs(), backlogTokens, uncachedTokens };
+    this.#report.recordSend(record.worker, placement);
     this.state.workerLimits.recordSend(record);
     if (prompt !== undefined && run?.hasUncachedSharedParts === true) {
       this.state.onPlacement(record.worker.id, prompt.parts);
@@ -361,6 +362,7 @@
     });
     this.#report.recordFailedSend({
       upstream: active.record.worker.id,
+      build: active.record.worker.build,
       failure,
       reason,
       durationMs: nowMs - active.startedAtMs,
--- a/packages/forwarder/src/exchange/ExchangeReport.ts
+++ b/packages/forwarder/src/exchange/ExchangeReport.ts
@@ -2,8 +2,8 @@
 
 import { AnswerTimes } from './AnswerTimes.js';
 
-import type { ServiceName, TrafficLabels, UpstreamId } from '@sardinegrade/common';
-import type { NextStep, SendFailure } from '@sardinegrade/routing';
+import type { BuildName, ServiceName, TrafficLabels, UpstreamId } from '@sardinegrade/common';
+import type { NextStep, SendFailure, Worker } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { AdmittedRequest } from './types.js';
 
@@ -29,6 +29,7 @@
 /** A failed send and the next step. */
 export interface FailedSendDetails {
   readonly upstream: UpstreamId;
+  readonly build: BuildName;
   readonly failure: SendFailure;
   readonly reason: string;
   readonly durationMs: number;
@@ -63,9 +64,10 @@
   }
 
   /** Records that the request was sent to a worker. */
-  recordSend(placement: PlacementDetails): void {
+  recordSend(worker: Worker, placement: PlacementDetails): void {
     this.#sends += 1;
     this.#placement = placement;
+    this.#logResumedSend(worker);
     const { metrics } = this.state;
     if (this.#sends === 1) {
       metrics.recordQueueWait(this.service ?? '', this.#labels.className, placement.queuedMs);
@@ -97,6 +99,7 @@
       inputs: {
         failure,
         reason: details.reason,
+        build: details.build,
         reused: details.isReused,
         runs: details.runs,
         sends: details.sends,
@@ -180,6 +183,18 @@
     return this.state.options.getNowMs() - this.admitted.arrivedAtMs;
   }
 
+  /** Logs to which worker a stream that the caller resumes is sent. */
+  #logResumedSend({ id: upstream, build }: Worker): void {
+    const { requestId, resumedRequestId, lastEventId } = this.admitted.caller;
+    if (lastEventId === undefined) return;
+    this.state.options.logger.info('resumed stream sent', {
+      requestId,
+      service: this.service,
+      upstream,
+      inputs: { build, resumes: resumedRequestId, last_event_id: lastEventId, sends: this.#sends },
+    });
+  }
+
   /** The shared parts of the prompt: a worker that ends may have been crashed by any of them. */
   #describeSharedParts(): Readonly<Record<string, string>> {
     const parts = this.admitted.caller.prompt?.parts.slice(0, -1) ?? [];
--- a/packages/forwarder/src/testing/startTestForwarder.ts
+++ b/packages/forwarder/src/testing/startTestForwarder.ts
@@ -153,6 +153,8 @@
 export interface TestForwarderOptions {
   readonly workers: readonly TestWorker[];
   readonly configuration: RoutingConfiguration;
+  /** Builds of the workers, `v1` for those that are missing. */
+  readonly builds?: readonly string[];
 }
 
 /**
@@ -164,7 +166,7 @@
  */
 export const startForwarder = async (
   context: TestContext,
-  { workers, configuration }: TestForwarderOptions,
+  { workers, configuration, builds = [] }: TestForwarderOptions,
 ): Promise<TestForwarder> => {
   const logLines: string[] = [];
   const logger = createLogger({
@@ -186,6 +188,7 @@
       service: toBranded('desk'),
       address: worker.address,
       dataCentre: toBranded('dc'),
+      build: toBranded(builds[index] ?? 'v1'),
       slots: 6,
       isLeaving: false,
       startedAtMs: 1,
@@ -237,5 +240,10 @@
   context: TestContext,
   scripts: readonly WorkerScript[],
   configuration = buildTestConfiguration(),
+  builds: readonly string[] = [],
 ): Promise<TestForwarder> =>
-  startForwarder(context, { workers: await startTestWorkers(context, scripts), configuration });
+  startForwarder(context, {
+    workers: await startTestWorkers(context, scripts),
+    configuration,
+    builds,
+  });
--- a/packages/forwarder/src/testing/testProtocol.ts
+++ b/packages/forwarder/src/testing/testProtocol.ts
@@ -46,12 +46,14 @@
   decodeRequest: (headers) => {
     const requestId = getText(headers, 'request-id');
     const lastEventId = getText(headers, 'last-event-id');
+    const resumedRequestId = getText(headers, 'resumes');
     const tokens = toNumber(getText(headers, 'tokens'));
     return {
       requestId: requestId === undefined ? undefined : toBranded(requestId),
       deadlineMs: toNumber(getText(headers, 'deadline-ms')),
       key: getText(headers, 'key'),
       lastEventId: lastEventId === undefined ? undefined : toBranded(lastEventId),
+      resumedRequestId: resumedRequestId === undefined ? undefined : toBranded(resumedRequestId),
       prompt:
         tokens === undefined
           ? undefined
--- a/packages/forwarder/src/types.ts
+++ b/packages/forwarder/src/types.ts
@@ -18,6 +18,8 @@
   readonly key: string | undefined;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: EventId | undefined;
+  /** Id of the request that received the stream's first event, if it resumes a stream and names it. */
+  readonly resumedRequestId: RequestId | undefined;
   /** Undefined if the request is not for a model. */
   readonly prompt: PromptShape | undefined;
 }
--- a/packages/routing/src/workers/WorkerDirectory.test.ts
+++ b/packages/routing/src/workers/WorkerDirectory.test.ts
@@ -15,6 +15,7 @@
   service: DESK,
   address: '10.0.0.1:80',
   dataCentre: toBranded('dc'),
+  build: toBranded('v1'),
   slots: 6,
   isLeaving,
   startedAtMs,
--- a/packages/routing/src/workers/types.ts
+++ b/packages/routing/src/workers/types.ts
@@ -1,4 +1,4 @@
-import type { DataCentreName, ServiceName, UpstreamId } from '@sardinegrade/common';
+import type { BuildName, DataCentreName, ServiceName, UpstreamId } from '@sardinegrade/common';
 
 /** A worker according to its last registration. */
 export interface Worker {
@@ -7,6 +7,8 @@
   /** `ip:port`. */
   readonly address: string;
   readonly dataCentre: DataCentreName;
+  /** Version of its software; several may serve one service side by side. */
+  readonly build: BuildName;
   /** Maximum number of concurrent requests. */
   readonly slots: number;
   /** Whether the worker is draining or its registration is being deleted. */
