--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -15,6 +15,7 @@
 import { ANSWER_GRACE_MS, DEFAULT_TIMEOUT_MS, MAX_EVENT_BYTES } from '../constants.js';
 import { sendLocalReply } from '../front/sendLocalReply.js';
 import { EventFramer } from '../relay/index.js';
+import { buildWorkerRequest } from './buildWorkerRequest.js';
 import { selectWorker } from './selectWorker.js';
 import { findLimitRefusal, findQuarantineRefusal } from './findRefusal.js';
 import { ExchangeReport } from './ExchangeReport.js';
@@ -189,7 +190,7 @@
   }
 
   #sendTo(record: WorkerRecord, service: RoutedService, backlogTokens: number): void {
-    const { holder, caller, body } = this.admitted;
+    const { caller } = this.admitted;
     const nowMs = this.#getNowMs();
     const claimed = record.pool.claim(nowMs, this.#isRepeatable);
     const prompt = service.engine === undefined ? undefined : caller.prompt;
@@ -216,21 +217,13 @@
     this.#activeSend = active;
     this.#sends += 1;
     this.#tried.add(record.worker.id);
-    const headers = this.state.options.protocol.encodeSend(this.request.rawHeaders, {
+    const { heldAnswers, options } = this.state;
+    const workerRequest = buildWorkerRequest(options.protocol, this.request, this.admitted, {
       worker: record.worker.id,
       remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(this.#getRemainingMs())),
-      workspace: holder?.workspace,
       priority: prompt === undefined ? undefined : this.#priorityRank,
       lastEventId: this.#framer.lastEventId ?? caller.lastEventId,
     });
-    const workerRequest = {
-      method: this.request.method ?? 'GET',
-      path: this.request.url ?? '/',
-      headers,
-      body,
-      requestId: this.admitted.caller.requestId,
-    };
-    const { heldAnswers, options } = this.state;
     active.send = sendToWorker(workerRequest, claimed, options.protocol, heldAnswers, {
       shouldRelay: (head) => this.#onHead(active, head),
       onChunk: (chunk, resume) => this.#onChunk(active, chunk, resume),
--- /dev/null
+++ b/packages/forwarder/src/exchange/builds.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  buildTestConfiguration,
+  formatStream,
+  readHeader,
+  startTestFleet,
+  startTestForwarder,
+  startTestWorkers,
+  STREAM_END,
+} from '../testing/index.js';
+
+import type { TestContext } from 'node:test';
+import type { TestAnswer, TestForwarder, WorkerScript } from '../testing/index.js';
+
+const EVENTS = ['a', 'b', 'c', 'd'];
+
+const BUILDS = ['v1', 'v2', 'v1', 'v2'];
+
+/** Number of streams of a test: placement chooses among the workers at random. */
+const STREAMS = 20;
+
+/** Time in which VMs report to each other several times, in milliseconds. */
+const REPORTS_MS = 700;
+
+/** Third octet of the loopback addresses; other test files use others. */
+const SUBNET = 41;
+
+const sleep = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, durationMs));
+
+/** Streams events whose data is the build. A new stream breaks off after two events. */
+const buildWorkerScript =
+  (build: string): WorkerScript =>
+  (socket, head) => {
+    const after = Number(readHeader(head, 'last-event-id') || 0);
+    if (after > 0) {
+      socket.write(formatStream(head, EVENTS.slice(after).fill(build)) + STREAM_END);
+      return;
+    }
+    socket.write(formatStream(head, [build, build]), () => socket.destroy());
+  };
+
+const listBuilds = (...bodies: readonly string[]): readonly string[] => [
+  ...new Set(
+    bodies.flatMap((body) => [...body.matchAll(/data: (\w+)/g)].map(([, data]) => data ?? '')),
+  ),
+];
+
+/** Begins a stream of which the caller receives two events. */
+const startStream = (forwarder: TestForwarder, id: string): Promise<TestAnswer> =>
+  forwarder.call('resumable', { 'request-id': id }, 'prompt');
+
+const takeUp = (forwarder: TestForwarder, id: string): Promise<TestAnswer> =>
+  forwarder.call(
+    'resumable',
+    { 'request-id': `${id}-again`, resumes: id, 'last-event-id': '2' },
+    'prompt',
+  );
+
+/** A configuration in which an answer that breaks off is not resumed, so that the caller has to take it up. */
+const WITHOUT_RETRIES = buildTestConfiguration({
+  routes: buildTestConfiguration().routes.map((route) => ({ ...route, maxRuns: 1 })),
+});
+
+const startFleet = async (context: TestContext, vms: number): Promise<readonly TestForwarder[]> =>
+  startTestFleet(context, {
+    vms,
+    subnet: SUBNET,
+    workers: await startTestWorkers(context, BUILDS.map(buildWorkerScript)),
+    configuration: WITHOUT_RETRIES,
+    builds: BUILDS,
+  });
+
+// Within one answer, the router itself resumes at another worker.
+test('a stream that breaks off is not resumed at a worker of another build', async (context) => {
+  const forwarder = await startTestForwarder(
+    context,
+    BUILDS.map(buildWorkerScript),
+    buildTestConfiguration(),
+    BUILDS,
+  );
+  let whole = 0;
+  for (let index = 0; index < STREAMS; index += 1) {
+    const answer = await startStream(forwarder, `s${index}`);
+    assert.equal(listBuilds(answer.body).length, 1, answer.body);
+    if (answer.isComplete) whole += 1;
+  }
+  assert.equal(whole, STREAMS);
+});
+
+// A client takes a stream up with a new request, at any VM.
+test('a stream that its client takes up goes on at the build that began it, at every VM', async (context) => {
+  const forwarders = await startFleet(context, 3);
+  const [first] = forwarders;
+  assert.ok(first !== undefined);
+  for (let index = 0; index < STREAMS; index += 1) {
+    const forwarder = forwarders[index % forwarders.length] ?? first;
+    const id = `t${index}`;
+    const begun = await startStream(first, id);
+    await sleep(REPORTS_MS / 4);
+    const resumed = await takeUp(forwarder, id);
+    assert.equal(resumed.status, 200);
+    assert.equal(listBuilds(begun.body, resumed.body).length, 1, id);
+  }
+});
+
+// After a loss of all VMs nobody knows the build; the answer would look whole.
+test('a stream of unknown build is not taken up while several builds may have begun it', async (context) => {
+  const [forwarder] = await startFleet(context, 1);
+  assert.ok(forwarder !== undefined);
+  for (let index = 0; index < STREAMS; index += 1) {
+    const resumed = await takeUp(forwarder, `u${index}`);
+    assert.equal(resumed.status, 503);
+  }
+  const sends = forwarder.workers.reduce((sum, { heads }) => sum + heads.length, 0);
+  assert.equal(sends, 0);
+});
+
+// With one build, all take-ups can go on, also after a loss of all VMs.
+test('a stream of unknown build is taken up where only one build can have begun it', async (context) => {
+  const forwarder = await startTestForwarder(context, ['v1', 'v1'].map(buildWorkerScript));
+  const resumed = await takeUp(forwarder, 'one');
+  assert.deepEqual([resumed.status, listBuilds(resumed.body)], [200, ['v1']]);
+});
