--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -28,7 +28,7 @@
 import { toFinalCode } from './toFinalCode.js';
 import { addUnansweredSend, finishUnansweredSend } from './unansweredSends.js';
 
-import type { ServiceName, UpstreamId } from '@sardinegrade/common';
+import type { BuildName, ServiceName, UpstreamId } from '@sardinegrade/common';
 import type { RoutedService } from '@sardinegrade/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ForwarderState } from '../ForwarderState.js';
@@ -55,6 +55,8 @@
   #headToRelay: AnswerHead | undefined;
   #runs = 0;
   #sends = 0;
+  /** Build of the worker whose event reached the caller first; the rest of the stream has to come from it. */
+  #build: BuildName | undefined;
   #isFinished = false;
   #lastErrorAnswer: Extract<SendEnd, { isComplete: true }> | undefined;
 
@@ -131,6 +133,7 @@
         prompt,
         targetMs: this.admitted.route.targetMs,
         tried: this.#tried,
+        build: this.#build,
         isRepeatable: this.#isRepeatable,
         nowMs: this.#getNowMs(),
       });
@@ -141,7 +144,9 @@
       this.#replyFailure(
         this.#runs > 0,
         ResultCode.NoUpstream,
-        'no worker of the service is known',
+        this.#build === undefined
+          ? 'no worker of the service is known'
+          : `no worker of build '${this.#build}' is known`,
       );
       return true;
     }
@@ -259,6 +264,7 @@
     }
     if (events.length === 0) return true;
     active.hasFirstEvent = true;
+    this.#build ??= active.record.worker.build;
     if (active.unanswered !== undefined) this.state.partQuarantine.recordAnswer(active.unanswered);
     this.#report.recordEvents();
     if (active.run?.hasFirstEvent === false) {
--- a/packages/forwarder/src/exchange/builds.test.ts
+++ b/packages/forwarder/src/exchange/builds.test.ts
@@ -75,12 +75,12 @@
 
 // Within one answer, the router itself resumes at another worker.
 test('a stream that breaks off is not resumed at a worker of another build', async (context) => {
-  const forwarder = await startTestForwarder(
-    context,
-    BUILDS.map(buildWorkerScript),
-    buildTestConfiguration(),
-    BUILDS,
-  );
+  // Each stream breaks at another worker, and there are more workers of each build than streams.
+  const builds = Array.from({ length: STREAMS + 1 }, () => ['v1', 'v2']).flat();
+  const scripts = builds.map(buildWorkerScript);
+  const forwarder = await startTestForwarder(context, scripts, buildTestConfiguration(), builds);
+  // The retry budget of a fleet of one VM covers all streams.
+  forwarder.state.setVmCount(1);
   let whole = 0;
   for (let index = 0; index < STREAMS; index += 1) {
     const answer = await startStream(forwarder, `s${index}`);
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -7,7 +7,7 @@
   shouldWait,
 } from '@sardinegrade/routing';
 
-import type { UpstreamId } from '@sardinegrade/common';
+import type { BuildName, UpstreamId } from '@sardinegrade/common';
 import type { EngineView, PromptShape, RoutedService } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { CandidateSet, WorkerRecord } from '../workers/index.js';
@@ -35,6 +35,8 @@
   readonly targetMs: number;
   /** Workers to which this request has already been sent. */
   readonly tried: ReadonlySet<UpstreamId>;
+  /** Build that began the stream which the request goes on with; undefined if any may serve it. */
+  readonly build: BuildName | undefined;
   /** Whether the request may be sent again, and therefore may probe an unreachable data centre. */
   readonly isRepeatable: boolean;
   readonly nowMs: number;
@@ -62,6 +64,29 @@
   limited: [],
 };
 
+/**
+ * Time after a failed send in which a worker does not go on with streams, in milliseconds: it may have started again as
+ * another build, and its new registration has not arrived.
+ */
+const RESTART_DOUBT_MS = 3_000;
+
+/** Lists the workers that may go on with a stream of a build. */
+const listWorkersOfBuild = (
+  { state, service, build, tried, nowMs }: SelectionContext,
+  all: CandidateSet,
+): CandidateSet => {
+  if (build === undefined) return all;
+  const hasOtherBuilds = state.fleet.directory
+    .listAll()
+    .some((worker) => worker.service === service.name && worker.build !== build);
+  const isInDoubt = ({ worker, health }: WorkerRecord): boolean =>
+    hasOtherBuilds && (tried.has(worker.id) || health.hasFailedSince(nowMs - RESTART_DOUBT_MS));
+  const records = all.records.filter(
+    (record) => record.worker.build === build && !isInDoubt(record),
+  );
+  return { records, ranking: new EngineRanking(records.map(({ worker }) => worker.id)) };
+};
+
 /** Lists the workers whose limits allow a request of this VM now. */
 const listAccepting = (state: ForwarderState, all: CandidateSet): CandidateSet => {
   if (state.workerLimits.limitedCount === 0) return all;
@@ -157,7 +182,7 @@
  */
 export const selectWorker = (context: SelectionContext): WorkerSelection => {
   const { state, prompt, service, nowMs } = context;
-  const all = state.fleet.listCandidates(service, nowMs);
+  const all = listWorkersOfBuild(context, state.fleet.listCandidates(service, nowMs));
   const accepting = listAccepting(state, all);
   if (accepting.records.length === 0 && all.records.length > 0) {
     return { ...NO_WORKER, shouldWait: true, limited: all.records };
--- a/packages/routing/src/workers/WorkerHealth.ts
+++ b/packages/routing/src/workers/WorkerHealth.ts
@@ -14,6 +14,7 @@
   #ejectionMs = 0;
   #ejectedUntilMs = Number.NEGATIVE_INFINITY;
   #failureShare = 0;
+  #failedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Moving average of the failure rate, between 0 and 1. */
   get failureShare(): number {
@@ -41,12 +42,18 @@
    */
   recordFailure(nowMs: number, isUnreachable: boolean): void {
     this.#consecutiveFailures += 1;
+    this.#failedAtMs = nowMs;
     this.#failureShare += (1 - this.#failureShare) * OUTCOME_WEIGHT;
     if (!isUnreachable && this.#consecutiveFailures < FAILURES_TO_EJECT) return;
     this.#ejectionMs = Math.min(MAX_EJECTION_MS, Math.max(MIN_EJECTION_MS, this.#ejectionMs * 2));
     this.#ejectedUntilMs = nowMs + this.#ejectionMs;
   }
 
+  /** @returns whether the worker has failed at this time or later, other than by an error answer */
+  hasFailedSince(sinceMs: number): boolean {
+    return this.#failedAtMs >= sinceMs;
+  }
+
   /** @returns whether the worker is ejected at this time */
   isEjected(nowMs: number): boolean {
     return nowMs < this.#ejectedUntilMs;
