fix(forwarder,routing): a stream that its client takes up goes on only at the build that began it (ORDER)

What callers saw: a take-up answered 200 and ran to its end at a worker of another software version than the first part; nothing in the answer showed it. Cause: a client's take-up was placed like a new request, at whichever VM it came to, and nothing read which stream it goes on with.

A VM remembers the service and build of each resumable stream that it begins, by the id of the request that received the first event, until the client's time is over. VMs tell each other with the load messages, twice, while a service has several builds; a relay forwards once; a VM that starts asks for what others know with its first request for cached parts. A take-up goes to workers of that build. One whose origin is not known goes on only if a single build can have begun it; otherwise it is refused at once, as not run (503, Retry-After 0.2 s: another VM may know). An origin about which VMs disagree is not known.

Metric sardinegrade_resumed_streams_total. Not covered yet: after a start of all VMs a build that has just left is not known to have been there.

--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -63,6 +63,11 @@
     help: 'Asks after the first, by cause (retried, resumed).',
     labels: ['service', 'cause'],
   },
+  [MetricName.ResumedStreams]: {
+    kind: Counter,
+    help: 'Streams that callers resumed, by how their origin was found (known, only_build, unknown).',
+    labels: ['origin'],
+  },
   [MetricName.UpstreamAttempts]: {
     kind: Counter,
     help: 'Attempts at upstreams, by outcome.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -11,6 +11,7 @@
   Grants = 'sardinegrade_grants_total',
   Preemptions = 'sardinegrade_preemptions_total',
   Retries = 'sardinegrade_retries_total',
+  ResumedStreams = 'sardinegrade_resumed_streams_total',
   UpstreamAttempts = 'sardinegrade_upstream_attempts_total',
   OrderWrites = 'sardinegrade_order_writes_total',
   PlatformCalls = 'sardinegrade_platform_calls_total',
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,10 +1,12 @@
 import { createMetrics, MetricName } from '@sardinegrade/common';
 import { RetryBudget } from '@sardinegrade/dispatch';
 import {
+  BuildHistory,
   CrashTracker,
   DataCentreMonitor,
   RouteTable,
   SharedLoadView,
+  StreamOrigins,
   StreamPace,
 } from '@sardinegrade/routing';
 
@@ -16,6 +18,7 @@
 import { toInstanceId, WorkerFleet } from './workers/index.js';
 
 import type {
+  BuildName,
   DataCentreName,
   Logger,
   ServiceName,
@@ -98,6 +101,8 @@
   readonly crashes = new CrashTracker();
   /** Refuses requests with prompt parts that crash workers. */
   readonly partQuarantine: PartQuarantine;
+  /** Where streams began that callers may resume. */
+  readonly streamOrigins = new StreamOrigins();
   /** Limits that workers name in their answers. */
   readonly workerLimits: WorkerLimits;
   /** Called with crashes that this VM has detected. */
@@ -122,6 +127,7 @@
   #routes = new RouteTable([]);
   #drainingSinceMs: number | undefined;
   #vmCount = DEFAULT_VM_COUNT;
+  readonly #builds = new BuildHistory();
   readonly #budgets = new Map<ServiceName, RetryBudget>();
 
   /** @param options - dependencies and settings */
@@ -217,6 +223,26 @@
     this.onCrashes(crashes);
   }
 
+  /** Lists the builds of a service at which a stream that can still be resumed may have begun. */
+  listBuilds(service: ServiceName): readonly BuildName[] {
+    this.#recordBuilds();
+    return this.#builds.list(service, this.options.getNowMs());
+  }
+
+  /** Removes what has expired; called every second. */
+  sweep(): void {
+    const nowMs = this.options.getNowMs();
+    this.fleet.sweep(nowMs);
+    this.streamOrigins.sweep(nowMs);
+    this.#recordBuilds();
+  }
+
+  #recordBuilds(): void {
+    const nowMs = this.options.getNowMs();
+    for (const { service, build } of this.fleet.directory.listAll())
+      this.#builds.record(service, build, nowMs);
+  }
+
   /** Updates the number of VMs, which share the retry budgets. */
   setVmCount(count: number): void {
     this.#vmCount = Math.ceil(count * (1 + VM_GROWTH_SHARE));
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -20,6 +20,7 @@
 import { findLimitRefusal, findQuarantineRefusal } from './findRefusal.js';
 import { ExchangeReport } from './ExchangeReport.js';
 import { recordSendFailure } from './recordSendFailure.js';
+import { recordStreamOrigin } from './recordStreamOrigin.js';
 import { findService } from './findService.js';
 import { recordLimit } from './recordLimit.js';
 import { isFramed, isSuccess, sendToWorker } from './sendToWorker.js';
@@ -66,8 +67,9 @@
     private readonly response: ServerResponse,
     private readonly admitted: AdmittedRequest,
   ) {
-    const { route, caller } = admitted;
-    this.#service = chooseService(route.shares, state.options.random);
+    const { route, caller, origin } = admitted;
+    this.#service = origin?.service ?? chooseService(route.shares, state.options.random);
+    this.#build = origin?.build;
     this.#report = new ExchangeReport(state, admitted, this.#service);
     this.#timeoutMs = Math.min(caller.deadlineMs ?? DEFAULT_TIMEOUT_MS, route.timeoutMs);
     this.#isRepeatable = route.kind === RouteKind.Safe || route.isResumable;
@@ -141,13 +143,9 @@
       return this.#refuseIfLimited(selection.limited);
     }
     if (service === undefined || selection?.record === undefined) {
-      this.#replyFailure(
-        this.#runs > 0,
-        ResultCode.NoUpstream,
-        this.#build === undefined
-          ? 'no worker of the service is known'
-          : `no worker of build '${this.#build}' is known`,
-      );
+      const scope = this.#build === undefined ? 'the service' : `build '${this.#build}'`;
+      const reason = `no worker of ${scope} is known`;
+      this.#replyFailure(this.#runs > 0, ResultCode.NoUpstream, reason);
       return true;
     }
     if (selection.shouldWait) return false;
@@ -264,7 +262,7 @@
     }
     if (events.length === 0) return true;
     active.hasFirstEvent = true;
-    this.#build ??= active.record.worker.build;
+    this.#build ??= recordStreamOrigin(this.state, this.admitted, active.record);
     if (active.unanswered !== undefined) this.state.partQuarantine.recordAnswer(active.unanswered);
     this.#report.recordEvents();
     if (active.run?.hasFirstEvent === false) {
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -5,6 +5,7 @@
 import { SyncedKind } from '../ForwarderState.js';
 import { BodyEnd, readBody } from '../front/readBody.js';
 import { sendLocalReply } from '../front/sendLocalReply.js';
+import { findStreamOrigin } from './findStreamOrigin.js';
 import { hashRequest } from './hashRequest.js';
 
 import type { KeyHolder, Route, RoutingConfiguration } from '@sardinegrade/routing';
@@ -47,7 +48,8 @@
   retryAfterMs: QUARANTINED_RETRY_MS,
 };
 
-const isReply = (result: Permission | LocalReply): result is LocalReply => 'code' in result;
+const isReply = (result: object | undefined): result is LocalReply =>
+  result !== undefined && 'code' in result;
 
 const checkRequest = (
   state: ForwarderState,
@@ -81,6 +83,8 @@
     generation: state.configuration?.version,
     inputs: {
       host: response.req.headers.host,
+      reason: reply.message,
+      resumes: caller.resumedRequestId,
       configuration_age_ms: toRoundedMs(state.configurationAgeMs),
       store_answer_age_ms: toRoundedMs(state.getStoreAnswerAgeMs(SyncedKind.Configuration)),
     },
@@ -152,5 +156,10 @@
     );
     return undefined;
   }
-  return { caller, ...permission, body: read.body, fingerprint, arrivedAtMs };
+  const origin = findStreamOrigin(state, permission.route, caller);
+  if (isReply(origin)) {
+    refuse(state, response, caller, origin);
+    return undefined;
+  }
+  return { caller, ...permission, origin, body: read.body, fingerprint, arrivedAtMs };
 };
--- a/packages/forwarder/src/exchange/builds.test.ts
+++ b/packages/forwarder/src/exchange/builds.test.ts
@@ -16,11 +16,12 @@
 
 const EVENTS = ['a', 'b', 'c', 'd'];
 
-const BUILDS = ['v1', 'v2', 'v1', 'v2'];
-
 /** Number of streams of a test: placement chooses among the workers at random. */
 const STREAMS = 20;
 
+/** Builds of the workers. Each stream breaks at another one, so there are more of each build than streams. */
+const BUILDS = Array.from({ length: STREAMS + 1 }, () => ['v1', 'v2']).flat();
+
 /** Time in which VMs report to each other several times, in milliseconds. */
 const REPORTS_MS = 700;
 
@@ -75,10 +76,12 @@
 
 // Within one answer, the router itself resumes at another worker.
 test('a stream that breaks off is not resumed at a worker of another build', async (context) => {
-  // Each stream breaks at another worker, and there are more workers of each build than streams.
-  const builds = Array.from({ length: STREAMS + 1 }, () => ['v1', 'v2']).flat();
-  const scripts = builds.map(buildWorkerScript);
-  const forwarder = await startTestForwarder(context, scripts, buildTestConfiguration(), builds);
+  const forwarder = await startTestForwarder(
+    context,
+    BUILDS.map(buildWorkerScript),
+    buildTestConfiguration(),
+    BUILDS,
+  );
   // The retry budget of a fleet of one VM covers all streams.
   forwarder.state.setVmCount(1);
   let whole = 0;
--- a/packages/forwarder/src/exchange/types.ts
+++ b/packages/forwarder/src/exchange/types.ts
@@ -1,5 +1,5 @@
 import type { Fingerprint } from '@sardinegrade/common';
-import type { EngineRun, KeyHolder, Route } from '@sardinegrade/routing';
+import type { EngineRun, KeyHolder, Route, StreamOrigin } from '@sardinegrade/routing';
 import type { ClaimedConnection } from '../connections/index.js';
 import type { UnansweredSend } from '../quarantine/index.js';
 import type { CallerRequest } from '../types.js';
@@ -11,6 +11,8 @@
 export interface AdmittedRequest {
   readonly caller: CallerRequest;
   readonly route: Route;
+  /** Where the stream began that the caller resumes; undefined if it resumes none. */
+  readonly origin: StreamOrigin | undefined;
   /** Workspace of the caller's API key; undefined for requests without a known key. */
   readonly holder: KeyHolder | undefined;
   readonly body: Buffer | undefined;
--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -38,10 +38,7 @@
         void this.#serve(request, response);
       },
     );
-    this.#sweepTimer = setInterval(
-      () => state.fleet.sweep(state.options.getNowMs()),
-      IDLE_SWEEP_INTERVAL_MS,
-    );
+    this.#sweepTimer = setInterval(() => state.sweep(), IDLE_SWEEP_INTERVAL_MS);
   }
 
   /** Number of requests without a final answer. */
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -8,7 +8,9 @@
   CACHE_REQUEST_INTERVAL_MS,
   IDLE_REPORT_INTERVAL_MS,
   MAX_CACHE_REQUESTS,
+  MAX_STARTUP_ORIGINS,
   MAX_STARTUP_PARTS,
+  ORIGINS_PER_DATAGRAM,
   PARTS_PER_DATAGRAM,
   PARTS_WITH_EVIDENCE_PER_DATAGRAM,
   PLACEMENTS_PER_DATAGRAM,
@@ -30,6 +32,7 @@
   Peer,
   Placement,
   PromptPart,
+  StreamOriginReport,
 } from '@sardinegrade/routing';
 import type { Socket } from 'node:dgram';
 import type { ForwarderState } from '../ForwarderState.js';
@@ -61,6 +64,7 @@
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
   #hasCachedParts = false;
+  #unsentOrigins: readonly StreamOriginReport[] = [];
   #cacheRequests = 0;
   #cacheRequestedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -130,9 +134,11 @@
   #tick(): void {
     const nowMs = this.options.state.options.getNowMs();
     this.#requestCachedParts(nowMs);
+    this.#collectOrigins(nowMs);
     const loads = this.#listOwnLoads(nowMs);
     const { partQuarantine, workerLimits } = this.options.state;
-    const hasUnsent = partQuarantine.hasUnsent || workerLimits.hasUnsent;
+    const hasUnsent =
+      partQuarantine.hasUnsent || workerLimits.hasUnsent || this.#unsentOrigins.length > 0;
     const isBusy = loads.size > 0 || this.#gossip.hasNews || hasUnsent;
     // The first report without load clears this VM's load at the receivers.
     const isDue = isBusy || this.#wasBusy || nowMs - this.#sentAtMs >= IDLE_REPORT_INTERVAL_MS;
@@ -153,6 +159,8 @@
     const { partQuarantine, workerLimits } = this.options.state;
     const evidence = partQuarantine.collectUnsent();
     const limits = workerLimits.collectUnsent();
+    const origins = this.#unsentOrigins;
+    this.#unsentOrigins = [];
     for (const { address, message } of this.#gossip.tick(loads, nowMs)) {
       // Messages to several receivers are encoded once.
       if (message !== last) {
@@ -160,6 +168,7 @@
           ...this.#encodeLoad(message),
           ...this.#encodeEvidence(message, evidence),
           ...this.#encodeLimits(message, limits),
+          ...this.#encodeOrigins(message, origins),
         ];
       }
       last = message;
@@ -202,6 +211,30 @@
     return [encodePeerMessage({ load: toLoadShare(part) })];
   }
 
+  #encodeOrigins(
+    message: LoadMessage,
+    origins: readonly StreamOriginReport[],
+  ): readonly Uint8Array[] {
+    const datagrams: Uint8Array[] = [];
+    for (let first = 0; first < origins.length; first += ORIGINS_PER_DATAGRAM) {
+      const streamOrigins = origins.slice(first, first + ORIGINS_PER_DATAGRAM);
+      const part: LoadMessage = { ...message, ...NO_LOAD, streamOrigins };
+      datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
+    }
+    return datagrams;
+  }
+
+  /** Takes the origins of streams that other VMs need, since their service has several builds. */
+  #collectOrigins(nowMs: number): void {
+    const { state } = this.options;
+    if (!state.streamOrigins.hasUnsent) return;
+    const collected = state.streamOrigins.collectUnsent(
+      nowMs,
+      (service) => state.listBuilds(service).length > 1,
+    );
+    this.#unsentOrigins = [...this.#unsentOrigins, ...collected];
+  }
+
   /** Requests the engines' cached parts from one peer after another until one replies. */
   #requestCachedParts(nowMs: number): void {
     if (
@@ -237,6 +270,14 @@
     }
   }
 
+  #sendOrigins(receiver: SocketAddress): void {
+    const { state } = this.options;
+    const origins = state.streamOrigins.list(state.options.getNowMs()).slice(-MAX_STARTUP_ORIGINS);
+    for (const bytes of this.#encodeOrigins(this.#gossip.buildEmptyMessage(), origins)) {
+      this.#socket.send(bytes, receiver.port, receiver.host);
+    }
+  }
+
   #recordPlacement(upstream: UpstreamId, parts: readonly PromptPart[]): void {
     // The last part is unique to the request, so no other VM sends it.
     const placement: Placement = { engine: hashText(upstream), parts: parts.slice(0, -1) };
@@ -250,6 +291,7 @@
       if (message.asksMemory) {
         this.#sendCachedParts(sender);
         this.#sendEvidence(sender);
+        this.#sendOrigins(sender);
       }
       if (message.memory === undefined) return;
       this.#hasCachedParts = true;
@@ -271,6 +313,7 @@
     for (const crash of message.crashes) state.crashes.addCrash(crash, nowMs);
     state.partQuarantine.addEvidence(message.partEvidence);
     state.workerLimits.applyReports(message.workerLimits);
+    state.streamOrigins.applyReports(message.streamOrigins, nowMs, !this.#gossip.isDirect);
     state.queue.retryAll();
   }
 
--- a/packages/forwarder/src/peers/constants.ts
+++ b/packages/forwarder/src/peers/constants.ts
@@ -18,3 +18,9 @@
 
 /** Maximum number of parts about which a starting VM receives evidence at once. */
 export const MAX_STARTUP_PARTS = 90;
+
+/** Maximum number of origins of streams in a datagram, some 22 bytes each. */
+export const ORIGINS_PER_DATAGRAM = 40;
+
+/** Maximum number of origins that a starting VM receives at once; the newest are sent. */
+export const MAX_STARTUP_ORIGINS = 1_000;
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -5,7 +5,11 @@
 import { LoadProtocol } from '@sardinegrade/peer';
 import { LoadScope, MAX_CRASHES_PER_PART } from '@sardinegrade/routing';
 
-import { PARTS_WITH_EVIDENCE_PER_DATAGRAM, PLACEMENTS_PER_DATAGRAM } from './constants.js';
+import {
+  ORIGINS_PER_DATAGRAM,
+  PARTS_WITH_EVIDENCE_PER_DATAGRAM,
+  PLACEMENTS_PER_DATAGRAM,
+} from './constants.js';
 import { encodePeerMessage, fromLoadShare, toLoadShare } from './loadMessages.js';
 
 import type { LoadMessage, PromptPart } from '@sardinegrade/routing';
@@ -44,6 +48,14 @@
     parts: PARTS,
   })),
   crashes: [],
+  streamOrigins: [
+    {
+      service: toBranded('bead-oracle'),
+      build: toBranded('v1.2'),
+      request: toBranded('9c41d07be2a35f68'),
+      remainingMs: 11_500,
+    },
+  ],
   workerLimits: [
     { instance: 7, perSecond: 1.25, ageMs: 20 },
     { instance: 8, perSecond: undefined, ageMs: 40 },
@@ -73,7 +85,12 @@
 });
 
 test('a digest of a large site with the maximum number of placements fits into a datagram', () => {
-  const message = { ...buildMessage(LoadScope.Digest), partEvidence: [], workerLimits: [] };
+  const message = {
+    ...buildMessage(LoadScope.Digest),
+    partEvidence: [],
+    workerLimits: [],
+    streamOrigins: [],
+  };
   const bytes = encodePeerMessage({ load: toLoadShare(message) });
   assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
 });
@@ -93,6 +110,7 @@
     placements: [],
     dataCentreAges: new Map(),
     workerLimits: [],
+    streamOrigins: [],
     partEvidence: Array.from({ length: PARTS_WITH_EVIDENCE_PER_DATAGRAM }, () => ({
       ...evidence,
       crashes,
@@ -101,3 +119,19 @@
   const bytes = encodePeerMessage({ load: toLoadShare(message) });
   assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
 });
+
+test('the maximum number of origins of streams fits into a datagram', () => {
+  const [origin] = buildMessage(LoadScope.News).streamOrigins;
+  assert.ok(origin !== undefined);
+  const message = {
+    ...buildMessage(LoadScope.News),
+    engines: new Map(),
+    placements: [],
+    dataCentreAges: new Map(),
+    workerLimits: [],
+    partEvidence: [],
+    streamOrigins: Array.from({ length: ORIGINS_PER_DATAGRAM }, () => origin),
+  };
+  const bytes = encodePeerMessage({ load: toLoadShare(message) });
+  assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
+});
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -2,8 +2,23 @@
 import { LoadProtocol } from '@sardinegrade/peer';
 import { LoadScope } from '@sardinegrade/routing';
 
-import type { DataCentreName, Fingerprint, UpstreamId, VmId } from '@sardinegrade/common';
-import type { EngineLoad, LoadMessage, PartId, Placement, PromptPart } from '@sardinegrade/routing';
+import type {
+  BuildName,
+  DataCentreName,
+  Fingerprint,
+  RequestId,
+  ServiceName,
+  UpstreamId,
+  VmId,
+} from '@sardinegrade/common';
+import type {
+  EngineLoad,
+  LoadMessage,
+  PartId,
+  Placement,
+  PromptPart,
+  StreamOriginReport,
+} from '@sardinegrade/routing';
 
 /** Unit of backlogs in messages, in tokens: prefill of a hundred tokens takes two milliseconds. */
 const TOKENS_PER_UNIT = 100;
@@ -36,6 +51,27 @@
     ...message,
   }).finish();
 
+/** Groups origins by service and build, whose names are then sent once. */
+const toWireOrigins = (reports: readonly StreamOriginReport[]): LoadProtocol.StreamOrigins[] => {
+  const groups = new Map<string, LoadProtocol.StreamOrigins>();
+  for (const { service, build, request, remainingMs } of reports) {
+    const key = `${service} ${build}`;
+    const group = groups.get(key) ?? { service, build, requests: [], remainingMs: [] };
+    group.requests.push(request);
+    group.remainingMs.push(Math.round(remainingMs));
+    groups.set(key, group);
+  }
+  return [...groups.values()];
+};
+
+const fromWireOrigins = (group: LoadProtocol.StreamOrigins): readonly StreamOriginReport[] =>
+  group.requests.map((request, index) => ({
+    service: toBranded<ServiceName>(group.service),
+    build: toBranded<BuildName>(group.build),
+    request: toBranded<RequestId>(request),
+    remainingMs: group.remainingMs[index] ?? 0,
+  }));
+
 /** @returns the wire form of a load message */
 export const toLoadShare = (message: LoadMessage): LoadProtocol.LoadShare => {
   const loads = [...message.engines];
@@ -62,6 +98,7 @@
       ...limit,
       ageMs: Math.round(limit.ageMs),
     })),
+    streamOrigins: toWireOrigins(message.streamOrigins),
     partEvidence: message.partEvidence.map(({ crashes, ...evidence }) => ({
       ...evidence,
       crashes: crashes.map((crash) => ({ ...crash, ageMs: Math.round(crash.ageMs) })),
@@ -117,6 +154,7 @@
     perSecond,
     ageMs,
   })),
+  streamOrigins: load.streamOrigins.flatMap(fromWireOrigins),
   partEvidence: load.partEvidence.map((evidence) => ({
     ...evidence,
     part: toBranded<PartId>(evidence.part),
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -258,6 +258,7 @@
       dataCentreAges,
       partEvidence: [],
       workerLimits: [],
+      streamOrigins: [],
     };
   }
 }
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -2,6 +2,7 @@
 import type { LimitReport } from '../limits/index.js';
 import type { PromptPart } from '../placement/index.js';
 import type { Crash, PartEvidence } from '../quarantine/index.js';
+import type { StreamOriginReport } from '../streams/index.js';
 import type { LoadScope } from './enums.js';
 
 /** Load that one or more VMs put on an engine. */
@@ -61,6 +62,8 @@
   readonly partEvidence: readonly PartEvidence[];
   /** Limits that workers have named to the sender, or no longer name. */
   readonly workerLimits: readonly LimitReport[];
+  /** Streams that began at workers of services with several builds. */
+  readonly streamOrigins: readonly StreamOriginReport[];
 }
 
 /** Another VM and the address at which it receives load messages. */
--- /dev/null
+++ b/packages/routing/src/streams/index.ts
@@ -0,0 +1,4 @@
+/** Builds at which streams began, and may go on. */
+export * from './BuildHistory.js';
+export * from './StreamOrigins.js';
+export type * from './types.js';
