--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -105,6 +105,14 @@
   readonly streamOrigins = new StreamOrigins();
   /** Limits that workers name in their answers. */
   readonly workerLimits: WorkerLimits;
+  /** Returns whether all VMs can find out that streams of a service may have begun at a build. */
+  isBuildRecorded: (service: ServiceName, build: BuildName) => boolean = () => true;
+  /**
+   * Fetches the builds of a service at which a stream that can still be resumed may have begun, at any VM; undefined if they
+   * are not known.
+   */
+  fetchBuilds: (service: ServiceName) => Promise<readonly BuildName[] | undefined> = (service) =>
+    Promise.resolve(this.listBuilds(service));
   /** Called with crashes that this VM has detected. */
   onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
@@ -229,6 +237,11 @@
     return this.#builds.list(service, this.options.getNowMs());
   }
 
+  /** @returns whether this VM has known workers of a build, but none within the lifetime of a stream */
+  hasBuildLeft(service: ServiceName, build: BuildName): boolean {
+    return this.#builds.hasLeft(service, build, this.options.getNowMs());
+  }
+
   /** Removes what has expired; called every second. */
   sweep(): void {
     const nowMs = this.options.getNowMs();
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -136,6 +136,7 @@
         targetMs: this.admitted.route.targetMs,
         tried: this.#tried,
         build: this.#build,
+        beginsStream: this.admitted.route.isResumable && this.#build === undefined,
         isRepeatable: this.#isRepeatable,
         nowMs: this.#getNowMs(),
       });
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -156,7 +156,7 @@
     );
     return undefined;
   }
-  const origin = findStreamOrigin(state, permission.route, caller);
+  const origin = await findStreamOrigin(state, permission.route, caller);
   if (isReply(origin)) {
     refuse(state, response, caller, origin);
     return undefined;
--- a/packages/forwarder/src/exchange/findStreamOrigin.ts
+++ b/packages/forwarder/src/exchange/findStreamOrigin.ts
@@ -31,11 +31,14 @@
 ): StreamOrigin | undefined =>
   resumedRequestId && streamOrigins.find(resumedRequestId, options.getNowMs());
 
-/** Finds the only build that can have begun a stream; undefined if there are several or none. */
-const findOnlyOrigin = (state: ForwarderState, route: Route): StreamOrigin | undefined => {
+/** Finds the only build that can have begun a stream; undefined if there are several or they are not known. */
+const fetchOnlyOrigin = async (
+  state: ForwarderState,
+  route: Route,
+): Promise<StreamOrigin | undefined> => {
   const service = chooseService(route.shares, state.options.random);
   if (service === undefined) return undefined;
-  const [build, ...others] = state.listBuilds(service);
+  const [build, ...others] = (await state.fetchBuilds(service)) ?? [];
   return build === undefined || others.length > 0 ? undefined : { service, build };
 };
 
@@ -48,15 +51,15 @@
  * @param caller - metadata of the request
  * @returns the origin, the reply by which the request is refused, or undefined if the request does not resume a stream
  */
-export const findStreamOrigin = (
+export const findStreamOrigin = async (
   state: ForwarderState,
   route: Route,
   caller: CallerRequest,
-): StreamOrigin | LocalReply | undefined => {
+): Promise<StreamOrigin | LocalReply | undefined> => {
   if (caller.lastEventId === undefined || !route.isResumable) return undefined;
   if (route.kind !== RouteKind.Streaming) return undefined;
   const known = findKnownOrigin(state, caller);
-  const origin = known ?? findOnlyOrigin(state, route);
+  const origin = known ?? (await fetchOnlyOrigin(state, route));
   const source = known === undefined ? OriginSource.OnlyBuild : OriginSource.Known;
   const outcome = origin === undefined ? OriginSource.Unknown : source;
   state.metrics.addCount(MetricName.ResumedStreams, { origin: outcome });
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -37,6 +37,8 @@
   readonly tried: ReadonlySet<UpstreamId>;
   /** Build that began the stream which the request goes on with; undefined if any may serve it. */
   readonly build: BuildName | undefined;
+  /** Whether the request begins a stream that may be resumed, so that its build has to be recorded before. */
+  readonly beginsStream: boolean;
   /** Whether the request may be sent again, and therefore may probe an unreachable data centre. */
   readonly isRepeatable: boolean;
   readonly nowMs: number;
@@ -87,6 +89,19 @@
   return { records, ranking: new EngineRanking(records.map(({ worker }) => worker.id)) };
 };
 
+/** Lists the workers of recorded builds; all workers if none is recorded, as while the store does not answer. */
+const listRecorded = (
+  { state, beginsStream }: SelectionContext,
+  all: CandidateSet,
+): CandidateSet => {
+  if (!beginsStream) return all;
+  const records = all.records.filter(({ worker }) =>
+    state.isBuildRecorded(worker.service, worker.build),
+  );
+  if (records.length === 0 || records.length === all.records.length) return all;
+  return { records, ranking: new EngineRanking(records.map(({ worker }) => worker.id)) };
+};
+
 /** Lists the workers whose limits allow a request of this VM now. */
 const listAccepting = (state: ForwarderState, all: CandidateSet): CandidateSet => {
   if (state.workerLimits.limitedCount === 0) return all;
@@ -182,7 +197,8 @@
  */
 export const selectWorker = (context: SelectionContext): WorkerSelection => {
   const { state, prompt, service, nowMs } = context;
-  const all = listWorkersOfBuild(context, state.fleet.listCandidates(service, nowMs));
+  const known = state.fleet.listCandidates(service, nowMs);
+  const all = listRecorded(context, listWorkersOfBuild(context, known));
   const accepting = listAccepting(state, all);
   if (accepting.records.length === 0 && all.records.length > 0) {
     return { ...NO_WORKER, shouldWait: true, limited: all.records };
--- a/packages/routing/src/streams/BuildHistory.ts
+++ b/packages/routing/src/streams/BuildHistory.ts
@@ -24,9 +24,12 @@
   list(service: ServiceName, nowMs: number): readonly BuildName[] {
     const builds = this.#lastSeenAtMs.get(service);
     if (builds === undefined) return [];
-    for (const [build, seenAtMs] of builds) {
-      if (nowMs - seenAtMs > STREAM_LIFETIME_MS) builds.delete(build);
-    }
-    return [...builds.keys()];
+    return [...builds.keys()].filter((build) => !this.hasLeft(service, build, nowMs));
+  }
+
+  /** @returns whether a build has served, but not within the lifetime of a stream */
+  hasLeft(service: ServiceName, build: BuildName, nowMs: number): boolean {
+    const seenAtMs = this.#lastSeenAtMs.get(service)?.get(build);
+    return seenAtMs !== undefined && nowMs - seenAtMs > STREAM_LIFETIME_MS;
   }
 }
