fix(platform): a VM that only the store rejected does not keep workers that have left (DRAIN)

The VM, which the store had rejected from 13 to 16 s, listed at 17.33 s and kept the missing worker for 2.2 s, as if its registration had lapsed in an outage of the store. Cause: the end of the VM's own outage was taken for the return of the store, which had answered the other VMs, and the worker, all the while.

VMs tell each other how long ago the store has last answered them. When the store answers a VM again, the return is the first answer to any VM after the last gap of 1.5 s or more; without such a gap the store was not away, and a missing registration counts as removed. Without reports the own recovery counts, as before.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -125,6 +125,7 @@
     configuration: 0,
     workers: 0,
     activeGeneration: 0,
+    answerAgeMs: undefined,
   });
   /** Called with the versions that another VM has applied, and the address of its peer port. */
   onPeerVersions: (versions: StoreVersions, peer: SocketAddress) => void = () => undefined;
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -36,6 +36,7 @@
     configuration: 4_000_000_000,
     workers: 4_000_000_100,
     activeGeneration: 12,
+    answerAgeMs: 730,
   },
   engines: new Map(
     Array.from({ length: ENGINES }, (_, index) => [
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -94,6 +94,7 @@
     configurationVersion: message.storeVersions.configuration,
     workersVersion: message.storeVersions.workers,
     activeGeneration: message.storeVersions.activeGeneration,
+    storeAnswerAgeMs: message.storeVersions.answerAgeMs,
     workerLimits: message.workerLimits.map((limit) => ({
       ...limit,
       ageMs: Math.round(limit.ageMs),
@@ -148,6 +149,7 @@
     configuration: load.configurationVersion,
     workers: load.workersVersion,
     activeGeneration: load.activeGeneration,
+    answerAgeMs: load.storeAnswerAgeMs,
   },
   workerLimits: load.workerLimits.map(({ instance, perSecond, ageMs }) => ({
     instance,
--- a/packages/platform/src/sync/index.ts
+++ b/packages/platform/src/sync/index.ts
@@ -1,6 +1,7 @@
 /** Synchronization with the objects of a store by list and watch. */
 export * from './enums.js';
 export * from './ObjectSync.js';
+export * from './OutageEstimate.js';
 export * from './snapshotMessages.js';
 export * from './StoreEra.js';
 export type * from './types.js';
--- a/packages/routing/src/load/LoadGossip.test.ts
+++ b/packages/routing/src/load/LoadGossip.test.ts
@@ -25,7 +25,13 @@
   sent = 0;
   received = 0;
   readonly appliedMessages: LoadMessage[] = [];
-  storeVersions = { era: 0, configuration: 0, workers: 0, activeGeneration: 0 };
+  storeVersions = {
+    era: 0,
+    configuration: 0,
+    workers: 0,
+    activeGeneration: 0,
+    answerAgeMs: undefined,
+  };
 
   constructor(readonly peer: Peer) {
     const identity = { ...peer, startedAtMs: 1 };
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -49,6 +49,8 @@
   readonly workers: number;
   /** Generation of the configuration in force at the VM, which a restored store may not have; 0 without one. */
   readonly activeGeneration: number;
+  /** Time since the store has last answered the VM, in milliseconds; undefined before the first time. */
+  readonly answerAgeMs: number | undefined;
 }
 
 /** A load message between VMs. */
