fix(forwarder): only relays pass on where streams began

In a fleet with relays every VM sent each origin that it had received once more to its relay, which had sent it. Found by reading; the relays' own forwarding, which other VMs depend on, stays.

--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -313,7 +313,7 @@
     for (const crash of message.crashes) state.crashes.addCrash(crash, nowMs);
     state.partQuarantine.addEvidence(message.partEvidence);
     state.workerLimits.applyReports(message.workerLimits);
-    state.streamOrigins.applyReports(message.streamOrigins, nowMs, !this.#gossip.isDirect);
+    state.streamOrigins.applyReports(message.streamOrigins, nowMs, this.#gossip.isForwarding);
     state.queue.retryAll();
   }
 
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -79,6 +79,11 @@
     return this.#pendingNews.length > 0;
   }
 
+  /** Whether this VM passes on to others what it receives. */
+  get isForwarding(): boolean {
+    return this.#isRelay && !this.#isDirect;
+  }
+
   /** Whether each VM reports to all others, that is, the fleet is small. */
   get isDirect(): boolean {
     return this.#isDirect;
