test(soak): workers of several software versions, callers that resume streams, all VMs killed at once

Each event carries the version of its worker; a caller whose stream broke off takes it up with Resumes and Last-Event-Id; the ledger checks order, completeness and that one version wrote the stream, over both tries. New action kill_all_vms.

--- a/soak/src/SoakCaller.ts
+++ b/soak/src/SoakCaller.ts
@@ -3,7 +3,7 @@
 import { RequestKind } from './SoakLedger.js';
 
 import type { RandomSource } from '@sardinegrade/dispatch';
-import type { AnswerRecord, SoakLedger } from './SoakLedger.js';
+import type { AnswerRecord, SoakLedger, StreamPart } from './SoakLedger.js';
 import type { SoakVm } from './SoakVm.js';
 
 const KINDS = Object.values(RequestKind);
@@ -44,6 +44,11 @@
  */
 export const formatKey = (version: number): string => (version === 0 ? 'k' : `k${version}`);
 
+const buildResumeHeaders = ({ id, body }: StreamPart): Readonly<Record<string, string>> => ({
+  Resumes: id,
+  'Last-Event-Id': [...body.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? '',
+});
+
 /** Options of a caller. */
 export interface SoakCallerOptions {
   readonly name: string;
@@ -69,6 +74,8 @@
   #vm: SoakVm;
   #sent = 0;
   #isStopped = false;
+  /** Stream that broke off, which the next request resumes. */
+  #toResume: StreamPart | undefined;
 
   /** @param options - name, VMs, ledger and random source */
   constructor(private readonly options: SoakCallerOptions) {
@@ -100,7 +107,10 @@
     const { name, random, ledger, isStable, isStoreStable } = this.options;
     this.#sent += 1;
     const id = `${name}-${this.#sent}`;
-    const kind = KINDS[Math.floor(random() * KINDS.length)] ?? RequestKind.Safe;
+    const earlier = this.#toResume;
+    this.#toResume = undefined;
+    const drawn = KINDS[Math.floor(random() * KINDS.length)] ?? RequestKind.Safe;
+    const kind = earlier === undefined ? drawn : RequestKind.Resumable;
     const vm = this.#vm;
     const shouldDisconnect = random() < DISCONNECT_SHARE;
     const sentAtMs = performance.now();
@@ -108,7 +118,7 @@
     const { startCount: vmStartCount } = vm;
     const wasStable = isStable();
     const isInTouch = sentAtMs - vm.disturbedAtMs > STABLE_MS && isStoreStable();
-    const result = await this.#call(id, kind, formatKey(keyVersion), shouldDisconnect);
+    const result = await this.#call(id, kind, formatKey(keyVersion), shouldDisconnect, earlier);
     const isTerminated = vm.terminatedAtMs !== undefined;
     const isUndisturbed = sentAtMs - vm.disturbedAtMs > STABLE_MS && wasStable && isStable();
     if (!shouldDisconnect) {
@@ -123,12 +133,26 @@
         deadlineMs: DEADLINE_MS,
         isInTouch,
         isPlannedShutdown: isTerminated && isUndisturbed,
+        earlier,
         ...result,
       });
     }
+    this.#resumeNext(id, kind, earlier, result);
     if (result.status === 0 || shouldDisconnect) this.#reconnect();
   }
 
+  /** Has the next request resume a stream that has broken off after an event. */
+  #resumeNext(
+    id: string,
+    kind: RequestKind,
+    earlier: StreamPart | undefined,
+    { status, body, isComplete }: Pick<AnswerRecord, 'status' | 'body' | 'isComplete'>,
+  ): void {
+    const hasBegun = status === 200 && !isComplete && body.includes('\n\n');
+    if (kind !== RequestKind.Resumable || earlier !== undefined || !hasBegun) return;
+    this.#toResume = { id, body: body.slice(0, body.lastIndexOf('\n\n') + 2) };
+  }
+
   /** Prompts share one of a few first parts; some have the part that crashes workers at present. */
   #buildPromptHeaders(id: string): Readonly<Record<string, string>> {
     const { random, getPoisonedPart } = this.options;
@@ -160,6 +184,7 @@
     kind: RequestKind,
     key: string,
     shouldDisconnect: boolean,
+    earlier: StreamPart | undefined,
   ): Promise<Pick<AnswerRecord, 'status' | 'body' | 'hasSealHeader' | 'isComplete'>> {
     const { ip, ports } = this.#vm.options;
     return new Promise((resolve) => {
@@ -185,6 +210,7 @@
             'X-Deadline-Ms': String(DEADLINE_MS),
             'X-Key': key,
             ...(kind.startsWith('stream') ? this.#buildPromptHeaders(id) : {}),
+            ...(earlier === undefined ? {} : buildResumeHeaders(earlier)),
           },
         },
         (response) => {
--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -14,6 +14,9 @@
 
 const SERVICE = 'soak';
 
+/** Workers that start one after another with the same software version: replaced workers make versions mix. */
+const WORKERS_PER_VERSION = 3;
+
 /** More slots than the callers of a soak use at one worker, so that slots never limit them. */
 const WORKER_SLOTS = 32;
 
@@ -42,6 +45,9 @@
 /** Time after a crash in which its registration is still there, in milliseconds. */
 const LAPSE_MS = 3_000;
 
+/** Longest time for which all VMs are down, in milliseconds: callers resume their streams after it. */
+const MAX_DARK_MS = 600;
+
 /** Time in which VMs replace a watch that was reset, in milliseconds. */
 const REWATCH_MS = 150;
 
@@ -164,6 +170,15 @@
       await sleep(durationMs);
       vm.start();
     },
+    [SoakAction.KillAllVms]: ({ durationMs }) =>
+      this.#runWithPropagationFault(async () => {
+        const vms = this.vms.filter(
+          ({ pid, terminatedAtMs }) => pid !== undefined && terminatedAtMs === undefined,
+        );
+        await Promise.all(vms.map((vm) => vm.abort()));
+        await sleep(Math.min(durationMs, MAX_DARK_MS));
+        for (const vm of vms) vm.start();
+      }),
     [SoakAction.PauseVm]: async ({ target, durationMs }) => {
       const vm = this.#pick(this.vms, target);
       await this.#runWithPropagationFault(async () => {
@@ -306,7 +321,8 @@
 
   async #addWorker(): Promise<void> {
     this.#nextWorker += 1;
-    const worker = new SoakWorker(`w${this.#nextWorker}`, this.ledger, (part) => {
+    const version = `v${1 + Math.floor(this.#nextWorker / WORKERS_PER_VERSION)}`;
+    const worker = new SoakWorker(`w${this.#nextWorker}`, version, this.ledger, (part) => {
       this.ledger.recordCrash(part);
       void this.#crash(worker);
     });
@@ -330,10 +346,17 @@
   }
 
   #register(worker: SoakWorker, state: string): void {
-    const { id, proxy } = worker;
+    const { id, proxy, version } = worker;
     const seq = (this.#registrations.get(id)?.seq ?? 0) + 1;
     this.#registrations.set(id, { worker, state, seq });
-    const entry = { id, address: proxy.address, service: SERVICE, slots: WORKER_SLOTS, seq };
+    const entry = {
+      id,
+      address: proxy.address,
+      service: SERVICE,
+      slots: WORKER_SLOTS,
+      seq,
+      version,
+    };
     registerWorker(this.store, entry, state);
   }
 
--- a/soak/src/SoakLedger.ts
+++ b/soak/src/SoakLedger.ts
@@ -7,6 +7,12 @@
   readonly isResumed: boolean;
 }
 
+/** First part of a stream, and the request that received it. */
+export interface StreamPart {
+  readonly id: string;
+  readonly body: string;
+}
+
 /** The answer that a caller received to one request. */
 export interface AnswerRecord {
   readonly id: string;
@@ -25,6 +31,8 @@
   /** HTTP status; 0 if the connection ended without an answer. */
   readonly status: number;
   readonly body: string;
+  /** What the caller received of the stream before it resumed it; undefined if it did not. */
+  readonly earlier?: StreamPart | undefined;
   /** Whether the answer has the header X-Response-Seal that the worker set. */
   readonly hasSealHeader: boolean;
   /** Whether the whole HTTP response arrived. */
@@ -217,14 +225,18 @@
       }
       return;
     }
-    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+    const body = `${answer.earlier?.body ?? ''}${answer.body}`;
+    const ids = [...body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
     if (ids.some((id, index) => id !== index + 1)) report('order of streams', ids.join(' '));
     if (answer.isComplete && ids.length !== STREAM_LENGTH) {
       report('whole and own answers', `a stream of ${ids.length} events looks whole`);
     }
-    const hasForeignEvents = [...answer.body.matchAll(/^data: (.*)$/gm)].some(
-      ([, id]) => id !== answer.id,
+    const requests = [answer.id, answer.earlier?.id];
+    const hasForeignEvents = [...body.matchAll(/^data: (.*)$/gm)].some(
+      ([, id]) => !requests.includes(id),
     );
+    const versions = new Set([...body.matchAll(/^event: (.*)$/gm)].map(([, version]) => version));
+    if (versions.size > 1) report('one version a stream', [...versions].join(' '));
     if (hasForeignEvents) report('whole and own answers', 'events of another request');
   }
 
--- a/soak/src/SoakWorker.ts
+++ b/soak/src/SoakWorker.ts
@@ -30,11 +30,13 @@
 
   /**
    * @param id - id of the worker
+   * @param version - version of its software, which it writes into each event
    * @param ledger - records the requests that the worker executes
    * @param onPoisoned - called with the crashing part of a stream that is about to begin; the worker has to be closed
    */
   constructor(
     readonly id: string,
+    readonly version: string,
     private readonly ledger: SoakLedger,
     private readonly onPoisoned: (part: string) => void,
   ) {
@@ -107,7 +109,7 @@
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
     const timer = setInterval(() => {
       if (next <= STREAM_LENGTH)
-        response.write(`id: ${next}\ndata: ${headers['X-Request-Id']}\n\n`);
+        response.write(`id: ${next}\nevent: ${this.version}\ndata: ${headers['X-Request-Id']}\n\n`);
       else {
         clearInterval(timer);
         response.end();
--- a/soak/src/buildPlan.ts
+++ b/soak/src/buildPlan.ts
@@ -3,6 +3,7 @@
 /** Faults that the soak injects from outside the processes, and maintenance such as drains. */
 export enum SoakAction {
   KillVm = 'kill_vm',
+  KillAllVms = 'kill_all_vms',
   PauseVm = 'pause_vm',
   TerminateVm = 'terminate_vm',
   DelayWorker = 'delay_worker',
@@ -46,6 +47,7 @@
  * occur.
  */
 const PROPAGATION_FAULTS: ReadonlySet<SoakAction> = new Set([
+  SoakAction.KillAllVms,
   SoakAction.PauseVm,
   SoakAction.StoreDown,
   SoakAction.StoreLimited,
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -65,6 +65,16 @@
       1,
     ],
     ['whole and own answers', { kind: RequestKind.Stream, body: 'id: 1\ndata: r1\n' }, 1],
+    [
+      'one version a stream',
+      {
+        kind: RequestKind.Resumable,
+        earlier: { id: 'r0', body: 'id: 1\nevent: v1\ndata: r0\n\n' },
+        body: 'id: 2\nevent: v2\ndata: r1\n\n',
+        isComplete: false,
+      },
+      1,
+    ],
     ['deadlines', { deadlineMs: 1_000 }, 1],
     ['nothing cut around planned work', { status: 0, isPlannedShutdown: true }, 1],
   ];
