refactor(forwarder,platform): the record of builds is kept by the forwarder; platform/ only translates

BuildRegistry decided in platform/ when a build is recorded, read and removed. It moves to packages/forwarder behind a port (list, add, remove); platform/ maps the port to objects of the store.

--- a/packages/forwarder/src/index.ts
+++ b/packages/forwarder/src/index.ts
@@ -2,5 +2,6 @@
 export * from './ForwarderState.js';
 export * from './front/index.js';
 export * from './peers/index.js';
+export * from './streams/index.js';
 export type * from './types.js';
 export * from './watchStalls.js';
--- a/platform/src/BuildRegistry.ts
+++ b/packages/forwarder/src/streams/BuildRegistry.ts
@@ -1,13 +1,7 @@
-import { toBranded } from '@sardinegrade/common';
 import { STREAM_LIFETIME_MS } from '@sardinegrade/routing';
-import * as z from 'zod';
-
-import { OBJECT_KINDS } from './names.js';
 
 import type { BuildName, Logger, ServiceName } from '@sardinegrade/common';
-import type { ForwarderState } from '@sardinegrade/forwarder';
-import type { FeedObject, StoreEra } from '@sardinegrade/platform';
-import type { StoreClient } from './createStoreClient.js';
+import type { ForwarderState } from '../ForwarderState.js';
 
 /** Interval at which builds are compared with the record, in milliseconds: a new build waits this long at most. */
 const CHECK_INTERVAL_MS = 300;
@@ -21,25 +15,39 @@
  */
 const READ_VALIDITY_MS = 50;
 
-const buildSchema = z.object({ service: z.string().min(1), build: z.string() });
+/** A build of a service as it is recorded. */
+export interface RecordedBuild {
+  readonly service: ServiceName;
+  readonly build: BuildName;
+  /** Revision of the record, which differs once the build was recorded anew. */
+  readonly revision: number;
+}
+
+/** All recorded builds. */
+export interface BuildList {
+  readonly builds: readonly RecordedBuild[];
+  /** Number of times that the store has been restored from an older copy. */
+  readonly era: number;
+}
+
+/** The record of builds in the platform's store. Every method rejects if the store does not answer. */
+export interface BuildStore {
+  readonly list: () => Promise<BuildList>;
+  /** Records a build; has no effect if it is recorded. */
+  readonly add: (service: ServiceName, build: BuildName) => Promise<void>;
+  /** Removes a build unless it was recorded anew. */
+  readonly remove: (build: RecordedBuild) => Promise<void>;
+}
 
-/** The store, the forwarder's state and the logger. */
+/** The record, the forwarder's state and the logger. */
 export interface BuildRegistryOptions {
-  readonly store: StoreClient;
-  /** The highest era of the store that this VM knows of. */
-  readonly era: StoreEra;
+  readonly store: BuildStore;
   readonly state: ForwarderState;
   readonly logger: Logger;
   readonly signal: AbortSignal;
 }
 
-interface RecordedBuild {
-  readonly service: ServiceName;
-  readonly build: BuildName;
-  readonly object: FeedObject;
-}
-
-const toName = (service: ServiceName, build: BuildName): string => `${service}.${build}`;
+const toKey = (service: ServiceName, build: BuildName): string => `${service} ${build}`;
 
 /**
  * Records in the store which builds of a service may have begun streams, before the first stream begins at a build. A VM
@@ -54,7 +62,7 @@
   #isChecking = false;
   #nextCheckAtMs = Number.NEGATIVE_INFINITY;
 
-  /** @param options - the store, the forwarder's state and the logger */
+  /** @param options - the record, the forwarder's state and the logger */
   constructor(private readonly options: BuildRegistryOptions) {
     this.#startedAtMs = options.state.options.getNowMs();
   }
@@ -62,7 +70,7 @@
   /** Records builds of registered workers until the signal aborts. */
   start(): void {
     const { state, signal } = this.options;
-    state.isBuildRecorded = (service, build) => this.#recorded.has(toName(service, build));
+    state.isBuildRecorded = (service, build) => this.#recorded.has(toKey(service, build));
     state.fetchBuilds = (service) => this.#fetchBuilds(service);
     void this.#check();
     const timer = setInterval(() => void this.#check(), CHECK_INTERVAL_MS);
@@ -71,17 +79,17 @@
 
   /** Compares the builds of registered workers with the record. */
   async #check(): Promise<void> {
-    const { state, era, logger } = this.options;
+    const { state, logger } = this.options;
     if (this.#isChecking || state.options.getNowMs() < this.#nextCheckAtMs) return;
     this.#isChecking = true;
     try {
       // A restored store may lack what this VM has recorded.
-      if (this.#readEra !== era.current && !(await this.#read())) {
+      if (this.#readEra !== state.getStoreEra() && !(await this.#read())) {
         this.#nextCheckAtMs = state.options.getNowMs() + RETRY_DELAY_MS;
         return;
       }
       for (const { service, build } of state.fleet.directory.listAll()) {
-        if (!this.#recorded.has(toName(service, build))) await this.#write(service, build);
+        if (!this.#recorded.has(toKey(service, build))) await this.#write(service, build);
       }
       for (const recorded of [...this.#recorded.values()]) await this.#removeIfUnused(recorded);
     } catch (error) {
@@ -116,10 +124,11 @@
   async #performRead(): Promise<boolean> {
     const { store, logger, state } = this.options;
     try {
-      const { objects, version } = await store.listPage(OBJECT_KINDS.builds, undefined);
+      const { builds, era } = await store.list();
       this.#recorded.clear();
-      for (const object of objects) this.#addRecorded(object);
-      this.#readEra = version.era;
+      for (const recorded of builds)
+        this.#recorded.set(toKey(recorded.service, recorded.build), recorded);
+      this.#readEra = era;
       this.#readAtMs = state.options.getNowMs();
       return true;
     } catch (error) {
@@ -128,22 +137,9 @@
     }
   }
 
-  #addRecorded(object: FeedObject): void {
-    const entry = buildSchema.safeParse(object.value);
-    if (!entry.success) {
-      this.options.logger.warn('recorded build ignored: it does not match the schema', {
-        inputs: { name: object.name },
-      });
-      return;
-    }
-    const service = toBranded<ServiceName>(entry.data.service);
-    const build = toBranded<BuildName>(entry.data.build);
-    this.#recorded.set(toName(service, build), { service, build, object });
-  }
-
   async #write(service: ServiceName, build: BuildName): Promise<void> {
     const { store, logger } = this.options;
-    await store.put(OBJECT_KINDS.builds, toName(service, build), { service, build });
+    await store.add(service, build);
     logger.info('build recorded', { service, inputs: { build } });
     await this.#read();
   }
@@ -156,13 +152,13 @@
   }
 
   async #removeIfUnused(recorded: RecordedBuild): Promise<void> {
-    const { service, build, object } = recorded;
-    const { state } = this.options;
+    const { service, build } = recorded;
+    const { state, store, logger } = this.options;
     // One VM on average removes it, since all notice at the same time that it is unused.
     const vmCount = state.sharedLoad.countLive(state.options.getNowMs()) + 1;
     if (!this.#isUnused(recorded) || state.options.random() * vmCount >= 1) return;
-    await this.options.store.remove(OBJECT_KINDS.builds, object.name, object.revision);
-    this.#recorded.delete(toName(service, build));
-    this.options.logger.info('recorded build removed', { service, inputs: { build } });
+    await store.remove(recorded);
+    this.#recorded.delete(toKey(service, build));
+    logger.info('recorded build removed', { service, inputs: { build } });
   }
 }
--- /dev/null
+++ b/packages/forwarder/src/streams/index.ts
@@ -0,0 +1,2 @@
+/** Record of the builds at which streams may have begun. */
+export * from './BuildRegistry.js';
