--- a/review/lib/StoreServer.js
+++ b/review/lib/StoreServer.js
@@ -14,20 +14,30 @@
   #events = [];
   #revision = 100;
   #waiting = new Set();
-  #server = createServer((request, response) => {
-    this.#serve(request, response).catch(() => response.destroy());
-  });
+  #servers = [];
+  /** Addresses at which calls are turned away with 503: the store may reject single machines. */
+  rejected = new Set();
 
   /** Starts listening on a free port of a loopback address. */
-  async listen(host = '127.0.0.1') {
-    await new Promise((resolve) => this.#server.listen(0, host, resolve));
-    this.port = this.#server.address().port;
-    this.address = `${host}:${this.port}`;
+  async listen() {
+    this.address = await this.openAddress();
+  }
+
+  /** Starts listening on another free port, for a machine that may be rejected. */
+  async openAddress() {
+    const server = createServer((request, response) => {
+      this.#serve(request, response).catch(() => response.destroy());
+    });
+    this.#servers.push(server);
+    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${server.address().port}`;
   }
 
   close() {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
   #get(kind) {
@@ -74,6 +84,10 @@
       response.writeHead(status, { 'content-type': 'application/json' });
       response.end(JSON.stringify(value));
     };
+    if (this.rejected.has(`127.0.0.1:${request.socket.localPort}`)) {
+      reply(503, {});
+      return;
+    }
     const known = this.#get(kind).get(name || body.metadata?.name);
     const revision = body.metadata?.revision ?? url.searchParams.get('revision');
     const isStale = known !== undefined && revision != null;
@@ -110,6 +124,10 @@
       clearTimeout(timer);
       this.#waiting.delete(check);
       if (response.destroyed) return;
+      if (this.rejected.has(`127.0.0.1:${response.req.socket.localPort}`)) {
+        reply(503, {});
+        return;
+      }
       const events = find().map(({ object, removed }) => ({ object, removed }));
       reply(200, { events, store_revision: this.#revision });
     };
--- a/review/lib/Vm.js
+++ b/review/lib/Vm.js
@@ -60,6 +60,7 @@
     ];
     this.front = front;
     this.ready = ready;
+    this.peers = peers;
     this.settingsFile = join(folder, `${name}.json`);
     const settings = {
       node: name,
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -61,7 +61,8 @@
   try {
     await store.listen();
     for (let index = 0; index < machines.length; index += 1) {
-      const vm = new Vm({ storeAddress: store.address, folder: scratch, ...machines[index] });
+      const storeAddress = await store.openAddress();
+      const vm = new Vm({ storeAddress, folder: scratch, ...machines[index] });
       await vm.writeSettings();
       vms.push(vm);
     }
