--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -53,11 +53,20 @@
   };
   const toS = (atMs) => (atMs === undefined ? '-' : ((atMs - startedAtMs) / 1_000).toFixed(3));
   let verdict = 2;
-  const limit = setTimeout(() => {
-    logNote('the case took too long');
+  const abortAll = () => {
     for (const vm of vms) vm.send('SIGKILL');
+    for (const close of closers) close();
+  };
+  const limit = setTimeout(() => {
+    abortAll();
     process.exit(2);
   }, 115_000);
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => {
+      abortAll();
+      process.exit(2);
+    });
+  }
   try {
     await store.listen();
     for (let index = 0; index < machines.length; index += 1) {
