review: the stand-ins stand beside the cases, in review itself

The folders of review/ are the cases only. The files are the same, with other paths in their imports.

--- a/review/1/run.js
+++ b/review/1/run.js
@@ -2,8 +2,8 @@
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import { Client } from '../lib/Client.js';
-import { buildConfiguration, runCase, sleep } from '../lib/fleet.js';
+import { Client } from '../Client.js';
+import { buildConfiguration, runCase, sleep } from '../fleet.js';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 
