fix(forwarder): a tunnel says itself how the worker's answer has ended

Cause: a tunnel passed on bare bytes, so the orderly end of the connection between two VMs was taken for the end of the worker's answer. It is also seen if a reset arrives with the last bytes, and if the VM that passes on dies.

Change: the VM that passes on sends frames, and an empty one only once the worker has ended in order; a tunnel that ends without it is broken, whatever closed it. Frames are agreed by a header. Builds without frames get bare bytes, and a reset also where it came with the last bytes; through such a VM only an answer that tells its own end is whole.

--- a/packages/forwarder/src/connections/WorkerConnection.ts
+++ b/packages/forwarder/src/connections/WorkerConnection.ts
@@ -1,13 +1,22 @@
 import { Client } from 'undici';
 
 import { HEAD_TIMEOUT_MS, MAX_BYTES_BEFORE_HEAD, PARSER_HEAD_LIMIT_BYTES } from '../constants.js';
+import { ConnectionPath } from '../links/enums.js';
+import { isReset } from '../links/isReset.js';
 
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
-import type { WorkerDialer } from '../links/index.js';
+import type { DialedConnection, WorkerDialer, WorkerSocket } from '../links/index.js';
 
 const MS_PER_DAY = 86_400_000;
 
+/** Tells, at the end of a connection's bytes, whether the worker has ended in order, by the way that the connection goes. */
+const END_CHECKS: Readonly<Record<ConnectionPath, (socket: WorkerSocket) => boolean>> = {
+  [ConnectionPath.Direct]: (socket) => !isReset(socket as Socket),
+  [ConnectionPath.Tunnel]: () => true,
+  [ConnectionPath.BareTunnel]: () => false,
+};
+
 /** Callbacks for the head of an answer. */
 export interface HeadObserver {
   /** Called with a reason if the head is too long. */
@@ -35,7 +44,7 @@
   #client: Client | undefined;
   #isOpen = true;
   #wasReset = false;
-  #isTunnel = false;
+  #dialed: DialedConnection | undefined;
   #pendingHead: PendingHead | undefined;
   #shouldWrite: () => boolean = () => true;
   /** When the last answer ended; undefined before the first one and while a request is in progress. */
@@ -69,10 +78,11 @@
             callback(new Error('the request was withdrawn before it was sent'), null);
             return;
           }
-          this.#isTunnel = dialed.isTunnel;
+          this.#dialed = dialed;
           // Must run before undici adds its listeners: undici treats a reset as the end of an answer without a length.
-          this.#watchSocket(dialed.socket);
-          callback(null, dialed.socket);
+          this.#watchSocket(dialed);
+          // undici uses the socket as a stream.
+          callback(null, dialed.socket as Socket);
         });
       },
       // undici's timeouts are disabled: `Exchange` limits requests, and `ConnectionPool` limits idle times.
@@ -99,21 +109,24 @@
 
   /** Whether another VM passes on the bytes. Such a connection serves one request, so that the VM can refuse the next. */
   get isTunnel(): boolean {
-    return this.#isTunnel;
+    return this.#dialed !== undefined && this.#dialed.path !== ConnectionPath.Direct;
   }
 
-  /** Whether the connection ended with an error instead of an orderly close. */
+  /** Whether the connection ended with an error, or in a way that does not tell whether the worker has ended in order. */
   get wasReset(): boolean {
     return this.#wasReset;
   }
 
-  #watchSocket(socket: Socket): void {
-    this.#watchReset(socket);
+  #watchSocket({ path, socket }: DialedConnection): void {
+    socket.on('error', () => (this.#wasReset = true));
+    socket.on('end', () => {
+      if (!END_CHECKS[path](socket)) this.#wasReset = true;
+    });
     socket.on('readable', () => this.#checkHead(socket));
   }
 
   /** undici limits headers, but neither the status line nor the number of informational answers. */
-  #checkHead(socket: Socket): void {
+  #checkHead(socket: WorkerSocket): void {
     const head = this.#pendingHead;
     if (head === undefined) return;
     head.firstByte ??= socket.bytesRead;
@@ -124,16 +137,6 @@
     socket.read();
   }
 
-  #watchReset(socket: Socket): void {
-    socket.on('error', () => (this.#wasReset = true));
-    // libuv reports a reset that arrives together with the last bytes as an orderly end. The operating system still
-    // distinguishes them: a reset connection has no peer address. Node caches the address once it has been read, so
-    // nothing may read it earlier.
-    socket.on('end', () => {
-      if (socket.remoteAddress === undefined) this.#wasReset = true;
-    });
-  }
-
   /**
    * Sends a request.
    *
--- a/packages/forwarder/src/links/TunnelClient.test.ts
+++ b/packages/forwarder/src/links/TunnelClient.test.ts
@@ -55,8 +55,8 @@
   });
   const peers = statuses.map((status, index) => startPeer(context, `vm-${index}`, status));
   client.setPeers('127.0.0.1', await Promise.all(peers));
-  const socket = await client.open('127.0.0.1:9').catch(() => undefined);
-  socket?.destroy();
+  const tunnel = await client.open('127.0.0.1:9').catch(() => undefined);
+  tunnel?.socket.destroy();
   return outcomes;
 };
 
@@ -96,8 +96,8 @@
   client.setPeers('127.0.0.1', [buildPeer('vm-0', port)]);
   await assert.rejects(client.open('127.0.0.1:9'));
   await startServer(context, 200, port);
-  const socket = await client.open('127.0.0.1:9');
-  socket.destroy();
+  const tunnel = await client.open('127.0.0.1:9');
+  tunnel.socket.destroy();
   assert.deepEqual(outcomes, [TunnelOutcome.NoAnswer, TunnelOutcome.Opened]);
 });
 
@@ -126,7 +126,7 @@
   });
   client.setPeers('127.0.0.1', [await startBusyPeer(context)]);
   const open = async (): Promise<void> => {
-    (await client.open('127.0.0.1:9')).destroy();
+    (await client.open('127.0.0.1:9')).socket.destroy();
   };
   await open();
   await assert.rejects(open());
@@ -145,7 +145,7 @@
     onOutcome: (outcome) => outcomes.push(outcome),
   });
   client.setPeers('127.0.0.1', [await startBusyPeer(context)]);
-  (await client.open('127.0.0.1:9')).destroy();
+  (await client.open('127.0.0.1:9')).socket.destroy();
   nowMs = UNUSABLE_MS;
   await assert.rejects(client.open('127.0.0.1:9'));
   await assert.rejects(client.open('127.0.0.1:9'));
--- a/packages/forwarder/src/links/TunnelClient.ts
+++ b/packages/forwarder/src/links/TunnelClient.ts
@@ -1,13 +1,14 @@
 import { request as sendHttp } from 'node:http';
 
 import { MAX_TUNNEL_TRIES, TUNNEL_TIMEOUT_MS, UNUSABLE_MS } from './constants.js';
-import { TunnelOutcome } from './enums.js';
-import { LAST_RESORT_HEADER, toTunnelOutcome } from './tunnelStatus.js';
+import { ConnectionPath, TunnelOutcome } from './enums.js';
+import { TunnelSocket } from './TunnelSocket.js';
+import { FRAMES_HEADER, LAST_RESORT_HEADER, toTunnelOutcome } from './tunnelStatus.js';
 
 import type { DataCentreName, SocketAddress, VmId } from '@sardinegrade/common';
 import type { RandomSource } from '@sardinegrade/dispatch';
 import type { Peer } from '@sardinegrade/routing';
-import type { Socket } from 'node:net';
+import type { WorkerSocket } from './types.js';
 
 /** Cost of a VM in another data centre. The unit is one tunnel of this VM. */
 const REMOTE_COST = 4;
@@ -22,9 +23,17 @@
   readonly onOutcome: (outcome: TunnelOutcome) => void;
 }
 
+/** An open connection to a worker through another VM. */
+export interface Tunnel {
+  readonly path: ConnectionPath.Tunnel | ConnectionPath.BareTunnel;
+  readonly socket: WorkerSocket;
+  /** The VM that passes on the bytes. */
+  readonly vm: VmId;
+}
+
 /** A tunnel, or why none was opened. */
 type TunnelResult =
-  | { readonly outcome: TunnelOutcome.Opened; readonly socket: Socket }
+  | { readonly outcome: TunnelOutcome.Opened; readonly tunnel: Omit<Tunnel, 'vm'> }
   | { readonly outcome: Exclude<TunnelOutcome, TunnelOutcome.Opened | TunnelOutcome.NoAnswer> }
   | {
       readonly outcome: TunnelOutcome.NoAnswer;
@@ -91,10 +100,10 @@
    * Opens a connection to a worker through one of the other VMs.
    *
    * @param address - `ip:port` of the worker
-   * @returns the connection
+   * @returns the tunnel
    * @throws Error if no VM opens one
    */
-  async open(address: string): Promise<Socket> {
+  async open(address: string): Promise<Tunnel> {
     const search: TunnelSearch = {
       asked: new Set(),
       draining: [],
@@ -105,13 +114,13 @@
       const peer = this.#choosePeer(search.asked);
       if (peer === undefined) break;
       search.asked.add(peer.vm);
-      const socket = await this.#askPeer(search, peer, address, false);
-      if (socket !== undefined) return socket;
+      const tunnel = await this.#askPeer(search, peer, address, false);
+      if (tunnel !== undefined) return tunnel;
     }
     for (const peer of search.draining) {
       if (search.aboutWorker >= MAX_ABOUT_WORKER) break;
-      const socket = await this.#askPeer(search, peer, address, true);
-      if (socket !== undefined) return socket;
+      const tunnel = await this.#askPeer(search, peer, address, true);
+      if (tunnel !== undefined) return tunnel;
     }
     throw new Error(`no tunnel to ${address}: ${search.last} (${search.asked.size} VMs asked)`);
   }
@@ -122,12 +131,15 @@
     peer: Peer,
     address: string,
     isLastResort: boolean,
-  ): Promise<Socket | undefined> {
+  ): Promise<Tunnel | undefined> {
     const result = await this.#ask(peer.address, address, isLastResort);
     const { outcome } = result;
     search.last = outcome;
     this.options.onOutcome(outcome);
-    if (result.outcome === TunnelOutcome.Opened) return this.#track(peer.vm, result.socket);
+    if (result.outcome === TunnelOutcome.Opened) {
+      this.#track(peer.vm, result.tunnel.socket);
+      return { ...result.tunnel, vm: peer.vm };
+    }
     if (outcome === TunnelOutcome.Draining && !isLastResort) search.draining.push(peer);
     if (ABOUT_WORKER.has(outcome)) {
       search.aboutWorker += 1;
@@ -173,7 +185,7 @@
     return nowMs - (this.#openedAtMs.get(vm) ?? Number.NEGATIVE_INFINITY) < UNUSABLE_MS;
   }
 
-  #track(vm: VmId, socket: Socket): Socket {
+  #track(vm: VmId, socket: WorkerSocket): void {
     this.#refusals.delete(vm);
     this.#openedAtMs.set(vm, this.options.getNowMs());
     this.#openCounts.set(vm, (this.#openCounts.get(vm) ?? 0) + 1);
@@ -182,7 +194,6 @@
       if (left > 0) this.#openCounts.set(vm, left);
       else this.#openCounts.delete(vm);
     });
-    return socket;
   }
 
   #ask(
@@ -198,17 +209,21 @@
         path: address,
         agent: false,
         timeout: TUNNEL_TIMEOUT_MS,
-        headers: isLastResort ? { [LAST_RESORT_HEADER]: '1' } : {},
+        headers: { [FRAMES_HEADER]: '1', ...(isLastResort ? { [LAST_RESORT_HEADER]: '1' } : {}) },
         ...(this.#ownHost === undefined ? {} : { localAddress: this.#ownHost }),
       });
       const timer = setTimeout(() => request.destroy(), TUNNEL_TIMEOUT_MS);
-      request.once('connect', (response, socket) => {
+      request.once('connect', (response, socket, head) => {
         clearTimeout(timer);
         const outcome = toTunnelOutcome(response.statusCode);
         if (outcome === TunnelOutcome.Opened) {
           socket.setTimeout(0);
           socket.setNoDelay(true);
-          resolve({ outcome, socket });
+          const tunnel =
+            response.headers[FRAMES_HEADER] === '1'
+              ? { path: ConnectionPath.Tunnel as const, socket: new TunnelSocket(socket, head) }
+              : { path: ConnectionPath.BareTunnel as const, socket };
+          resolve({ outcome, tunnel });
           return;
         }
         socket.destroy();
--- a/packages/forwarder/src/links/TunnelServer.test.ts
+++ b/packages/forwarder/src/links/TunnelServer.test.ts
@@ -77,3 +77,30 @@
   assert.equal(await askForTunnel(context, { onUnreachable }, '127.0.0.1:1'), 502);
   assert.equal(checks, 1);
 });
+
+// Guards against half an answer that looks whole at a VM of an older build, which knows no frames.
+test('a VM that asks for no frames gets bare bytes, and a reset where the worker has reset', async (context) => {
+  const [worker] = await startTestWorkers(context, [
+    (socket) => socket.write('half', () => socket.resetAndDestroy()),
+  ]);
+  const tunnelServer = new TunnelServer(ALLOWED);
+  const server = createServer().on('connect', tunnelServer.handleConnect);
+  context.after(() => {
+    server.close();
+    tunnelServer.close();
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, '127.0.0.1');
+  const address = worker?.address ?? '';
+  socket.write(`CONNECT ${address} HTTP/1.1\r\nhost: ${address}\r\n\r\n`);
+  socket.once('data', () => socket.write('GET / HTTP/1.1\r\n\r\n'));
+  let text = '';
+  let wasReset = false;
+  socket.on('data', (chunk: Buffer) => (text += chunk.toString()));
+  socket.on('error', () => (wasReset = true));
+  socket.on('end', () => (wasReset ||= socket.remoteAddress === undefined));
+  await new Promise((resolve) => socket.once('close', resolve));
+  assert.equal(wasReset, true);
+  assert.ok('HTTP/1.1 200 opened\r\n\r\nhalf'.startsWith(text), text);
+});
--- a/packages/forwarder/src/links/TunnelServer.ts
+++ b/packages/forwarder/src/links/TunnelServer.ts
@@ -1,9 +1,12 @@
 import { connect } from 'node:net';
+import { pipeline } from 'node:stream';
 
 import { parseAddress } from '../connections/parseAddress.js';
 import { MAX_PASSED_TUNNELS, PROBE_TIMEOUT_MS } from './constants.js';
 import { TunnelOutcome } from './enums.js';
-import { LAST_RESORT_HEADER, TUNNEL_STATUSES } from './tunnelStatus.js';
+import { isReset } from './isReset.js';
+import { createFrameEncoder } from './tunnelFrames.js';
+import { FRAMES_HEADER, LAST_RESORT_HEADER, TUNNEL_STATUSES } from './tunnelStatus.js';
 
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
@@ -26,6 +29,28 @@
   readonly isUsableWorker: (address: string) => boolean;
 }
 
+/** Passes a worker's bytes on in frames. The end of them is told only if the worker has ended in order. */
+const relayFrames = (workerSocket: Socket, vmSocket: Socket): void => {
+  let isOrderly = false;
+  workerSocket.once('end', () => (isOrderly = !isReset(workerSocket)));
+  // A failure closes both connections, and the other VM misses the end.
+  pipeline(
+    workerSocket,
+    createFrameEncoder(() => isOrderly),
+    vmSocket,
+    () => undefined,
+  );
+};
+
+/** Passes a worker's bytes on as they are, to a VM that knows no frames. A reset has to arrive as one. */
+const relayBytes = (workerSocket: Socket, vmSocket: Socket): void => {
+  workerSocket.once('end', () => {
+    if (isReset(workerSocket)) vmSocket.resetAndDestroy();
+  });
+  workerSocket.once('error', () => vmSocket.resetAndDestroy());
+  workerSocket.pipe(vmSocket);
+};
+
 const isSocket = (stream: Duplex): stream is Socket => 'remoteAddress' in stream;
 
 /** Passes bytes between VMs that have lost their links and workers. It opens no tunnel through a further VM. */
@@ -53,7 +78,8 @@
     const address = request.url ?? '';
     const isLastResort = request.headers[LAST_RESORT_HEADER] === '1';
     const refusal = this.#findRefusal(stream.remoteAddress ?? '', address, isLastResort);
-    if (refusal === undefined) this.#open(stream, address);
+    const hasFrames = request.headers[FRAMES_HEADER] === '1';
+    if (refusal === undefined) this.#open(stream, address, hasFrames);
     else this.#refuse(stream, refusal);
   };
 
@@ -86,7 +112,7 @@
     socket.end(`HTTP/1.1 ${TUNNEL_STATUSES[outcome]} ${outcome}\r\nconnection: close\r\n\r\n`);
   }
 
-  #open(vmSocket: Socket, address: string): void {
+  #open(vmSocket: Socket, address: string, hasFrames: boolean): void {
     const target = parseAddress(address);
     if (target === undefined) {
       this.#refuse(vmSocket, TunnelOutcome.UnknownWorker);
@@ -106,15 +132,13 @@
       isOpen = true;
       workerSocket.setTimeout(0);
       vmSocket.setNoDelay(true);
-      vmSocket.write(`HTTP/1.1 ${TUNNEL_STATUSES[TunnelOutcome.Opened]} opened\r\n\r\n`);
-      workerSocket.pipe(vmSocket);
+      const headers = hasFrames ? `${FRAMES_HEADER}: 1\r\n` : '';
+      vmSocket.write(`HTTP/1.1 ${TUNNEL_STATUSES[TunnelOutcome.Opened]} opened\r\n${headers}\r\n`);
+      if (hasFrames) relayFrames(workerSocket, vmSocket);
+      else relayBytes(workerSocket, vmSocket);
       vmSocket.pipe(workerSocket);
     });
-    // A reset has to arrive as one: an answer without a length that ends with it is not whole.
-    workerSocket.once('error', () => {
-      if (isOpen) vmSocket.resetAndDestroy();
-      else onFailure();
-    });
+    workerSocket.once('error', onFailure);
     workerSocket.once('close', () => this.#sockets.delete(workerSocket));
     // A VM that ends its side has given the request up, and the worker has to stop.
     vmSocket.once('end', () => workerSocket.destroy());
--- a/packages/forwarder/src/links/WorkerDialer.ts
+++ b/packages/forwarder/src/links/WorkerDialer.ts
@@ -1,21 +1,17 @@
 import { buildConnector } from 'undici';
 
 import { CONNECT_TIMEOUT_MS } from '../constants.js';
-import { LinkSign } from './enums.js';
+import { ConnectionPath, LinkSign } from './enums.js';
 import { isConnectable } from './isConnectable.js';
 
-import type { Socket } from 'node:net';
 import type { LinkMonitor } from './LinkMonitor.js';
-import type { TunnelClient } from './TunnelClient.js';
+import type { Tunnel, TunnelClient } from './TunnelClient.js';
+import type { DirectConnection } from './types.js';
 
-/** A connection to a worker. */
-export interface DialedSocket {
-  readonly socket: Socket;
-  /** Whether another VM passes on the bytes. */
-  readonly isTunnel: boolean;
-}
+/** An open connection to a worker. */
+export type DialedConnection = DirectConnection | Tunnel;
 
-type DialCallback = (error: Error | null, dialed: DialedSocket | undefined) => void;
+type DialCallback = (error: Error | null, dialed: DialedConnection | undefined) => void;
 
 /** Opens connections to workers: directly, or through another VM while this one has lost its links. */
 export class WorkerDialer {
@@ -51,7 +47,7 @@
       return;
     }
     this.connectDirectly(options, (error, socket) => {
-      if (error === null) callback(null, { socket, isTunnel: false });
+      if (error === null) callback(null, { path: ConnectionPath.Direct, socket });
       else this.#handleFailure(address, error, callback);
     });
   }
@@ -66,7 +62,7 @@
 
   #openTunnel(address: string, callback: DialCallback): void {
     this.tunnels.open(address).then(
-      (socket) => callback(null, { socket, isTunnel: true }),
+      (tunnel) => callback(null, tunnel),
       (error: unknown) =>
         callback(error instanceof Error ? error : new Error(String(error)), undefined),
     );
--- a/packages/forwarder/src/links/enums.ts
+++ b/packages/forwarder/src/links/enums.ts
@@ -10,6 +10,16 @@
   Lost = 'lost',
 }
 
+/** Which way a connection to a worker goes, and thereby how its end is told. */
+export enum ConnectionPath {
+  /** No VM is between: the operating system tells an orderly end from a reset. */
+  Direct = 'direct',
+  /** Another VM passes on the bytes in frames, and says how the worker has ended. */
+  Tunnel = 'tunnel',
+  /** An older VM passes on the bare bytes: an orderly end may hide that the worker was reset, or that the VM has died. */
+  BareTunnel = 'bare_tunnel',
+}
+
 /** Why a VM does not open a tunnel, or that it has. */
 export enum TunnelOutcome {
   Opened = 'opened',
--- a/packages/forwarder/src/links/tunnelStatus.ts
+++ b/packages/forwarder/src/links/tunnelStatus.ts
@@ -3,6 +3,12 @@
 /** Header of a request for a tunnel by which a VM says that no other VM has opened one; its value is `1`. */
 export const LAST_RESORT_HEADER = 'tunnel-last-resort';
 
+/**
+ * Header of a request for a tunnel by which a VM asks for frames, and of the answer of a VM that sends them; its value is `1`.
+ * Builds that know no frames ignore it.
+ */
+export const FRAMES_HEADER = 'tunnel-frames';
+
 /** Status codes by which a VM answers a request for a tunnel. */
 export const TUNNEL_STATUSES: Readonly<
   Record<Exclude<TunnelOutcome, TunnelOutcome.NoAnswer>, number>
--- a/packages/forwarder/src/testing/startTestFleet.ts
+++ b/packages/forwarder/src/testing/startTestFleet.ts
@@ -3,7 +3,7 @@
 import { toBranded } from '@sardinegrade/common';
 import { buildLoopbackHost } from '@sardinegrade/common/testing';
 
-import { createTunnelServer } from '../links/index.js';
+import { createTunnelServer, FRAMES_HEADER } from '../links/index.js';
 import { LoadReporter } from '../peers/index.js';
 import { startForwarder } from './startTestForwarder.js';
 
@@ -19,6 +19,8 @@
   readonly vms: number;
   /** Third octet of the loopback addresses of the VMs; test files that run at the same time use different ones. */
   readonly subnet: number;
+  /** Whether the VMs pass on bare bytes, as builds that know no frames do. */
+  readonly hasBareTunnels?: boolean;
 }
 
 const PEER_PORT = 21_010;
@@ -27,10 +29,20 @@
   context: TestContext,
   state: ForwarderState,
   { host, port }: SocketAddress,
+  hasBareTunnels: boolean,
 ): Promise<void> => {
   const tunnelServer = createTunnelServer(state);
   const server = createServer();
-  server.on('connect', tunnelServer.handleConnect);
+  const sockets = new Set<Socket>();
+  peerSockets.set(state, sockets);
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  server.on('connect', (request, stream) => {
+    if (hasBareTunnels) Reflect.deleteProperty(request.headers, FRAMES_HEADER);
+    tunnelServer.handleConnect(request, stream);
+  });
   context.after(() => {
     server.close();
     tunnelServer.close();
@@ -50,6 +62,14 @@
   for (const socket of sockets) socket.destroy(new Error('read ECONNRESET'));
 };
 
+/** Closes the connections between a VM and the others in order, as the kernel does for a process that has been killed. */
+export const closePeerSockets = ({ state }: TestForwarder): void => {
+  for (const socket of peerSockets.get(state) ?? []) socket.destroy();
+};
+
+/** Sockets that other VMs have opened, by VM. */
+const peerSockets = new WeakMap<ForwarderState, Set<Socket>>();
+
 /** Sockets of direct connections to workers, by VM. */
 const openSockets = new WeakMap<ForwarderState, Set<Socket>>();
 
@@ -89,7 +109,7 @@
       const reporter = new LoadReporter({ state: forwarder.state, vm, address });
       context.after(() => reporter.stop());
       await reporter.start();
-      await startTunnelServer(context, forwarder.state, address);
+      await startTunnelServer(context, forwarder.state, address, options.hasBareTunnels === true);
       reporter.setPeers(peers.filter((peer) => peer.vm !== vm));
       return forwarder;
     }),
