fix(forwarder): how a socket has ended does not count for the next one of its connection

Callers of sound streams without a length got a cut stream, or a second run after the last event.

Cause: undici destroys the socket after an answer that ends with it, by an error event, which counted as a reset. The pool took the connection back although it had just ended; undici opened a new socket for the next request, whose answer inherited that the last socket "was reset". isVerified outlived its socket in the same way.

--- a/packages/forwarder/src/connections/WorkerConnection.ts
+++ b/packages/forwarder/src/connections/WorkerConnection.ts
@@ -39,7 +39,10 @@
   readonly shouldWrite: () => boolean;
 }
 
-/** A connection to a worker. It handles one request at a time. */
+/**
+ * A connection to a worker. It handles one request at a time. undici opens a new socket if the worker has closed the last one
+ * before a request is written, so what is known of a socket does not hold for the next.
+ */
 export class WorkerConnection {
   #client: Client | undefined;
   #isOpen = true;
@@ -78,7 +81,15 @@
             callback(new Error('the request was withdrawn before it was sent'), null);
             return;
           }
+          const wasVerified = this.isVerified;
           this.#dialed = dialed;
+          this.#wasReset = false;
+          this.isVerified = false;
+          if (wasVerified) {
+            dialed.socket.destroy();
+            callback(new Error('the verified process has closed the connection'), null);
+            return;
+          }
           // Must run before undici adds its listeners: undici treats a reset as the end of an answer without a length.
           this.#watchSocket(dialed);
           // undici uses the socket as a stream.
@@ -104,7 +115,8 @@
 
   /** Whether the connection is usable: it is established or has not been opened yet. */
   get isOpen(): boolean {
-    return this.#isOpen;
+    const socket = this.#dialed?.socket;
+    return this.#isOpen && socket?.readableEnded !== true && socket?.destroyed !== true;
   }
 
   /** Whether another VM passes on the bytes. Such a connection serves one request, so that the VM can refuse the next. */
