fix(platform): a peer without power does not hold up the calls to the store

Cause: the time limit of a fetch from a peer was a signal, which undici heeds only once a connection is established, and ObjectSync awaited the fetch before it called the store again.

"a peer that does not respond does not hold up the next call to the store" and "a call that ignores its signal ends at its time limit" fail before.

Change: runWithTimeLimit ends a call at its limit whatever phase it is in, and the fetch and the command line use it, as the store client does.

--- a/packages/cli/src/client/createFleetClient.ts
+++ b/packages/cli/src/client/createFleetClient.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 
-import { problemSchema } from '@sardinegrade/common';
+import { problemSchema, runWithTimeLimit } from '@sardinegrade/common';
 import { request } from 'undici';
 
 import { UnreachableError } from '../errors.js';
@@ -37,13 +37,15 @@
   call: Call,
 ): Promise<Answer> => {
   try {
-    const answer = await request(new URL(call.path, address), {
-      method: call.method,
-      body: call.body,
-      headers: { ...call.headers, authorization: `Bearer ${key}` },
-      signal: AbortSignal.timeout(timeoutMs),
+    return await runWithTimeLimit({ timeoutMs }, async (signal) => {
+      const answer = await request(new URL(call.path, address), {
+        method: call.method,
+        body: call.body,
+        headers: { ...call.headers, authorization: `Bearer ${key}` },
+        signal,
+      });
+      return { status: answer.statusCode, text: await answer.body.text() };
     });
-    return { status: answer.statusCode, text: await answer.body.text() };
   } catch (error) {
     throw new UnreachableError(`No answer from ${address}: ${describeCause(error)}.`);
   }
--- a/packages/common/src/time/runWithTimeLimit.test.ts
+++ b/packages/common/src/time/runWithTimeLimit.test.ts
@@ -26,6 +26,12 @@
   },
 );
 
+// Guards against calls that outlast their limit in a phase that heeds no signal, such as the connection of an HTTP client.
+test('a call that ignores its signal ends at its time limit', async () => {
+  const call = runWithTimeLimit({ timeoutMs: TIMEOUT_MS }, () => new Promise(() => undefined));
+  await assert.rejects(call, /no answer within 100 ms/);
+});
+
 test('a call ends with the reason of its signal, also if that has aborted before', async () => {
   const controller = new AbortController();
   const limit = { timeoutMs: LONG_TIMEOUT_MS, signal: controller.signal };
--- a/packages/common/src/time/runWithTimeLimit.ts
+++ b/packages/common/src/time/runWithTimeLimit.ts
@@ -5,13 +5,18 @@
   readonly signal?: AbortSignal | undefined;
 }
 
+const toError = (reason: unknown): Error =>
+  reason instanceof Error ? reason : new Error(String(reason));
+
 /**
- * Runs a call that ends after its time limit, or when its signal aborts. A signal of `AbortSignal.timeout` that is only a
- * source of `AbortSignal.any` may be garbage collected, and then never aborts.
+ * Runs a call that ends after its time limit, or when its signal aborts, whatever phase it is in: undici, for example, heeds
+ * a signal only once a connection is established. A signal of `AbortSignal.timeout` that is only a source of
+ * `AbortSignal.any` may be garbage collected, and then never aborts.
  *
  * @param limit - time limit of the call, and a signal that ends it earlier
- * @param perform - performs the call; it rejects once the passed signal aborts
+ * @param perform - performs the call, and should give it up once the passed signal aborts
  * @returns the result of the call
+ * @throws the reason of the abort, or what the call throws
  */
 export const runWithTimeLimit = async <Result>(
   { timeoutMs, signal }: TimeLimit,
@@ -25,8 +30,13 @@
   );
   if (signal?.aborted === true) abort();
   signal?.addEventListener('abort', abort, { once: true });
+  const aborted = new Promise<never>((_resolve, reject) => {
+    const rejectCall = (): void => reject(toError(controller.signal.reason));
+    if (controller.signal.aborted) rejectCall();
+    else controller.signal.addEventListener('abort', rejectCall, { once: true });
+  });
   try {
-    return await perform(controller.signal);
+    return await Promise.race([perform(controller.signal), aborted]);
   } finally {
     clearTimeout(timer);
     signal?.removeEventListener('abort', abort);
--- a/packages/platform/src/sync/ObjectSync.test.ts
+++ b/packages/platform/src/sync/ObjectSync.test.ts
@@ -46,6 +46,8 @@
   page: FeedPage = { objects: [buildObject(1)], next: undefined, version: toVersion(1) };
   secondPage: FeedPage = this.page;
   isRejecting = false;
+  /** Answers the lists in place of the pages, if it is set. */
+  slowPage: Promise<FeedPage> | undefined;
   readonly era = new StoreEra();
   readonly sync: ObjectSync;
   readonly #abortController = new AbortController();
@@ -59,6 +61,7 @@
           this.lists += 1;
           if (this.isRejecting)
             throw new PlatformError(PlatformFailure.Unavailable, 'rejected by the test');
+          if (this.slowPage !== undefined) return this.slowPage;
           const page = after === undefined ? this.page : this.secondPage;
           this.era.observe(page.version.era, EraSource.Store);
           return Promise.resolve(page);
@@ -222,3 +225,43 @@
   await sleep(REPORT_LIMIT_MS);
   assert.deepEqual(feed.sync.snapshot, { version: toVersion(2, 1), objects: [buildObject(2)] });
 });
+
+// Guards against an old configuration that is kept for seconds: the store was not called while a peer without power was asked.
+test('a peer that does not respond does not hold up the next call to the store', async (context) => {
+  const feed = await startFeed(context);
+  feed.isRejecting = true;
+  let fetches = 0;
+  const fetchSnapshot = (): Promise<FeedSnapshot> => {
+    fetches += 1;
+    return new Promise(() => undefined);
+  };
+  feed.report(5, fetchSnapshot);
+  await sleep(REPORT_LIMIT_MS);
+  feed.isRejecting = false;
+  feed.page = { objects: [buildObject(5)], next: undefined, version: toVersion(5) };
+  await sleep(REPORT_LIMIT_MS);
+  assert.equal(fetches, 1);
+  assert.deepEqual(feed.sync.snapshot, { version: toVersion(5), objects: [buildObject(5)] });
+});
+
+// Guards against a configuration that goes back: a list that was slower than a peer's snapshot would replace newer objects.
+test('a list that was answered before a newer snapshot of a peer does not replace it', async (context) => {
+  const feed = await startFeed(context);
+  feed.isRejecting = true;
+  let answerFetch: (snapshot: FeedSnapshot) => void = () => undefined;
+  feed.report(6, () => new Promise((resolve) => (answerFetch = resolve)));
+  await sleep(REPORT_LIMIT_MS);
+  feed.isRejecting = false;
+  let answerList: (page: FeedPage) => void = () => undefined;
+  feed.slowPage = new Promise((resolve) => (answerList = resolve));
+  await sleep(REPORT_LIMIT_MS);
+  answerFetch({ version: toVersion(6), objects: [buildObject(6)] });
+  await sleep(1);
+  feed.slowPage = undefined;
+  feed.page = { objects: [buildObject(7)], next: undefined, version: toVersion(7) };
+  answerList({ objects: [buildObject(4)], next: undefined, version: toVersion(4) });
+  await sleep(REPORT_LIMIT_MS);
+  const versions = feed.receipts.map(({ version }) => version.revision);
+  assert.deepEqual(versions, [1, 6, 7]);
+  assert.deepEqual(feed.sync.snapshot?.version, toVersion(7));
+});
--- a/packages/platform/src/sync/ObjectSync.ts
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -104,6 +104,7 @@
   #failureCount = 0;
   #callStartedAtMs = 0;
   #source = SyncSource.List;
+  #isFetchingFromPeer = false;
 
   /** @param options - the feed and kind of objects to follow, the observer, and intervals */
   constructor(private readonly options: SyncOptions) {
@@ -199,6 +200,8 @@
     const { changes, version } = await feed
       .watchChanges(kind, fromVersion.revision, this.#chooseWatchWaitMs(), signal)
       .finally(() => clearInterval(isolationTimer));
+    // What a peer had has replaced the objects meanwhile, and may be newer.
+    if (signal.aborted) return;
     const silentMs = this.#handleSuccess();
     if (version.era > fromVersion.era)
       throw createRestoredError(PlatformFailure.Truncated, 'during the watch');
@@ -234,6 +237,7 @@
     const { feed, kind } = this.options;
     this.#source = SyncSource.List;
     const peerBefore = this.#newerPeer;
+    const appliedBefore = this.#appliedVersion;
     const objects: FeedObject[] = [];
     let page = await feed.listPage(kind, undefined);
     // A watch from the first page's version also returns changes made while the other pages are read.
@@ -247,6 +251,9 @@
     }
     this.#checkEra(version);
     const silentMs = this.#handleSuccess();
+    const hasPeerReplaced = compareVersions(this.#appliedVersion, appliedBefore) > 0;
+    // The objects of a peer have arrived meanwhile and are newer: the next list contains them.
+    if (hasPeerReplaced && compareVersions(version, this.#appliedVersion) < 0) return;
     this.#replaceObjects({ version, objects }, { source: SyncSource.List, version, silentMs });
     this.#watchVersion = version;
     if (peerBefore === undefined) return;
@@ -300,17 +307,17 @@
     return outageMs;
   }
 
-  #reportFailure(error: PlatformError): void {
+  #reportFailure(source: SyncSource, startedAtMs: number, error: PlatformError): void {
     this.options.observer.onCallFailed({
-      source: this.#source,
+      source,
       version: this.#watchVersion,
-      durationMs: this.options.getNowMs() - this.#callStartedAtMs,
+      durationMs: this.options.getNowMs() - startedAtMs,
       error,
     });
   }
 
   async #handleFailure(error: PlatformError): Promise<void> {
-    this.#reportFailure(error);
+    this.#reportFailure(this.#source, this.#callStartedAtMs, error);
     // A watch that starts while the store recovers may be accepted and miss changes; a list returns the current state.
     this.#watchVersion = undefined;
     if (error.failure === PlatformFailure.Truncated) return;
@@ -320,7 +327,8 @@
       this.#isUnavailable = true;
       this.options.observer.onUnavailable(error);
     }
-    await this.#fetchFromPeer();
+    // The store is called again meanwhile: the peer may have no power.
+    void this.#fetchFromPeer();
     const maxDelayMs = this.#hasObjects ? MAX_RETRY_DELAY_MS : MAX_INITIAL_RETRY_DELAY_MS;
     const delayMs = Math.min(maxDelayMs, INITIAL_RETRY_DELAY_MS * 2 ** (this.#failureCount - 1));
     await this.#pause(delayMs * (0.5 + this.options.random() / 2));
@@ -329,11 +337,12 @@
   /** Replaces the objects by those of a peer that has a newer change: the store may reject this VM only. */
   async #fetchFromPeer(): Promise<void> {
     const peer = this.#newerPeer;
-    if (peer === undefined || !this.#isBehind) return;
-    this.#source = SyncSource.Peer;
-    this.#callStartedAtMs = this.options.getNowMs();
+    if (peer === undefined || !this.#isBehind || this.#isFetchingFromPeer) return;
+    this.#isFetchingFromPeer = true;
+    const startedAtMs = this.options.getNowMs();
     try {
       const snapshot = await peer.fetchSnapshot();
+      if (this.options.signal.aborted) return;
       if (compareVersions(snapshot.version, this.#appliedVersion) <= 0) {
         if (this.#newerPeer === peer) this.#clearPeer();
         return;
@@ -341,10 +350,13 @@
       const silentMs = this.options.getNowMs() - this.#lastSuccessAtMs;
       const { version } = snapshot;
       this.#replaceObjects(snapshot, { source: SyncSource.Peer, version, silentMs });
+      this.#listNext();
     } catch (thrown) {
-      this.#reportFailure(toSyncError(thrown));
+      this.#reportFailure(SyncSource.Peer, startedAtMs, toSyncError(thrown));
       // Another peer may respond: the next report of any peer names a new one.
       if (this.#newerPeer === peer) this.#clearPeer();
+    } finally {
+      this.#isFetchingFromPeer = false;
     }
   }
 
