fix(forwarder): how the connection of a stream without a length has ended is checked on each path, and logged

A direct reset with the last event was never taken for an end (streams.test.ts, passes before, too). A killed worker process, whose kernel ends the stream in order, can't be told from a worker that has ended it: open.

Change: a connection that closes without having ended counts as broken, and the log tells how a stream without a length has ended, which way it went and through which VM, so that the hypotheses can be told apart next time.

--- a/packages/forwarder/src/connections/WorkerConnection.ts
+++ b/packages/forwarder/src/connections/WorkerConnection.ts
@@ -124,6 +124,15 @@
     return this.#dialed !== undefined && this.#dialed.path !== ConnectionPath.Direct;
   }
 
+  /** @returns the way that the connection goes, for logs; empty before it is established */
+  describePath(): Readonly<Record<string, string>> {
+    const dialed = this.#dialed;
+    if (dialed === undefined) return {};
+    return dialed.path === ConnectionPath.Direct
+      ? { path: dialed.path }
+      : { path: dialed.path, through: dialed.vm };
+  }
+
   /** Whether the connection ended with an error, or in a way that does not tell whether the worker has ended in order. */
   get wasReset(): boolean {
     return this.#wasReset;
@@ -134,6 +143,9 @@
     socket.on('end', () => {
       if (!END_CHECKS[path](socket)) this.#wasReset = true;
     });
+    socket.on('close', () => {
+      if (!socket.readableEnded) this.#wasReset = true;
+    });
     socket.on('readable', () => this.#checkHead(socket));
   }
 
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -29,7 +29,7 @@
 import { recordStreamOrigin } from './recordStreamOrigin.js';
 import { isServedElsewhere, selectForRequest } from './selectForRequest.js';
 import { sendToProcess } from './sendToProcess.js';
-import { isSuccess } from './sendToWorker.js';
+import { isFramed, isSuccess } from './sendToWorker.js';
 import { SilenceTimer } from './SilenceTimer.js';
 import { toFinalCode } from './toFinalCode.js';
 import { addUnansweredSend, finishUnansweredSend } from './unansweredSends.js';
@@ -351,6 +351,7 @@
         return;
       }
       const fault = findStreamFault(this.#framer, active, end.head);
+      if (fault === undefined && !isFramed(end.head)) this.#report.recordUnframedEnd(active);
       if (fault === undefined) this.#finishStream(active);
       else this.#onFailure(active, SendFailure.Broken, fault);
       return;
--- a/packages/forwarder/src/exchange/ExchangeReport.ts
+++ b/packages/forwarder/src/exchange/ExchangeReport.ts
@@ -104,6 +104,7 @@
         sends,
         next,
         events: this.#eventCount,
+        ...claimed.connection.describePath(),
         ...this.#describePlacement(),
         ...this.#describeSharedParts(),
       },
@@ -130,6 +131,16 @@
     });
   }
 
+  /** Records that a worker has ended a stream that has no length: only the end of its connection tells that it is whole. */
+  recordUnframedEnd({ record, claimed }: ActiveSend): void {
+    this.state.options.logger.info('stream without a length ended in order', {
+      requestId: this.admitted.caller.requestId,
+      service: this.service,
+      upstream: record.worker.id,
+      inputs: { events: this.#eventCount, ...claimed.connection.describePath() },
+    });
+  }
+
   /** Records a complete answer. */
   recordAnswer(upstream: UpstreamId): void {
     const { route } = this.admitted;
--- a/packages/forwarder/src/exchange/streams.test.ts
+++ b/packages/forwarder/src/exchange/streams.test.ts
@@ -171,6 +171,18 @@
   assert.equal(answer.isComplete, false);
 });
 
+// Guards against a cut stream that looks whole: a reset that arrives with the last event is reported as an orderly end.
+test('a stream without a length or chunks that is reset together with its last event is broken', async (context) => {
+  const answerAndReset: WorkerScript = (socket, head) =>
+    socket.write(formatUnframedStream(head, EVENTS.slice(0, 2)), () => socket.resetAndDestroy());
+  const forwarder = await startTestForwarder(context, [answerAndReset]);
+  for (let calls = 0; calls < 12; calls += 1) {
+    const answer = await forwarder.call('stream', { 'request-id': `r${calls}` }, 'prompt');
+    assert.equal(answer.isComplete, false);
+  }
+  assert.ok(forwarder.logLines.every((line) => !line.includes('ended in order')));
+});
+
 // Guards against the head of an answer from a worker that crashed being relayed as a complete stream without events.
 test('a stream without a length or chunks that ends before its first event is broken', async (context) => {
   const forwarder = await startTestForwarder(context, [
