fix: a stopping VM passes on only what it can answer, and answers what it has passed on

Cause: the exit was considered once, at the arrival. A second SIGTERM had no handler and ended the process; a request that waited for the origin of its stream or in the queue was sent at any time; the exit closed what was in progress.

The parts of Exchange that claim a worker and find refusals stand in files of their own.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -167,6 +167,7 @@
   /** When the store last answered a call, by kind; kinds without an answer so far are missing. */
   readonly #storeAnsweredAtMs = new Map<SyncedKind, number>();
   #routes = new RouteTable([]);
+  #exitAtMs = Number.POSITIVE_INFINITY;
   #drainingSinceMs: number | undefined;
   #vmCount = DEFAULT_VM_COUNT;
   readonly #builds = new BuildHistory();
@@ -228,13 +229,20 @@
     return this.options.getNowMs() - this.#drainingSinceMs >= ACCEPT_WHILE_DRAINING_MS;
   }
 
+  /** Time until the process exits, in milliseconds; infinite while it is not draining. */
+  get untilExitMs(): number {
+    return this.#exitAtMs - this.options.getNowMs();
+  }
+
   /**
    * Starts draining: callers are asked to close their connections.
    *
    * @param nowMs - current time, in milliseconds
+   * @param exitAtMs - when the process exits at the latest, in milliseconds
    */
-  startDraining(nowMs = this.options.getNowMs()): void {
+  startDraining(nowMs = this.options.getNowMs(), exitAtMs = Number.POSITIVE_INFINITY): void {
     this.#drainingSinceMs = nowMs;
+    this.#exitAtMs = exitAtMs;
   }
 
   /**
--- a/packages/forwarder/src/constants.ts
+++ b/packages/forwarder/src/constants.ts
@@ -57,3 +57,6 @@
 
 /** Interval at which idle connections are checked, in milliseconds. */
 export const IDLE_SWEEP_INTERVAL_MS = 1_000;
+
+/** Time after which callers may retry a request at another VM, in milliseconds. */
+export const DRAINING_RETRY_MS = 100;
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -7,20 +7,25 @@
   PREFILL_TOKENS_PER_MS,
   RouteKind,
   SendFailure,
-  shouldRefuse,
 } from '@sardinegrade/routing';
 
-import { ANSWER_GRACE_MS, MAX_EVENT_BYTES } from '../constants.js';
+import { ANSWER_GRACE_MS, DRAINING_RETRY_MS, MAX_EVENT_BYTES } from '../constants.js';
 import { LinkSign } from '../links/index.js';
 import { EventFramer } from '../relay/index.js';
 import { Attempts } from './Attempts.js';
 import { buildUnexpectedReply } from './buildUnexpectedReply.js';
 import { buildWorkerRequest } from './buildWorkerRequest.js';
 import { CallerAnswer } from './CallerAnswer.js';
+import { claimWorker } from './claimWorker.js';
 import { computeSilenceTimeoutMs } from './computeSilenceTimeout.js';
 import { ExchangeReport } from './ExchangeReport.js';
 import { findExclusion } from './findExclusion.js';
-import { findLimitRefusal, findQuarantineRefusal } from './findRefusal.js';
+import {
+  findLimitRefusal,
+  findQuarantineRefusal,
+  findSendRefusal,
+  findWaitRefusal,
+} from './findRefusal.js';
 import { findStreamFault } from './findStreamFault.js';
 import { recordActivity } from './recordActivity.js';
 import { recordNotices } from './recordNotices.js';
@@ -30,9 +35,8 @@
 import { isServedElsewhere, selectForRequest } from './selectForRequest.js';
 import { sendToProcess } from './sendToProcess.js';
 import { isFramed, isSuccess } from './sendToWorker.js';
-import { SilenceTimer } from './SilenceTimer.js';
 import { toFinalCode } from './toFinalCode.js';
-import { addUnansweredSend, finishUnansweredSend } from './unansweredSends.js';
+import { finishUnansweredSend } from './unansweredSends.js';
 
 import type { BuildName, ServiceName } from '@sardinegrade/common';
 import type { RoutedService } from '@sardinegrade/routing';
@@ -41,6 +45,7 @@
 import type { LocalReply } from '../front/sendLocalReply.js';
 import type { QueuedRequest } from '../waiting/index.js';
 import type { WorkerRecord } from '../workers/index.js';
+import type { PendingRequest } from './findRefusal.js';
 import type { RequestProgress, RequestSelection } from './selectForRequest.js';
 import type { AnswerHead, SendEnd } from './sendToWorker.js';
 import type { ActiveSend, AdmittedRequest } from './types.js';
@@ -145,7 +150,7 @@
 
   /** Sends the request, or fails it if there is no worker. Returns false if it has to wait. */
   #tryStart(): boolean {
-    if (this.#refuseIfQuarantined()) return true;
+    if (this.#refuseIfUnsendable()) return true;
     const selected = this.#select();
     if (selected !== undefined && selected.selection.limited.length > 0) {
       return this.#refuseIfLimited(selected.selection.limited);
@@ -171,28 +176,22 @@
     return selectForRequest(this.state, this.admitted, this.#progress);
   }
 
-  /**
-   * Refuses the request if it has waited for too long or can no longer complete before its deadline. Returns whether it
-   * was refused.
-   */
-  #refuseIfExpired(): boolean {
-    // An answer that has begun is not refused for load: it waits for a worker until its deadline.
-    if (this.#answer.hasBegun) return false;
-    if (this.#refuseIfQuarantined()) return true;
-    const { route } = this.admitted;
-    const times = {
+  get #pending(): PendingRequest {
+    const { caller, route } = this.admitted;
+    return {
+      route,
+      prompt: caller.prompt,
+      prefillMs: this.#prefillMs,
       waitedMs: this.#getAgeMs(),
       remainingMs: this.#getRemainingMs(),
-      prefillMs: this.#prefillMs,
-      streamMs: this.state.pace.estimateMs(route.name),
     };
-    if (!shouldRefuse(route, times)) return false;
-    this.#replyFailure(
-      this.#attempts.runs > 0,
-      ResultCode.Overloaded,
-      'all engines had too much to read',
-    );
-    return true;
+  }
+
+  /** Refuses the request if it is not to wait any longer. Returns whether it was refused. */
+  #refuseIfExpired(): boolean {
+    // An answer that has begun is not refused for load or the exit: it waits for a worker until its deadline.
+    if (this.#answer.hasBegun) return false;
+    return this.#refuseFor(findWaitRefusal(this.state, this.#pending));
   }
 
   /** Refuses the request if there is a reason. Returns whether it was refused. */
@@ -203,8 +202,12 @@
     return true;
   }
 
-  #refuseIfQuarantined(): boolean {
-    return this.#refuseFor(findQuarantineRefusal(this.state, this.admitted.caller.prompt));
+  #refuseIfUnsendable(): boolean {
+    const { caller } = this.admitted;
+    const refusal = this.#answer.hasBegun
+      ? findQuarantineRefusal(this.state, caller.prompt)
+      : findSendRefusal(this.state, this.#pending);
+    return this.#refuseFor(refusal);
   }
 
   /** Refuses a request that arrives while all workers are limited if it would wait too long. */
@@ -218,36 +221,18 @@
 
   #sendTo(record: WorkerRecord, service: RoutedService, backlogTokens: number): void {
     const { caller } = this.admitted;
-    const nowMs = this.#getNowMs();
-    const claimed = record.pool.claim(nowMs, this.#attempts.isRepeatable);
-    const prompt = service.engine === undefined ? undefined : caller.prompt;
-    const run = prompt === undefined ? undefined : record.tracker.start(prompt, nowMs);
-    const uncachedTokens = run?.uncachedTokens ?? 0;
+    const { isRepeatable } = this.#attempts;
+    const active = claimWorker(this.state, this.admitted, { record, service, isRepeatable });
+    const uncachedTokens = active.run?.uncachedTokens ?? 0;
     const placement = { queuedMs: this.#getAgeMs(), backlogTokens, uncachedTokens };
     this.#report.recordSend(record.worker, placement);
-    this.state.workerLimits.recordSend(record);
-    if (prompt !== undefined && run?.hasUncachedSharedParts === true) {
-      this.state.onPlacement(record.worker.id, prompt.parts);
-    }
-    const { partQuarantine } = this.state;
-    const unanswered = addUnansweredSend(partQuarantine, record.worker, prompt, () => active.send);
-    const active: ActiveSend = {
-      record,
-      claimed,
-      run,
-      isStream: this.admitted.route.kind === RouteKind.Streaming,
-      unanswered,
-      silenceTimer: new SilenceTimer(),
-      startedAtMs: nowMs,
-      hasFirstEvent: false,
-    };
     this.#activeSend = active;
     this.#attempts.recordSend(record.worker.id);
     const { protocol } = this.state.options;
     const workerRequest = buildWorkerRequest(protocol, this.request, this.admitted, {
       worker: record.worker.id,
       remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(this.#getRemainingMs())),
-      priority: prompt === undefined ? undefined : this.#priorityRank,
+      priority: active.run === undefined ? undefined : this.#priorityRank,
       lastEventId: this.#framer.lastEventId ?? caller.lastEventId,
     });
     active.send = sendToProcess(this.state, active, workerRequest, {
@@ -423,13 +408,22 @@
     this.#answer.abort();
   }
 
+  /** Gives the request its final answer, because the process exits. */
+  settleForExit(): void {
+    this.#run(() => this.#giveUp(ResultCode.UpstreamFailed, 'this VM exits', DRAINING_RETRY_MS));
+  }
+
   #onTimeout(): void {
+    this.#giveUp(ResultCode.UpstreamTimeout, `no whole answer within ${this.#timeoutMs} ms`);
+  }
+
+  /** Ends the request with a code if it may have run, and as not run otherwise. */
+  #giveUp(code: ResultCode, message: string, retryAfterMs?: number): void {
     if (this.#isFinished) return;
     const active = this.#activeSend;
     const canHaveStarted = this.#attempts.runs > 0 || active !== undefined;
-    const code = canHaveStarted ? ResultCode.UpstreamTimeout : ResultCode.NoUpstream;
-    const message = `no whole answer within ${this.#timeoutMs} ms`;
-    this.#replyFailure(canHaveStarted, code, message);
+    const final = canHaveStarted ? code : ResultCode.NoUpstream;
+    this.#replyFailure(canHaveStarted, final, message, retryAfterMs);
     active?.send?.cancel(SendFailure.Silent, message);
   }
 
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -2,7 +2,7 @@
 
 import { ResultCode } from '@sardinegrade/common';
 
-import { DEFAULT_TIMEOUT_MS } from '../constants.js';
+import { DEFAULT_TIMEOUT_MS, DRAINING_RETRY_MS } from '../constants.js';
 import { SyncedKind } from '../ForwarderState.js';
 import { BodyEnd, readBody } from '../front/readBody.js';
 import { sendLocalReply } from '../front/sendLocalReply.js';
@@ -32,9 +32,6 @@
   retryAfterMs: NOT_READY_RETRY_MS,
 };
 
-/** Time after which callers may retry a request at another VM, in milliseconds. */
-const DRAINING_RETRY_MS = 100;
-
 const DRAINING: LocalReply = {
   code: ResultCode.NotReady,
   message: 'This VM is shutting down.',
@@ -142,10 +139,6 @@
     refuse(state, response, caller, permission);
     return undefined;
   }
-  if (state.isDrainingTooLong) {
-    refuse(state, response, caller, DRAINING);
-    return undefined;
-  }
   const fingerprint = hashRequest(request.url ?? '', caller.key, read.body);
   if (state.crashes.isQuarantined(fingerprint, state.options.getNowMs())) {
     refuse(state, response, caller, QUARANTINED);
@@ -168,5 +161,10 @@
     refuse(state, response, caller, origin);
     return undefined;
   }
+  // Comes last: the process may have been draining while the caller or the origin was waited for.
+  if (state.isDrainingTooLong) {
+    refuse(state, response, caller, DRAINING);
+    return undefined;
+  }
   return { caller, ...permission, origin, body: read.body, fingerprint, arrivedAtMs, timeoutMs };
 };
--- a/packages/forwarder/src/exchange/findRefusal.ts
+++ b/packages/forwarder/src/exchange/findRefusal.ts
@@ -1,6 +1,7 @@
 import { ResultCode } from '@sardinegrade/common';
-import { computeLongestWaitMs } from '@sardinegrade/routing';
+import { computeLongestWaitMs, shouldRefuse } from '@sardinegrade/routing';
 
+import { DRAINING_RETRY_MS } from '../constants.js';
 import { describeRefusedPart } from './unansweredSends.js';
 
 import type { PromptShape, Route } from '@sardinegrade/routing';
@@ -43,6 +44,65 @@
   };
 };
 
+/** A request of which the caller has received nothing. Times are in milliseconds. */
+export interface PendingRequest {
+  readonly route: Route;
+  /** The prompt; undefined if the request is not for a model. */
+  readonly prompt: PromptShape | undefined;
+  /** Time in which its prompt is read on an idle engine. */
+  readonly prefillMs: number;
+  readonly waitedMs: number;
+  readonly remainingMs: number;
+}
+
+/** Refuses a request that the exit of the process would cut: another VM can serve it whole. */
+const findExitRefusal = (
+  state: ForwarderState,
+  { route, prefillMs }: PendingRequest,
+): LocalReply | undefined => {
+  const expectedMs = Math.max(route.targetMs, prefillMs + state.pace.estimateMs(route.name));
+  if (expectedMs <= state.untilExitMs) return undefined;
+  return {
+    code: ResultCode.NoUpstream,
+    message: 'This VM would exit before the request is answered.',
+    retryAfterMs: DRAINING_RETRY_MS,
+  };
+};
+
+/**
+ * Finds whether a request may not be sent, whichever worker would take it.
+ *
+ * @param state - state of the forwarder
+ * @param pending - the request
+ * @returns the reply, or undefined if the request may be sent
+ */
+export const findSendRefusal = (
+  state: ForwarderState,
+  pending: PendingRequest,
+): LocalReply | undefined =>
+  findQuarantineRefusal(state, pending.prompt) ?? findExitRefusal(state, pending);
+
+/**
+ * Finds whether a request that waits is refused: it may not be sent, has waited for too long or can no longer complete
+ * before its deadline.
+ *
+ * @param state - state of the forwarder
+ * @param pending - the request
+ * @returns the reply, or undefined if the request goes on waiting
+ */
+export const findWaitRefusal = (
+  state: ForwarderState,
+  pending: PendingRequest,
+): LocalReply | undefined => {
+  const { route } = pending;
+  const times = { ...pending, streamMs: state.pace.estimateMs(route.name) };
+  const overload: LocalReply = {
+    code: ResultCode.Overloaded,
+    message: 'all engines had too much to read',
+  };
+  return findSendRefusal(state, pending) ?? (shouldRefuse(route, times) ? overload : undefined);
+};
+
 /** Estimates when a worker accepts a request of this VM, in milliseconds. */
 const estimateWaitMs = (
   { workerLimits, workerNotices }: ForwarderState,
--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -32,6 +32,7 @@
   readonly #server: Server;
   readonly #sweepTimer: NodeJS.Timeout;
   #openExchanges = 0;
+  readonly #exchanges = new Set<Exchange>();
 
   /** @param state - state of the forwarder */
   constructor(private readonly state: ForwarderState) {
@@ -85,6 +86,11 @@
     this.#server.close();
   }
 
+  /** Gives a final answer to all requests in progress, because the process exits. */
+  settleAll(): void {
+    for (const exchange of this.#exchanges) exchange.settleForExit();
+  }
+
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.state.callerConnections.addAnswer(response)) return;
     this.#openExchanges += 1;
@@ -95,7 +101,10 @@
       const admitted = await admitRequest(this.state, request, response);
       // The caller may have left while the origin of its stream was fetched.
       if (admitted === undefined || response.destroyed) return;
-      new Exchange(this.state, request, response, admitted).start();
+      const exchange = new Exchange(this.state, request, response, admitted);
+      this.#exchanges.add(exchange);
+      response.once('close', () => this.#exchanges.delete(exchange));
+      exchange.start();
     } catch (thrown) {
       this.state.options.logger.error('request failed unexpectedly', {
         error: toSardinegradeError(thrown),
--- a/packages/forwarder/src/testing/startTestForwarder.ts
+++ b/packages/forwarder/src/testing/startTestForwarder.ts
@@ -35,6 +35,8 @@
   readonly port: number;
   /** Stops listening and closes idle connections, as a draining VM does. */
   readonly close: () => void;
+  /** Gives a final answer to all requests, as a VM does before it exits. */
+  readonly settleAll: () => void;
   /** Counts the requests without a final answer. */
   readonly countOpen: () => number;
   /** Sends a request to the route with this name and waits for the end of the answer. */
@@ -215,6 +217,7 @@
     listUnanswered: () => logLines.filter((line) => UNANSWERED.test(line)),
     port,
     close: () => front.close(),
+    settleAll: () => front.settleAll(),
     countOpen: () => front.openExchanges,
     call: (route, headers = {}, body) => callForwarder(port, route, headers, body),
     callUntil: (route, body, isEnough) => callUntil(port, route, body, isEnough),
