fix(forwarder): only a stream goes on with a stream

Cause: any success was taken for the rest of a stream that had begun.

Change: an answer goes on with a stream if its status and media type are those of the beginning and its ids follow. A success without an event ends the stream only if a second worker has nothing left, either. A status from 400 to 499 is a failed send, after which another worker may go on.

--- a/packages/forwarder/src/exchange/CallerAnswer.ts
+++ b/packages/forwarder/src/exchange/CallerAnswer.ts
@@ -19,6 +19,11 @@
     return this.response.headersSent;
   }
 
+  /** Head of the stream that the caller receives; undefined before its first event. */
+  get begunStreamHead(): AnswerHead | undefined {
+    return this.hasBegun ? this.#streamHead : undefined;
+  }
+
   /** Sets the head of a stream. The caller gets that of the first worker, together with the first events. */
   setStreamHead(head: AnswerHead): void {
     this.#streamHead ??= head;
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -9,9 +9,8 @@
   SendFailure,
 } from '@sardinegrade/routing';
 
-import { ANSWER_GRACE_MS, DRAINING_RETRY_MS, MAX_EVENT_BYTES } from '../constants.js';
+import { ANSWER_GRACE_MS, DRAINING_RETRY_MS } from '../constants.js';
 import { LinkSign } from '../links/index.js';
-import { EventFramer } from '../relay/index.js';
 import { Attempts } from './Attempts.js';
 import { buildUnexpectedReply } from './buildUnexpectedReply.js';
 import { buildWorkerRequest } from './buildWorkerRequest.js';
@@ -26,7 +25,6 @@
   findSendRefusal,
   findWaitRefusal,
 } from './findRefusal.js';
-import { findStreamFault } from './findStreamFault.js';
 import { recordActivity } from './recordActivity.js';
 import { recordNotices } from './recordNotices.js';
 import { recordSendFailure } from './recordSendFailure.js';
@@ -35,6 +33,7 @@
 import { isServedElsewhere, selectForRequest } from './selectForRequest.js';
 import { sendToProcess } from './sendToProcess.js';
 import { isFramed, isSuccess } from './sendToWorker.js';
+import { StreamProgress } from './StreamProgress.js';
 import { toFinalCode } from './toFinalCode.js';
 import { finishUnansweredSend } from './unansweredSends.js';
 
@@ -55,7 +54,7 @@
 
 /** Serves one request of a caller: sends it to workers until one answers or no further attempt is possible. */
 export class Exchange {
-  readonly #framer = new EventFramer();
+  readonly #stream = new StreamProgress();
   readonly #report: ExchangeReport;
   readonly #answer: CallerAnswer;
   readonly #service: ServiceName | undefined;
@@ -233,7 +232,7 @@
       worker: record.worker.id,
       remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(this.#getRemainingMs())),
       priority: active.run === undefined ? undefined : this.#priorityRank,
-      lastEventId: this.#framer.lastEventId ?? caller.lastEventId,
+      lastEventId: this.#stream.lastEventId ?? caller.lastEventId,
     });
     active.send = sendToProcess(this.state, active, workerRequest, {
       onSlowHead: () => recordSlowHead(this.state, active, this.#report),
@@ -279,6 +278,13 @@
     recordNotices(this.state, active, head);
     recordActivity(this.state, active);
     const isRelayed = this.admitted.route.kind === RouteKind.Streaming && isSuccess(head.status);
+    const fault = isRelayed
+      ? this.#stream.findHeadFault(this.#answer.begunStreamHead, head)
+      : undefined;
+    if (fault !== undefined) {
+      active.send?.cancel(SendFailure.Broken, fault);
+      return true;
+    }
     if (isRelayed) this.#answer.setStreamHead(head);
     this.#watchSilence(active);
     return isRelayed;
@@ -287,9 +293,9 @@
   #onChunk(active: ActiveSend, chunk: Buffer, resume: () => void): boolean {
     if (this.#isFinished) return true;
     recordActivity(this.state, active);
-    const events = this.#framer.push(chunk);
-    if (this.#framer.partialEventBytes > MAX_EVENT_BYTES) {
-      active.send?.cancel(SendFailure.Broken, `an event exceeds ${MAX_EVENT_BYTES} bytes`);
+    const { events, fault } = this.#stream.push(active, chunk, this.#answer.hasBegun);
+    if (fault !== undefined) {
+      active.send?.cancel(SendFailure.Broken, fault);
       return true;
     }
     if (events.length === 0) return true;
@@ -335,20 +341,22 @@
         this.#relayAnswer(end);
         return;
       }
-      const fault = findStreamFault(this.#framer, active, end.head);
+      const fault = this.#stream.findEndFault(active, end.head, this.#answer.hasBegun);
       if (fault === undefined && !isFramed(end.head)) this.#report.recordUnframedEnd(active);
       if (fault === undefined) this.#finishStream(active);
       else this.#onFailure(active, SendFailure.Broken, fault);
       return;
     }
-    if (end.head.status >= HTTP_STATUS[ResultCode.Internal]) {
+    const isServerError = end.head.status >= HTTP_STATUS[ResultCode.Internal];
+    if (!isServerError && !this.#answer.hasBegun) {
+      this.#relayAnswer(end);
+      return;
+    }
+    if (isServerError) {
       active.record.health.recordErrorAnswer();
       this.#lastErrorAnswer = end;
-      this.#onFailure(active, SendFailure.ErrorAnswer, `answered ${end.head.status}`);
-      return;
     }
-    if (this.#answer.hasBegun) this.#abortAnswer('the stream could not be resumed');
-    else this.#relayAnswer(end);
+    this.#onFailure(active, SendFailure.ErrorAnswer, `answered ${end.head.status}`);
   }
 
   #finishStream(active: ActiveSend): void {
@@ -364,7 +372,7 @@
 
   #onFailure(active: ActiveSend, failure: SendFailure, reason: string): void {
     recordSendFailure(this.state, active, { failure, fingerprint: this.admitted.fingerprint });
-    this.#framer.clearPartialEvent();
+    this.#stream.clearPartialEvent();
     const step = this.#attempts.recordFailure(failure);
     const { runs, sends } = this.#attempts;
     this.#report.recordFailedSend(active, { failure, reason, runs, sends, next: step });
--- a/packages/forwarder/src/relay/EventFramer.ts
+++ b/packages/forwarder/src/relay/EventFramer.ts
@@ -24,6 +24,15 @@
   return toBranded(events.toString('latin1', first, events.indexOf(LINE_FEED, first)));
 };
 
+/**
+ * Reads the id of the first event.
+ *
+ * @param events - complete events
+ * @returns the id; undefined if the first event has none
+ */
+export const readFirstId = (events: Buffer): EventId | undefined =>
+  readLastId(events.subarray(0, events.indexOf(BOUNDARY) + 1));
+
 /** Splits a stream into complete server-sent events, so that an interrupted stream never ends with a partial event. */
 export class EventFramer {
   #partialEvent = EMPTY;
@@ -65,6 +74,12 @@
     return events;
   }
 
+  /** Forgets the ids of events that were pushed but do not belong to the stream, and what follows them. */
+  resetLastEventId(lastEventId: EventId | undefined): void {
+    this.#lastEventId = lastEventId;
+    this.clearPartialEvent();
+  }
+
   /** Drops a partial event, for example when another worker resumes the stream. */
   clearPartialEvent(): void {
     this.#partialEvent = EMPTY;
