fix(forwarder): requests wait for limited workers if only ejected ones would take them

Cause: an ejected worker, which was gone, counted as the only one that accepts requests, and used up the four sends of each.

Change: ejected workers do not count as accepting while others are only limited.

--- a/packages/forwarder/src/exchange/filterCandidates.ts
+++ b/packages/forwarder/src/exchange/filterCandidates.ts
@@ -86,9 +86,10 @@
 
 /**
  * Lists the workers that accept a request of this VM now, according to what they stated in their answers, and that have
- * room for it if they are brittle.
+ * room for it if they are brittle. Ejected ones do not count while others accept requests soon: they are likely to be gone,
+ * and would use up the sends of a request that can wait.
  */
-const listAccepting = ({ state }: SelectionContext, all: CandidateSet): CandidateSet => {
+const listAccepting = ({ state, nowMs }: SelectionContext, all: CandidateSet): CandidateSet => {
   const { workerLimits, workerNotices } = state;
   const { brittle } = workerLimits;
   if (workerLimits.limitedCount === 0 && brittle.count === 0 && !workerNotices.hasPaused)
@@ -100,7 +101,10 @@
       workerLimits.canSend(record) &&
       brittle.canSend(record),
   );
-  return records.length === all.records.length ? all : { records, ranking: all.ranking };
+  if (records.length === all.records.length) return all;
+  const isEjected = ({ health }: WorkerRecord): boolean => health.isEjected(nowMs);
+  const isUseless = records.every(isEjected) && !all.records.every(isEjected);
+  return { records: isUseless ? [] : records, ranking: all.ranking };
 };
 
 /** Lists the workers that were not tried yet, or all workers if each was tried. */
--- a/packages/forwarder/src/exchange/pausedWorkers.test.ts
+++ b/packages/forwarder/src/exchange/pausedWorkers.test.ts
@@ -2,6 +2,8 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { toBranded } from '@sardinegrade/common';
+
 import {
   buildTestConfiguration,
   formatAnswer,
@@ -209,3 +211,36 @@
     assert.ok(!logLines.some((line) => line.includes('worker named a time')));
   });
 }
+
+/** Requests that fail at the worker that is gone, until it is ejected. */
+const FAILING_REQUESTS = 6;
+
+const SHORT_PAUSE_S = 0.3;
+
+// Guards against requests that use up their sends at a worker that is gone, while another one accepts them soon.
+test('requests wait for a worker that wants none for a time if all others are ejected', async (context) => {
+  let isPausing = true;
+  const answerPaused: WorkerScript = (socket, head) =>
+    socket.write(
+      isPausing ? formatRejection(head, String(SHORT_PAUSE_S)) : formatAnswer(head, 'done'),
+    );
+  const forwarder = await startTestForwarder(context, [answerPaused, () => undefined]);
+  forwarder.workers[1]?.close();
+  for (let call = 0; call < FAILING_REQUESTS; call += 1) {
+    await forwarder.call('unsafe', { 'request-id': `f${call}` }, 'body');
+  }
+  const service = buildTestConfiguration().services.get(toBranded('desk'));
+  assert.ok(service !== undefined);
+  const nowMs = performance.now();
+  const { records } = forwarder.state.fleet.listCandidates(service, nowMs);
+  const ejected = records.filter(({ health }) => health.isEjected(nowMs));
+  assert.deepEqual(
+    ejected.map(({ worker }) => worker.id),
+    ['w1'],
+  );
+  const sendsBefore = forwarder.logLines.filter((line) => line.includes('send failed')).length;
+  isPausing = false;
+  const { status } = await forwarder.call('unsafe', { 'request-id': 'r' }, 'body');
+  const sendsAfter = forwarder.logLines.filter((line) => line.includes('send failed')).length;
+  assert.deepEqual([status, sendsAfter - sendsBefore], [200, 0]);
+});
