--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -143,13 +143,11 @@
     await this.store.listen();
     this.#writeConfiguration();
     for (let count = 0; count < workers; count += 1) await this.#addWorker();
-    const storePort = this.store.port;
     const ports = { front: 21_000, ready: 21_001, peers: 21_002 };
+    const shared = { ...programs, ports, storePort: this.store.port, folder: join(folder, 'vms') };
     for (let index = 0; index < vms; index += 1) {
-      const [name, ip] = [`vm-${index}`, buildLoopbackHost(subnet, index)];
-      this.vms.push(
-        new SoakVm({ ...programs, name, ip, ports, storePort, folder: join(folder, 'vms'), index }),
-      );
+      const ip = buildLoopbackHost(subnet, index);
+      this.vms.push(new SoakVm({ ...shared, name: `vm-${index}`, ip, index }));
     }
     for (const vm of this.vms) {
       vm.setLinks({ workerPorts: this.#workerPorts });
