fix(common): a call that heeds its time limit decides itself how it ends

The load tool's requests without an answer ended with an error in place of the outcome "timed out": since a call was rejected before its own handling of the limit had run.

It fails each time on that code and passes now; "a call that heeds its signal decides how it ends" guards it where the limit is.

Change: the rejection at the limit comes one turn of the event loop later than the signal.

--- a/packages/common/src/time/runWithTimeLimit.test.ts
+++ b/packages/common/src/time/runWithTimeLimit.test.ts
@@ -55,3 +55,11 @@
   assert.equal(result, 'done');
   assert.equal(limitSignal?.aborted, false);
 });
+
+// Guards against the outcome of a call being replaced by the reason of its end.
+test('a call that heeds its signal decides how it ends', async () => {
+  const result = await runWithTimeLimit({ timeoutMs: TIMEOUT_MS }, (signal) =>
+    waitForAbort(signal).catch(() => 'timed out'),
+  );
+  assert.equal(result, 'timed out');
+});
--- a/packages/common/src/time/runWithTimeLimit.ts
+++ b/packages/common/src/time/runWithTimeLimit.ts
@@ -31,7 +31,9 @@
   if (signal?.aborted === true) abort();
   signal?.addEventListener('abort', abort, { once: true });
   const aborted = new Promise<never>((_resolve, reject) => {
-    const rejectCall = (): void => reject(toError(controller.signal.reason));
+    // A call that heeds its signal decides itself how it ends.
+    const rejectCall = (): void =>
+      void setImmediate(() => reject(toError(controller.signal.reason)));
     if (controller.signal.aborted) rejectCall();
     else controller.signal.addEventListener('abort', rejectCall, { once: true });
   });
