fix(forwarder): a stream whose last event was delivered is not cut if no other worker can be asked

Callers of sound streams were cut after the last event (LOST): since, a success without an event counted as a failed send even where no further run was allowed. A silence may hide just the end of a stream, and the next worker then has nothing left.

Change: such an answer is confirmed by a second worker only where one can be asked.

--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -341,7 +341,8 @@
         this.#relayAnswer(end);
         return;
       }
-      const fault = this.#stream.findEndFault(active, end.head, this.#answer.hasBegun);
+      const canAskOther = (): boolean => this.#answer.hasBegun && this.#canSendElsewhere();
+      const fault = this.#stream.findEndFault(active, end.head, canAskOther);
       if (fault === undefined && !isFramed(end.head)) this.#report.recordUnframedEnd(active);
       if (fault === undefined) this.#finishStream(active);
       else this.#onFailure(active, SendFailure.Broken, fault);
--- a/packages/forwarder/src/exchange/StreamProgress.ts
+++ b/packages/forwarder/src/exchange/StreamProgress.ts
@@ -77,24 +77,27 @@
   }
 
   /**
-   * Finds why a stream that its worker has ended is not whole. A worker that has nothing to go on with may do so by mistake;
-   * the stream is whole if a second one has nothing, either.
+   * Finds why a stream that its worker has ended is not whole. A worker that has nothing to go on with may do so by mistake,
+   * so a second one is asked; the stream is whole if that has nothing, either, or if none can be asked.
    *
    * @param active - the send
    * @param head - head of its answer
-   * @param hasBegun - whether the caller has received events
+   * @param canAskOther - tells whether the caller has received events, and another worker may be asked for the rest
    * @returns the reason, or undefined if the stream is whole
    */
-  findEndFault(active: ActiveSend, head: AnswerHead, hasBegun: boolean): string | undefined {
+  findEndFault(
+    active: ActiveSend,
+    head: AnswerHead,
+    canAskOther: () => boolean,
+  ): string | undefined {
     if (this.#framer.hasPartialEvent) return 'the stream ended in the middle of an event';
     if (active.hasFirstEvent) return undefined;
     if (!isFramed(head)) return 'the stream ended before its first event';
-    if (!hasBegun) return undefined;
     const { id } = active.record.worker;
-    const earlier = this.#emptyAt;
+    const isConfirmed = this.#emptyAt !== undefined && this.#emptyAt !== id;
+    if (isConfirmed || !canAskOther()) return undefined;
     this.#emptyAt = id;
-    const isConfirmed = earlier !== undefined && earlier !== id;
-    return isConfirmed ? undefined : 'the answer that goes on with the stream holds no event';
+    return 'the answer that goes on with the stream holds no event';
   }
 
   /** Drops a partial event, for example when another worker resumes the stream. */
--- a/packages/forwarder/src/exchange/continuedStreams.test.ts
+++ b/packages/forwarder/src/exchange/continuedStreams.test.ts
@@ -122,3 +122,15 @@
   ]);
   assert.deepEqual([answer.body, answer.isComplete, sends], [WHOLE, true, 3]);
 });
+
+// Guards against a stream that is cut although its last event has been delivered, where the route allows no further run.
+test('a stream is whole if the last worker that may be asked has nothing to go on with', async (context) => {
+  const answerOrBreak: WorkerScript = (socket, head) => {
+    const after = Number(readHeader(head, 'last-event-id') || 0);
+    if (after > 0) resumeStream(socket, head);
+    else socket.write(formatStream(head, EVENTS), () => setTimeout(() => socket.destroy(), 10));
+  };
+  const forwarder = await startTestForwarder(context, [answerOrBreak, answerOrBreak]);
+  const answer = await forwarder.call('resumable', {}, 'prompt');
+  assert.deepEqual([answer.body, answer.isComplete], [WHOLE, true]);
+});
--- a/packages/forwarder/src/exchange/pausedWorkers.test.ts
+++ b/packages/forwarder/src/exchange/pausedWorkers.test.ts
@@ -212,8 +212,8 @@
   });
 }
 
-/** Requests that fail at the worker that is gone, until it is ejected. */
-const FAILING_REQUESTS = 6;
+/** Failures after which the worker that is gone is ejected for longer than the other one pauses. */
+const FAILURES = 6;
 
 const SHORT_PAUSE_S = 0.3;
 
@@ -226,18 +226,15 @@
     );
   const forwarder = await startTestForwarder(context, [answerPaused, () => undefined]);
   forwarder.workers[1]?.close();
-  for (let call = 0; call < FAILING_REQUESTS; call += 1) {
-    await forwarder.call('unsafe', { 'request-id': `f${call}` }, 'body');
-  }
   const service = buildTestConfiguration().services.get(toBranded('desk'));
   assert.ok(service !== undefined);
-  const nowMs = performance.now();
-  const { records } = forwarder.state.fleet.listCandidates(service, nowMs);
-  const ejected = records.filter(({ health }) => health.isEjected(nowMs));
-  assert.deepEqual(
-    ejected.map(({ worker }) => worker.id),
-    ['w1'],
-  );
+  const { records } = forwarder.state.fleet.listCandidates(service, performance.now());
+  const gone = records.find(({ worker }) => worker.id === 'w1');
+  assert.ok(gone !== undefined);
+  await forwarder.call('unsafe', { 'request-id': 'f' }, 'body');
+  for (let count = 0; count < FAILURES; count += 1) {
+    gone.health.recordFailure(performance.now(), true);
+  }
   const sendsBefore = forwarder.logLines.filter((line) => line.includes('send failed')).length;
   isPausing = false;
   const { status } = await forwarder.call('unsafe', { 'request-id': 'r' }, 'body');
