--- a/packages/common/src/errors/index.ts
+++ b/packages/common/src/errors/index.ts
@@ -2,3 +2,4 @@
 export * from './constants.js';
 export * from './resultCode.js';
 export * from './SardinegradeError.js';
+export * from './toError.js';
--- a/packages/common/src/time/runWithTimeLimit.ts
+++ b/packages/common/src/time/runWithTimeLimit.ts
@@ -1,3 +1,5 @@
+import { toError } from '../errors/index.js';
+
 /** When a call ends. */
 export interface TimeLimit {
   readonly timeoutMs: number;
@@ -5,9 +7,6 @@
   readonly signal?: AbortSignal | undefined;
 }
 
-const toError = (reason: unknown): Error =>
-  reason instanceof Error ? reason : new Error(String(reason));
-
 /**
  * Runs a call that ends after its time limit, or when its signal aborts, whatever phase it is in: undici, for example, heeds
  * a signal only once a connection is established. A signal of `AbortSignal.timeout` that is only a source of
--- a/packages/forwarder/src/links/TunnelSocket.ts
+++ b/packages/forwarder/src/links/TunnelSocket.ts
@@ -1,5 +1,7 @@
 import { Duplex } from 'node:stream';
 
+import { toError } from '@sardinegrade/common';
+
 import { FrameDecoder } from './tunnelFrames.js';
 
 import type { Socket } from 'node:net';
@@ -51,7 +53,7 @@
       this.#hasEnded = true;
       this.push(null);
     } catch (error) {
-      this.destroy(error instanceof Error ? error : new Error(String(error)));
+      this.destroy(toError(error));
     }
   }
 
--- a/packages/forwarder/src/links/WorkerDialer.ts
+++ b/packages/forwarder/src/links/WorkerDialer.ts
@@ -1,3 +1,4 @@
+import { toError } from '@sardinegrade/common';
 import { buildConnector } from 'undici';
 
 import { CONNECT_TIMEOUT_MS } from '../constants.js';
@@ -63,8 +64,7 @@
   #openTunnel(address: string, callback: DialCallback): void {
     this.tunnels.open(address).then(
       (tunnel) => callback(null, tunnel),
-      (error: unknown) =>
-        callback(error instanceof Error ? error : new Error(String(error)), undefined),
+      (error: unknown) => callback(toError(error), undefined),
     );
   }
 }
--- a/packages/lab/src/model/orders/modelPlatform.ts
+++ b/packages/lab/src/model/orders/modelPlatform.ts
@@ -1,3 +1,4 @@
+import { toError } from '@sardinegrade/common';
 import { createMemoryPlatform, PlatformError, PlatformFailure } from '@sardinegrade/platform';
 
 import type { MemoryPlatform, PlatformClient } from '@sardinegrade/platform';
@@ -16,9 +17,6 @@
   Duplicated = 'duplicated',
 }
 
-const toError = (error: unknown): Error =>
-  error instanceof Error ? error : new Error(String(error));
-
 /** The platform that all daemons of a model share, with injected faults. */
 export interface ModelPlatform {
   /** Creates a client whose replies are delivered as events of the given host. */
