fix(forwarder): the bodies of all requests together are bounded in memory

Cause: each body had a limit, all together had none; a body is held until its answer has ended. Change: HeldBytes, the limit of unfinished answers, also limits the bodies of requests. The largest one that is not whole is refused as not run (429, Retry-After), small ones are read in any case.

--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -1,6 +1,7 @@
 import { setImmediate } from 'node:timers/promises';
 
 import { ResultCode } from '@sardinegrade/common';
+import { computeRetryAfterMs } from '@sardinegrade/routing';
 
 import { DEFAULT_TIMEOUT_MS, DRAINING_RETRY_MS } from '../constants.js';
 import { SyncedKind } from '../ForwarderState.js';
@@ -47,6 +48,25 @@
   retryAfterMs: QUARANTINED_RETRY_MS,
 };
 
+/** Replies to requests whose bodies could not be read; none if the caller has left. */
+const BODY_REPLIES: Readonly<
+  Record<
+    Exclude<BodyEnd, BodyEnd.Whole>,
+    (state: ForwarderState, deadlineAtMs: number) => LocalReply | undefined
+  >
+> = {
+  [BodyEnd.Broken]: () => undefined,
+  [BodyEnd.TooLarge]: ({ configuration }) => ({
+    code: ResultCode.BodyTooLarge,
+    message: `The body exceeds ${configuration?.limits.bodyBytes ?? 0} bytes.`,
+  }),
+  [BodyEnd.NoMemory]: ({ options }, deadlineAtMs) => ({
+    code: ResultCode.Overloaded,
+    message: 'The bodies of all requests exceed the memory for them.',
+    retryAfterMs: computeRetryAfterMs(deadlineAtMs - options.getNowMs(), options.random),
+  }),
+};
+
 const isReply = (result: object | undefined): result is LocalReply =>
   result !== undefined && 'code' in result;
 
@@ -124,14 +144,13 @@
     refuse(state, response, caller, NOT_READY);
     return undefined;
   }
-  const read = await readBody(request, configuration.limits.bodyBytes);
-  if (read.end === BodyEnd.Broken) return undefined;
-  if (read.end === BodyEnd.TooLarge) {
-    response.shouldKeepAlive = false;
-    refuse(state, response, caller, {
-      code: ResultCode.BodyTooLarge,
-      message: `The body exceeds ${configuration.limits.bodyBytes} bytes.`,
-    });
+  const limitBytes = configuration.limits.bodyBytes;
+  const read = await readBody(request, response, { limitBytes, held: state.heldBodies });
+  if (read.end !== BodyEnd.Whole) {
+    if (read.end === BodyEnd.TooLarge) response.shouldKeepAlive = false;
+    const deadlineAtMs = arrivedAtMs + (caller.deadlineMs ?? DEFAULT_TIMEOUT_MS);
+    const reply = BODY_REPLIES[read.end](state, deadlineAtMs);
+    if (reply !== undefined) refuse(state, response, caller, reply);
     return undefined;
   }
   const permission = checkRequest(state, state.configuration ?? configuration, request, caller);
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -1,7 +1,7 @@
 import { SendFailure } from '@sardinegrade/routing';
 
 import { MAX_ANSWER_BYTES } from '../constants.js';
-import type { HeldAnswers } from './HeldAnswers.js';
+import type { HeldBytes } from '../relay/index.js';
 
 import type { RequestId } from '@sardinegrade/common';
 import type { Dispatcher } from 'undici';
@@ -127,7 +127,7 @@
     private readonly request: WorkerRequest,
     private readonly claimed: ClaimedConnection,
     private readonly protocol: ForwardProtocol,
-    private readonly held: HeldAnswers,
+    private readonly held: HeldBytes,
     private readonly observer: SendObserver,
   ) {}
 
@@ -252,7 +252,7 @@
   request: WorkerRequest,
   claimed: ClaimedConnection,
   protocol: ForwardProtocol,
-  held: HeldAnswers,
+  held: HeldBytes,
   observer: SendObserver,
 ): Send => {
   const send = new RunningSend(request, claimed, protocol, held, observer);
--- /dev/null
+++ b/packages/forwarder/src/front/heldBodies.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { MAX_HELD_BODY_BYTES } from '../constants.js';
+import { buildTestConfiguration, formatAnswer, startTestForwarder } from '../testing/index.js';
+
+import type { TestContext } from 'node:test';
+import type { TestForwarder, WorkerScript } from '../testing/index.js';
+
+const BODY_BYTES = 4 * 1_024 * 1_024;
+const LARGE_BODY = 'x'.repeat(BODY_BYTES);
+
+/** Number of bodies that together need twice the memory that a VM has for them. */
+const UPLOADS = (2 * MAX_HELD_BODY_BYTES) / BODY_BYTES;
+const BOOKINGS = 20;
+
+const LIMIT_MS = 10_000;
+const ANSWER_DELAY_MS = 300;
+
+const answerLate: WorkerScript = (socket, head) =>
+  void setTimeout(() => socket.write(formatAnswer(head, 'done')), ANSWER_DELAY_MS);
+
+const startUploads = (context: TestContext): Promise<TestForwarder> => {
+  const configuration = buildTestConfiguration();
+  const routes = configuration.routes.map((route) => ({
+    ...route,
+    timeoutMs: LIMIT_MS,
+    targetMs: LIMIT_MS,
+  }));
+  const limits = { ...configuration.limits, bodyBytes: BODY_BYTES };
+  return startTestForwarder(context, [answerLate, answerLate], {
+    ...configuration,
+    routes,
+    limits,
+  });
+};
+
+// Guards against a process that is killed for its memory, with all requests in progress, as many callers upload at once.
+test('bodies that exceed the memory for them are refused as not run, and small requests are served', async (context) => {
+  const forwarder = await startUploads(context);
+  const { heldBodies } = forwarder.state;
+  let peakBytes = 0;
+  const timer = setInterval(() => (peakBytes = Math.max(peakBytes, heldBodies.totalBytes)), 1);
+  const headers = { 'deadline-ms': String(LIMIT_MS) };
+  const uploads = Array.from({ length: UPLOADS }, (_, index) =>
+    forwarder.call('unsafe', { ...headers, 'request-id': `u${index}` }, LARGE_BODY),
+  );
+  const bookings = Array.from({ length: BOOKINGS }, (_, index) =>
+    forwarder.call('unsafe', { ...headers, 'request-id': `b${index}` }, 'body'),
+  );
+  const booked = await Promise.all(bookings);
+  const uploaded = await Promise.all(uploads);
+  clearInterval(timer);
+  assert.ok(booked.every(({ status }) => status === 200));
+  const refused = uploaded.filter(({ status }) => status === 429);
+  const served = uploaded.filter(({ status }) => status === 200);
+  assert.ok(refused.length > 0 && served.length > 0);
+  assert.equal(refused.length + served.length, UPLOADS);
+  assert.ok(refused.every((answer) => Number(answer.headers['retry-after']) > 0));
+  assert.ok(refused.every(({ body }) => body.includes('not_run')));
+  assert.ok(peakBytes <= MAX_HELD_BODY_BYTES, `${peakBytes} bytes`);
+  assert.equal(heldBodies.totalBytes, 0);
+  const received = forwarder.workers.flatMap(({ heads }) => heads);
+  assert.equal(received.length, served.length + BOOKINGS);
+});
--- a/packages/forwarder/src/exchange/HeldAnswers.test.ts
+++ b/packages/forwarder/src/relay/HeldBytes.test.ts
@@ -6,7 +6,7 @@
 
 import { MAX_HELD_ANSWER_BYTES } from '../constants.js';
 import { buildTestConfiguration, readHeader, startTestForwarder } from '../testing/index.js';
-import { HeldAnswers } from './HeldAnswers.js';
+import { HeldBytes } from './HeldBytes.js';
 
 import type { ServiceName } from '@sardinegrade/common';
 import type { WorkerScript } from '../testing/index.js';
@@ -22,7 +22,7 @@
 const SERVICE = { name: toBranded<ServiceName>('desk'), connectionLimit: 100, engine: undefined };
 
 test('the largest answers are cancelled when all together exceed the limit', () => {
-  const held = new HeldAnswers(100);
+  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 0 });
   const cancelled: string[] = [];
   const buildCancel = (name: string) => (): void => {
     cancelled.push(name);
@@ -73,3 +73,22 @@
     [0, 0],
   );
 });
+
+test('messages that are whole or small count, and are not cancelled', () => {
+  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 10 });
+  const cancelled: string[] = [];
+  const buildCancel = (name: string) => (): void => {
+    cancelled.push(name);
+  };
+  const [whole, small, large] = ['whole', 'small', 'large'].map(buildCancel);
+  assert.ok(whole !== undefined && small !== undefined && large !== undefined);
+  held.add(whole, 95);
+  held.keep(whole);
+  held.add(small, 10);
+  assert.deepEqual([held.totalBytes, cancelled], [105, []]);
+  held.add(large, 11);
+  assert.deepEqual([held.totalBytes, cancelled], [105, ['large']]);
+  held.remove(whole);
+  held.remove(small);
+  assert.equal(held.totalBytes, 0);
+});
--- a/packages/forwarder/src/relay/index.ts
+++ b/packages/forwarder/src/relay/index.ts
@@ -1,2 +1,3 @@
 /** Splits relayed streams into events. */
 export * from './EventFramer.js';
+export * from './HeldBytes.js';
