--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -12,7 +12,7 @@
 } from '@sardinegrade/routing';
 
 import { MAX_HELD_ANSWER_BYTES, MAX_HELD_BODY_BYTES, SPARED_BODY_BYTES } from './constants.js';
-import { HeldBytes } from './relay/index.js';
+import { CancelOrder, HeldBytes } from './relay/index.js';
 import { WorkerLimits } from './limits/index.js';
 import { LinkMonitor, LinkSign, TunnelClient, WorkerDialer } from './links/index.js';
 import { WorkerNotices } from './notices/index.js';
@@ -106,11 +106,16 @@
   readonly pace = new StreamPace();
   readonly metrics = createMetrics();
   /** Unfinished answers of plain services, which are buffered. */
-  readonly heldAnswers = new HeldBytes({ maxBytes: MAX_HELD_ANSWER_BYTES, sparedBytes: 0 });
+  readonly heldAnswers = new HeldBytes({
+    maxBytes: MAX_HELD_ANSWER_BYTES,
+    sparedBytes: 0,
+    cancelOrder: CancelOrder.Largest,
+  });
   /** Bodies of requests, which are read before they are sent. */
   readonly heldBodies = new HeldBytes({
     maxBytes: MAX_HELD_BODY_BYTES,
     sparedBytes: SPARED_BODY_BYTES,
+    cancelOrder: CancelOrder.Newest,
   });
   /** Connections of callers, and the answers that are owed on them. */
   readonly callerConnections = new CallerConnections();
--- a/packages/forwarder/src/constants.ts
+++ b/packages/forwarder/src/constants.ts
@@ -8,7 +8,7 @@
 export const MAX_HELD_ANSWER_BYTES = 32 * 1_024 * 1_024;
 
 /** Maximum number of bytes of requests' bodies that a VM holds, from their arrival until their answers have ended. */
-export const MAX_HELD_BODY_BYTES = 64 * 1_024 * 1_024;
+export const MAX_HELD_BODY_BYTES = 40 * 1_024 * 1_024;
 
 /** Size up to which a request's body is read even if the others have used up the memory for them, in bytes. */
 export const SPARED_BODY_BYTES = 64 * 1_024;
--- a/packages/forwarder/src/front/heldBodies.test.ts
+++ b/packages/forwarder/src/front/heldBodies.test.ts
@@ -56,6 +56,8 @@
   const served = uploaded.filter(({ status }) => status === 200);
   assert.ok(refused.length > 0 && served.length > 0);
   assert.equal(refused.length + served.length, UPLOADS);
+  // The memory holds that many whole bodies; the first ones are served although others come meanwhile.
+  assert.ok(served.length >= MAX_HELD_BODY_BYTES / BODY_BYTES - 1, `${served.length} served`);
   assert.ok(refused.every((answer) => Number(answer.headers['retry-after']) > 0));
   assert.ok(refused.every(({ body }) => body.includes('not_run')));
   assert.ok(peakBytes <= MAX_HELD_BODY_BYTES, `${peakBytes} bytes`);
--- a/packages/forwarder/src/relay/HeldBytes.test.ts
+++ b/packages/forwarder/src/relay/HeldBytes.test.ts
@@ -6,7 +6,7 @@
 
 import { MAX_HELD_ANSWER_BYTES } from '../constants.js';
 import { buildTestConfiguration, readHeader, startTestForwarder } from '../testing/index.js';
-import { HeldBytes } from './HeldBytes.js';
+import { CancelOrder, HeldBytes } from './HeldBytes.js';
 
 import type { ServiceName } from '@sardinegrade/common';
 import type { WorkerScript } from '../testing/index.js';
@@ -22,7 +22,7 @@
 const SERVICE = { name: toBranded<ServiceName>('desk'), connectionLimit: 100, engine: undefined };
 
 test('the largest answers are cancelled when all together exceed the limit', () => {
-  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 0 });
+  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 0, cancelOrder: CancelOrder.Largest });
   const cancelled: string[] = [];
   const buildCancel = (name: string) => (): void => {
     cancelled.push(name);
@@ -75,7 +75,7 @@
 });
 
 test('messages that are whole or small count, and are not cancelled', () => {
-  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 10 });
+  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 10, cancelOrder: CancelOrder.Largest });
   const cancelled: string[] = [];
   const buildCancel = (name: string) => (): void => {
     cancelled.push(name);
@@ -92,3 +92,17 @@
   held.remove(small);
   assert.equal(held.totalBytes, 0);
 });
+
+// Guards against uploads of which none becomes whole: those that were nearly complete were cancelled first.
+test('the newest message is cancelled, so that earlier ones become whole', () => {
+  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 10, cancelOrder: CancelOrder.Newest });
+  const cancelled: string[] = [];
+  const [first, second] = ['first', 'second'].map((name) => (): void => {
+    cancelled.push(name);
+  });
+  assert.ok(first !== undefined && second !== undefined);
+  held.add(first, 60);
+  held.add(second, 30);
+  held.add(first, 20);
+  assert.deepEqual([held.totalBytes, cancelled], [80, ['second']]);
+});
--- a/packages/forwarder/src/relay/HeldBytes.ts
+++ b/packages/forwarder/src/relay/HeldBytes.ts
@@ -1,17 +1,38 @@
+/** Which message is cancelled if there are too many bytes in all. */
+export enum CancelOrder {
+  /** The one that needs most, so that few are cancelled. */
+  Largest = 'largest',
+  /** The one that came last, so that those before it become whole. */
+  Newest = 'newest',
+}
+
 /** Limits of the bytes that are held at the same time. */
 export interface HeldBytesLimits {
   /** Maximum number of bytes of all messages together. */
   readonly maxBytes: number;
   /** Size up to which a message is not cancelled, in bytes. */
   readonly sparedBytes: number;
+  readonly cancelOrder: CancelOrder;
 }
 
+/** Cancels a message, and identifies it: always the same function for one message. */
+type Cancel = () => void;
+
+type CancellableMessage = readonly [cancel: Cancel, bytes: number];
+
+/** Selects a message from those that may be cancelled, in the order of their arrival. */
+const SELECTORS: Readonly<
+  Record<CancelOrder, (messages: readonly CancellableMessage[]) => CancellableMessage | undefined>
+> = {
+  [CancelOrder.Largest]: (messages) => messages.toSorted((one, other) => other[1] - one[1])[0],
+  [CancelOrder.Newest]: (messages) => messages.at(-1),
+};
+
 /** Limits the bytes of bodies that are held at the same time, of requests or of answers. */
 export class HeldBytes {
-  /** Bytes by message; a message is identified by the function that cancels it. */
-  readonly #bytes = new Map<() => void, number>();
+  readonly #bytes = new Map<Cancel, number>();
   /** The messages that are whole, and are not cancelled any more. */
-  readonly #whole = new Set<() => void>();
+  readonly #whole = new Set<Cancel>();
   #totalBytes = 0;
 
   /** @param limits - limits of all messages together */
@@ -23,42 +44,39 @@
   }
 
   /**
-   * Adds bytes to a message. Cancels the largest one that is not whole while there are too many bytes in all.
+   * Adds bytes to a message. Cancels messages that are not whole while there are too many bytes in all.
    *
-   * @param cancel - cancels the message; always the same function for one message
+   * @param cancel - cancels the message
    * @param bytes - number of bytes received
    */
-  add(cancel: () => void, bytes: number): void {
+  add(cancel: Cancel, bytes: number): void {
     this.#bytes.set(cancel, (this.#bytes.get(cancel) ?? 0) + bytes);
     this.#totalBytes += bytes;
     while (this.#totalBytes > this.limits.maxBytes) {
-      const largest = this.#findLargest();
-      if (largest === undefined) return;
-      this.remove(largest);
-      largest();
+      const selected = SELECTORS[this.limits.cancelOrder](this.#listCancellable());
+      if (selected === undefined) return;
+      const [cancelSelected] = selected;
+      this.remove(cancelSelected);
+      cancelSelected();
     }
   }
 
   /** Keeps a message that is whole: it counts until it is removed, and is not cancelled. */
-  keep(cancel: () => void): void {
+  keep(cancel: Cancel): void {
     if (this.#bytes.has(cancel)) this.#whole.add(cancel);
   }
 
   /** Removes a message that was finished or cancelled. */
-  remove(cancel: () => void): void {
+  remove(cancel: Cancel): void {
     this.#totalBytes -= this.#bytes.get(cancel) ?? 0;
     this.#bytes.delete(cancel);
     this.#whole.delete(cancel);
   }
 
-  #findLargest(): (() => void) | undefined {
-    let largest: (() => void) | undefined;
-    let largestBytes = this.limits.sparedBytes;
-    for (const [cancel, bytes] of this.#bytes) {
-      if (bytes <= largestBytes || this.#whole.has(cancel)) continue;
-      largest = cancel;
-      largestBytes = bytes;
-    }
-    return largest;
+  #listCancellable(): readonly CancellableMessage[] {
+    const { sparedBytes } = this.limits;
+    return [...this.#bytes].filter(
+      ([cancel, bytes]) => bytes > sparedBytes && !this.#whole.has(cancel),
+    );
   }
 }
