test(soak): violations are counted by the program that the VM ran

In an upgrade that begins with a build that lacks rules of today, a failed run did not tell whether the current build or the older one had broken a rule. The last lines now count violations by rule and program of the VM that answered, and a process that ended by itself is named with its program.

--- a/soak/src/SoakEnvironment.ts
+++ b/soak/src/SoakEnvironment.ts
@@ -183,10 +183,10 @@
   listUnexpectedEnds(): readonly Violation[] {
     return this.vms
       .filter(({ unexpectedEnds }) => unexpectedEnds > 0)
-      .map(({ options, unexpectedEnds }) => ({
+      .map(({ options, unexpectedEnds, endedPrograms }) => ({
         rule: 'no process ends by itself',
         requestId: '-',
-        detail: `${options.name} ended ${unexpectedEnds} times; its log says why`,
+        detail: `${options.name} ended ${unexpectedEnds} times (${endedPrograms.join(', ')}); its log says why`,
       }));
   }
 
--- a/soak/src/SoakLedger.ts
+++ b/soak/src/SoakLedger.ts
@@ -237,6 +237,11 @@
     }
   }
 
+  /** Finds the answer to a request; undefined if its caller has none. */
+  findAnswer(requestId: string): AnswerRecord | undefined {
+    return this.#answers.find(({ id }) => id === requestId);
+  }
+
   /** Counts answers by status. */
   countStatuses(): ReadonlyMap<number, number> {
     const counts = new Map<number, number>();
--- a/soak/src/SoakVm.ts
+++ b/soak/src/SoakVm.ts
@@ -46,8 +46,8 @@
   startedAtMs = 0;
   /** Time of the last start, or of the last signal other than SIGTERM that `send` sent, in milliseconds of the performance clock. */
   disturbedAtMs = 0;
-  /** How often the process ended without SIGTERM or abort. */
-  unexpectedEnds = 0;
+  /** Programs whose processes ended without SIGTERM or abort, in order. */
+  readonly endedPrograms: string[] = [];
   #isEndExpected = false;
   #isPaused = false;
   #links: VmLinkMessage = { fault: VmLinkFault.None, workerPorts: [] };
@@ -96,6 +96,11 @@
     return (index + this.startCount) % 2 === 0 ? olderProgramPath : programPath;
   }
 
+  /** How often the process ended without SIGTERM or abort. */
+  get unexpectedEnds(): number {
+    return this.endedPrograms.length;
+  }
+
   /** Starts the process and appends its output to the log of the VM. */
   start(): void {
     const program = this.#nextProgram;
@@ -112,7 +117,7 @@
     this.#process.stderr?.pipe(log);
     this.#isEndExpected = false;
     this.#process.once('exit', () => {
-      if (!this.#isEndExpected) this.unexpectedEnds += 1;
+      if (!this.#isEndExpected) this.endedPrograms.push(program);
     });
     this.terminatedAtMs = undefined;
     this.#isPaused = false;
--- a/soak/src/runSoak.ts
+++ b/soak/src/runSoak.ts
@@ -5,7 +5,7 @@
 import { createRandomSource } from '@sardinegrade/dispatch';
 
 import { buildPlan } from './buildPlan.js';
-import { describePrograms } from './describePrograms.js';
+import { describePrograms, describeViolations } from './describePrograms.js';
 import { SoakCaller } from './SoakCaller.js';
 import { SoakEnvironment } from './SoakEnvironment.js';
 
@@ -111,6 +111,12 @@
   const violations = [...environment.listUnexpectedEnds(), ...environment.ledger.listViolations()];
   if (violations.length === 0) rmSync(folder, { recursive: true });
   const { ledger } = environment;
-  const counts = [...ledger.describeCounts(), ...describePrograms(environment.vms)];
+  const { vms } = environment;
+  const findAnswer = ledger.findAnswer.bind(ledger);
+  const counts = [
+    ...ledger.describeCounts(),
+    ...describePrograms(vms),
+    ...describeViolations(violations, vms, findAnswer),
+  ];
   return { plan, statuses: ledger.countStatuses(), violations, counts, folder };
 };
