fix(forwarder): a tunnel that ends early leaves a log line

The class is an error swallowed without a line. Change: TunnelServer reports the address of the worker and the error, and the state's logger writes 'tunnel ended early'. Its tests start their VM in one place now, and ask for a reset as the product does.

--- a/packages/forwarder/src/links/TunnelServer.test.ts
+++ b/packages/forwarder/src/links/TunnelServer.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'node:test';
 
 import { startTestWorkers } from '../testing/index.js';
+import { isReset } from './isReset.js';
 import { TunnelServer } from './TunnelServer.js';
 
 import type { AddressInfo } from 'node:net';
@@ -16,16 +17,14 @@
   isKnownVm: () => true,
   isUsableWorker: () => true,
   onUnreachable: () => undefined,
+  onBroken: () => undefined,
 };
 
-/** Asks for a tunnel and returns the status code of the answer. */
-const askForTunnel = async (
+/** Starts a VM that passes on tunnels; returns its port. */
+const startVm = async (
   context: TestContext,
-  options: Partial<TunnelServerOptions>,
-  target?: string,
-  headers = '',
+  options: Partial<TunnelServerOptions> = {},
 ): Promise<number> => {
-  const [worker] = await startTestWorkers(context, [(socket) => socket.end()]);
   const tunnelServer = new TunnelServer({ ...ALLOWED, ...options });
   const server = createServer().on('connect', tunnelServer.handleConnect);
   context.after(() => {
@@ -33,7 +32,18 @@
     tunnelServer.close();
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
+  return (server.address() as AddressInfo).port;
+};
+
+/** Asks for a tunnel and returns the status code of the answer. */
+const askForTunnel = async (
+  context: TestContext,
+  options: Partial<TunnelServerOptions>,
+  target?: string,
+  headers = '',
+): Promise<number> => {
+  const [worker] = await startTestWorkers(context, [(socket) => socket.end()]);
+  const port = await startVm(context, options);
   const address = target ?? worker?.address ?? '';
   const text = await new Promise<string>((resolve, reject) => {
     const socket = connect(port, '127.0.0.1');
@@ -83,15 +93,7 @@
   const [worker] = await startTestWorkers(context, [
     (socket) => socket.write('half', () => socket.resetAndDestroy()),
   ]);
-  const tunnelServer = new TunnelServer(ALLOWED);
-  const server = createServer().on('connect', tunnelServer.handleConnect);
-  context.after(() => {
-    server.close();
-    tunnelServer.close();
-  });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  const socket = connect(port, '127.0.0.1');
+  const socket = connect(await startVm(context), '127.0.0.1');
   const address = worker?.address ?? '';
   socket.write(`CONNECT ${address} HTTP/1.1\r\nhost: ${address}\r\n\r\n`);
   socket.once('data', () => socket.write('GET / HTTP/1.1\r\n\r\n'));
@@ -99,8 +101,24 @@
   let wasReset = false;
   socket.on('data', (chunk: Buffer) => (text += chunk.toString()));
   socket.on('error', () => (wasReset = true));
-  socket.on('end', () => (wasReset ||= socket.remoteAddress === undefined));
+  socket.on('end', () => (wasReset ||= isReset(socket)));
   await new Promise((resolve) => socket.once('close', resolve));
   assert.equal(wasReset, true);
   assert.ok('HTTP/1.1 200 opened\r\n\r\nhalf'.startsWith(text), text);
 });
+
+// Guards against a tunnel that breaks off without a trace in the logs of the VM that passes it on.
+test('a tunnel whose worker resets its connection is reported with the address of the worker', async (context) => {
+  const [worker] = await startTestWorkers(context, [
+    (socket) => socket.write('half', () => socket.resetAndDestroy()),
+  ]);
+  const address = worker?.address ?? '';
+  const broken: string[] = [];
+  const onBroken = (brokenAddress: string): void => void broken.push(brokenAddress);
+  const socket = connect(await startVm(context, { onBroken }), '127.0.0.1');
+  socket.write(`CONNECT ${address} HTTP/1.1\r\nhost: ${address}\r\ntunnel-frames: 1\r\n\r\n`);
+  socket.once('data', () => socket.write('GET / HTTP/1.1\r\n\r\n'));
+  socket.on('error', () => undefined);
+  await new Promise((resolve) => socket.resume().once('close', resolve));
+  assert.deepEqual(broken, [address]);
+});
--- a/packages/forwarder/src/links/TunnelServer.ts
+++ b/packages/forwarder/src/links/TunnelServer.ts
@@ -25,20 +25,35 @@
   readonly isKnownVm: (host: string) => boolean;
   /** Called when a worker could not be reached: this VM's own links may be lost. */
   readonly onUnreachable: () => void;
+  /**
+   * Called when a tunnel has ended before the worker has ended in order.
+   *
+   * @param address - address of the worker
+   * @param error - how it has ended
+   */
+  readonly onBroken: (address: string, error: Error) => void;
   /** Whether a registered worker that accepts new requests has this address. */
   readonly isUsableWorker: (address: string) => boolean;
 }
 
-/** Passes a worker's bytes on in frames. The end of them is told only if the worker has ended in order. */
-const relayFrames = (workerSocket: Socket, vmSocket: Socket): void => {
+/**
+ * Passes a worker's bytes on in frames. The end of them is told only if the worker has ended in order; otherwise both
+ * connections are closed, and the other VM misses the end.
+ */
+const relayFrames = (
+  workerSocket: Socket,
+  vmSocket: Socket,
+  onBroken: (error: Error) => void,
+): void => {
   let isOrderly = false;
   workerSocket.once('end', () => (isOrderly = !isReset(workerSocket)));
-  // A failure closes both connections, and the other VM misses the end.
   pipeline(
     workerSocket,
     createFrameEncoder(() => isOrderly),
     vmSocket,
-    () => undefined,
+    (error) => {
+      if (error instanceof Error) onBroken(error);
+    },
   );
 };
 
@@ -134,7 +149,8 @@
       vmSocket.setNoDelay(true);
       const headers = hasFrames ? `${FRAMES_HEADER}: 1\r\n` : '';
       vmSocket.write(`HTTP/1.1 ${TUNNEL_STATUSES[TunnelOutcome.Opened]} opened\r\n${headers}\r\n`);
-      if (hasFrames) relayFrames(workerSocket, vmSocket);
+      const onBroken = (error: Error): void => this.options.onBroken(address, error);
+      if (hasFrames) relayFrames(workerSocket, vmSocket, onBroken);
       else relayBytes(workerSocket, vmSocket);
       vmSocket.pipe(workerSocket);
     });
--- a/packages/forwarder/src/links/createTunnelServer.ts
+++ b/packages/forwarder/src/links/createTunnelServer.ts
@@ -15,5 +15,7 @@
     isDraining: () => state.isDraining,
     onUnreachable: () => void state.links.check(LinkSign.NotConnected),
     isKnownVm: (host) => state.tunnels.hasPeer(host),
+    onBroken: (address, error) =>
+      state.options.logger.info('tunnel ended early', { inputs: { address }, error }),
     isUsableWorker: (address) => state.isUsableAddress(address),
   });
--- a/packages/forwarder/src/links/drainConnections.test.ts
+++ b/packages/forwarder/src/links/drainConnections.test.ts
@@ -30,6 +30,7 @@
     isKnownVm: () => true,
     isUsableWorker: () => true,
     onUnreachable: () => undefined,
+    onBroken: () => undefined,
   });
   const peerServer = createServer().on('connect', server.handleConnect);
   context.after(() => {
