--- a/soak/src/endlessBytes.test.ts
+++ b/soak/src/endlessBytes.test.ts
@@ -1,10 +1,8 @@
 import assert from 'node:assert/strict';
 import { execFileSync } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { readFileSync } from 'node:fs';
 import { request as sendHttp } from 'node:http';
 import { createServer } from 'node:net';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
@@ -17,11 +15,11 @@
   waitUntil,
 } from '@sardinegrade/users-platform/testing';
 
-import { BUNDLE_PATH } from './runSoak.js';
-import { SoakVm } from './SoakVm.js';
+import { startSoakVm } from './startSoakVm.js';
 
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { TestContext } from 'node:test';
+import type { SoakVm } from './SoakVm.js';
 
 /** Memory of the smallest VM that the host platform's pages name, in kilobytes. */
 const VM_MEMORY_KB = 250 * 1_000;
@@ -214,22 +212,12 @@
   });
   registerWorker(store, { id: 'w0', address: worker.address, service: 'endless', slots: 64 });
   registerWorker(store, { id: 'w1', address: bystander.address });
-  const folder = mkdtempSync(join(tmpdir(), 'sardinegrade-endless-'));
-  const vm = new SoakVm({
-    name: 'vm-endless',
-    ip: IP,
-    ports: PORTS,
-    storePort: store.port,
-    folder,
-    programPath: BUNDLE_PATH,
-  });
-  vm.start();
-  context.after(async () => {
-    await vm.abort();
+  const options = { name: 'vm-endless', ip: IP, ports: PORTS, storePort: store.port };
+  const vm = startSoakVm(context, options);
+  context.after(() => {
     worker.close();
     bystander.close();
     store.close();
-    rmSync(folder, { recursive: true });
   });
   const isServed = async (): Promise<boolean> =>
     (await call('/safe-desk/', 'probe')).status === 200;
--- a/soak/src/lateInGrace.test.ts
+++ b/soak/src/lateInGrace.test.ts
@@ -1,9 +1,6 @@
 import assert from 'node:assert/strict';
 import { execFileSync } from 'node:child_process';
-import { mkdtempSync, rmSync } from 'node:fs';
 import { Agent, createServer, request as sendHttp } from 'node:http';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
@@ -15,11 +12,11 @@
   waitUntil,
 } from '@sardinegrade/users-platform/testing';
 
-import { BUNDLE_PATH } from './runSoak.js';
-import { SoakVm } from './SoakVm.js';
+import { startSoakVm } from './startSoakVm.js';
 
 import type { AddressInfo } from 'node:net';
 import type { TestContext } from 'node:test';
+import type { SoakVm } from './SoakVm.js';
 
 const IP = buildLoopbackHost(10, 0);
 const PORTS = { front: 21_120, ready: 21_121, peers: 21_122 };
@@ -101,21 +98,9 @@
   };
   store.write('config', 'main', { ...base, routes: [unsafe] });
   registerWorker(store, { id: 'w0', address: await startWorker(context, seen), slots: SLOTS });
-  const folder = mkdtempSync(join(tmpdir(), 'sardinegrade-grace-'));
-  const vm = new SoakVm({
-    name: 'vm-grace',
-    ip: IP,
-    ports: PORTS,
-    storePort: store.port,
-    folder,
-    programPath: BUNDLE_PATH,
-  });
-  vm.start();
-  context.after(async () => {
-    await vm.abort();
-    store.close();
-    rmSync(folder, { recursive: true });
-  });
+  const options = { name: 'vm-grace', ip: IP, ports: PORTS, storePort: store.port };
+  const vm = startSoakVm(context, options);
+  context.after(() => store.close());
   const agent = new Agent();
   const isServed = async (): Promise<boolean> => (await call(agent, 'probe')) === 200;
   await waitUntil('the VM serves', START_LIMIT_MS, isServed);
