--- a/soak/src/checkCuts.test.ts
+++ b/soak/src/checkCuts.test.ts
@@ -58,3 +58,17 @@
   assert.deepEqual(listRules(ledger), []);
   assert.equal(ledger.describeCounts().length, 1);
 });
+
+// Guards against a verdict that depends on when the cut-off VM ended: workers that come later serve the others alone.
+test('tries at the other VMs count only while there are tries at those that were cut off', () => {
+  const ledger = createLedger(['vm-0']);
+  recordAnswers(ledger, 60, { ...FAILED, sentAtMs: 5_000 });
+  recordAnswers(ledger, 60, { vm: 'vm-0', sentAtMs: 6_000 });
+  recordAnswers(ledger, 60, { ...FAILED, vm: 'vm-1', sentAtMs: 5_500 });
+  recordAnswers(ledger, 60, { sentAtMs: 5_500 });
+  recordAnswers(ledger, 300, { sentAtMs: 4_500 });
+  recordAnswers(ledger, 300, { sentAtMs: 6_500 });
+  assert.deepEqual(listRules(ledger), []);
+  recordAnswers(ledger, 300, { sentAtMs: 5_500 });
+  assert.deepEqual(listRules(ledger), ['callers of cut-off VMs']);
+});
--- a/soak/src/checkCuts.ts
+++ b/soak/src/checkCuts.ts
@@ -39,9 +39,20 @@
   return { tries, served, failed: tries - served };
 };
 
+/** Leaves out the tries before the first and after the last of those that they are compared with. */
+const filterByTime = (
+  tries: readonly AnswerRecord[],
+  compared: readonly AnswerRecord[],
+): readonly AnswerRecord[] => {
+  const times = compared.map(({ sentAtMs }) => sentAtMs);
+  const [firstMs, lastMs] = [Math.min(...times), Math.max(...times)];
+  return tries.filter(({ sentAtMs }) => sentAtMs >= firstMs && sentAtMs <= lastMs);
+};
+
 /**
  * Counts the first tries at the VMs that were cut off, and at the others: those at VMs in touch, for which the rule holds,
- * while a VM with links was in touch, too: rates of different times cannot be compared, as workers may have failed meanwhile.
+ * while a VM with links was in touch, too, and those at the others while there were any at VMs that were cut off: rates of
+ * different times cannot be compared, as workers may have failed or come meanwhile.
  */
 const countCut = (
   answers: readonly AnswerRecord[],
@@ -57,10 +68,9 @@
       sentAtMs >= startMs + STABLE_MS &&
       sentAtMs < endMs,
   );
-  return [
-    countTries(tries.filter(({ vm }) => vms.has(vm))),
-    countTries(tries.filter(({ vm }) => !vms.has(vm))),
-  ];
+  const cutTries = tries.filter(({ vm }) => vms.has(vm));
+  const otherTries = tries.filter(({ vm }) => !vms.has(vm));
+  return [countTries(cutTries), countTries(filterByTime(otherTries, cutTries))];
 };
 
 const describeCut = (
