test(soak): bytes without end through a tunnel, by the memory of both processes

The postmortem of endless answers said that the memory of a VM that passes tunnels on was read in the code, not measured. The two new tests cut the links of one of two real VMs and play all kinds of endless answers, and trailers, through the other one. No product code is changed.

--- a/soak/src/endlessBytes.test.ts
+++ b/soak/src/endlessBytes.test.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from 'node:fs';
 import { request as sendHttp } from 'node:http';
 import { createServer } from 'node:net';
+import { join } from 'node:path';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
@@ -16,6 +17,7 @@
 } from '@sardinegrade/users-platform/testing';
 
 import { startSoakVm } from './startSoakVm.js';
+import { VmLinkFault } from './VmLinks.js';
 
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { TestContext } from 'node:test';
@@ -34,6 +36,7 @@
 const START_LIMIT_MS = 15_000;
 
 const IP = buildLoopbackHost(9, 0);
+const PASSING_IP = buildLoopbackHost(9, 1);
 const PORTS = { front: 21_100, ready: 21_101, peers: 21_102 };
 
 const FILLER = 'x'.repeat(64 * 1_024);
@@ -176,12 +179,36 @@
   return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]);
 };
 
+/** Which way the answers of workers go to the VM that callers use. */
+enum Way {
+  Direct = 'direct',
+  /** The VM has no links to workers, and another one passes on. */
+  Tunnel = 'tunnel',
+}
+
 interface TestFleet {
-  readonly vm: SoakVm;
+  /** The VM that callers use, then the one that passes on, if there is one. */
+  readonly vms: readonly SoakVm[];
   readonly worker: EndlessWorker;
 }
 
-const startFleet = async (context: TestContext): Promise<TestFleet> => {
+/** Takes all links to workers from the VM, once it knows the other one, and waits until that one passes on. */
+const disconnectWorkers = async (vm: SoakVm, addresses: readonly string[]): Promise<void> => {
+  const hasPeer = (): boolean =>
+    readFileSync(join(vm.options.folder, `${vm.options.name}.log`), 'utf8').includes(
+      'VM list changed',
+    );
+  await waitUntil('the VMs know each other', START_LIMIT_MS, hasPeer);
+  const workerPorts = addresses.map((address) => Number(address.split(':')[1]));
+  vm.setLinks({ fault: VmLinkFault.Reset, workerPorts });
+  const isPassedOn = async (): Promise<boolean> => {
+    await sleep(BYSTANDER_INTERVAL_MS);
+    return (await call('/safe-desk/', 'probe')).status === 200;
+  };
+  await waitUntil('the other VM passes on', START_LIMIT_MS, isPassedOn);
+};
+
+const startFleet = async (context: TestContext, way: Way): Promise<TestFleet> => {
   execFileSync(process.execPath, ['tools/bundleRole.js']);
   const store = new StoreStandIn();
   const worker = new EndlessWorker();
@@ -212,8 +239,10 @@
   });
   registerWorker(store, { id: 'w0', address: worker.address, service: 'endless', slots: 64 });
   registerWorker(store, { id: 'w1', address: bystander.address });
-  const options = { name: 'vm-endless', ip: IP, ports: PORTS, storePort: store.port };
-  const vm = startSoakVm(context, options);
+  const options = { ports: PORTS, storePort: store.port };
+  const vm = startSoakVm(context, { ...options, name: 'vm-endless', ip: IP });
+  const passing = { ...options, name: 'vm-passing', ip: PASSING_IP };
+  const vms = way === Way.Direct ? [vm] : [vm, startSoakVm(context, passing)];
   context.after(() => {
     worker.close();
     bystander.close();
@@ -222,7 +251,8 @@
   const isServed = async (): Promise<boolean> =>
     (await call('/safe-desk/', 'probe')).status === 200;
   await waitUntil('the VM serves', START_LIMIT_MS, isServed);
-  return { vm, worker };
+  if (way === Way.Tunnel) await disconnectWorkers(vm, [worker.address, bystander.address]);
+  return { vms, worker };
 };
 
 /** Calls another service all the while until the promise settles. */
@@ -239,8 +269,9 @@
 const checkAnswers = async (
   context: TestContext,
   answers: Readonly<Record<string, EndlessAnswer>>,
+  way = Way.Direct,
 ): Promise<void> => {
-  const { vm, worker } = await startFleet(context);
+  const { vms, worker } = await startFleet(context, way);
   for (const [name, answer] of Object.entries(answers)) {
     for (const kind of ['safe', 'unsafe', 'streaming']) {
       const label = `${name}, ${kind}`;
@@ -267,13 +298,16 @@
         assert.ok(result.durationMs <= ROUTE_TIMEOUT_MS, details);
       }
       await waitUntil(`${label}: closed`, ANSWER_MARGIN_MS, () => worker.openConnections === 0);
-      assert.equal(vm.unexpectedEnds, 0, label);
-      assert.ok(vm.pid !== undefined, label);
-      const peakKb = readPeakMemoryKb(vm.pid);
-      assert.ok(peakKb <= VM_MEMORY_KB, `${label}: ${peakKb} KB`);
+      const peaksKb = vms.map((vm) => {
+        assert.equal(vm.unexpectedEnds, 0, label);
+        assert.ok(vm.pid !== undefined, label);
+        const peakKb = readPeakMemoryKb(vm.pid);
+        assert.ok(peakKb <= VM_MEMORY_KB, `${label}, ${vm.options.name}: ${peakKb} KB`);
+        return peakKb;
+      });
       context.diagnostic(
         `${label}: answers within ${Math.round(Math.max(...(await calls).map(({ durationMs }) => durationMs)))} ms, ` +
-          `others within ${Math.round(Math.max(...bystanders.map(({ durationMs }) => durationMs)))} ms, peak ${peakKb} KB`,
+          `others within ${Math.round(Math.max(...bystanders.map(({ durationMs }) => durationMs)))} ms, peak ${peaksKb.join(' and ')} KB`,
       );
     }
   }
@@ -285,3 +319,10 @@
 // Guards against memory that runs out: undici collects the trailers of an answer far beyond what a sound worker sends.
 test('trailers without end from a worker are bounded in memory and time, and harm no other connection', (context) =>
   checkAnswers(context, ENDLESS_TRAILERS));
+
+// Guards against the memory of a VM that passes on the bytes of workers for another one.
+test('bytes without end that another VM passes on are bounded in the memory of both', (context) =>
+  checkAnswers(context, ENDLESS_ANSWERS, Way.Tunnel));
+
+test('trailers without end that another VM passes on are bounded in the memory of both', (context) =>
+  checkAnswers(context, ENDLESS_TRAILERS, Way.Tunnel));
