--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -1,11 +1,11 @@
 import { SendFailure } from '@sardinegrade/routing';
 
 import { MAX_ANSWER_BYTES } from '../constants.js';
-import type { HeldBytes } from '../relay/index.js';
 
 import type { RequestId } from '@sardinegrade/common';
 import type { Dispatcher } from 'undici';
 import type { ClaimedConnection, SendGuard } from '../connections/index.js';
+import type { HeldBytes } from '../relay/index.js';
 import type { AnswerMetadata, ForwardProtocol, RawHeaders } from '../types.js';
 
 /** What a request asks of a worker. */
