fix(routing): a VM of a large fleet has retries at all

Cause: a VM's equal part of the slack was also the maximum that its token bucket held. Until the first list of VMs each assumed 100 of them, which is more than it should with 195. Ruled out: a larger part of the slack for each VM, since the sum would exceed it. Change: the budget counts requests and retries of a VM over the window, and a VM's ratio and its part of the slack count together. Without a list of VMs only the ratio counts; VMs that report but are not listed yet count as sharing. The forwarder's tests name the number of VMs, which they took for given.

--- a/packages/dispatch/src/retries/RetryBudget.ts
+++ b/packages/dispatch/src/retries/RetryBudget.ts
@@ -4,36 +4,22 @@
 /** Retries that a service earns per second in addition, for services with little traffic; none if its share is 0. */
 const RETRIES_PER_SECOND = 0.2;
 
-/** Limits of a retry budget: the maximum number of unused retries, and the retries earned per second. */
-export interface RetryBudgetLimits {
-  readonly maxRetries: number;
-  readonly retriesPerSecond: number;
-}
-
-const DEFAULT_LIMITS: RetryBudgetLimits = {
-  maxRetries: MAX_UNUSED_RETRIES,
-  retriesPerSecond: RETRIES_PER_SECOND,
-};
-
 /**
  * Token bucket for the retries of one service. Retries are limited to a share of the first attempts, so that failures
  * do not multiply the load.
  */
 export class RetryBudget {
-  private unusedRetries: number;
+  private unusedRetries = MAX_UNUSED_RETRIES;
   private updatedAtMs: number;
 
   /**
    * @param share - number of retries earned by each first attempt, between 0 and 1
    * @param nowMs - current time, in milliseconds
-   * @param limits - maximum number of unused retries, and retries earned per second
    */
   constructor(
     private share: number,
     nowMs: number,
-    private limits: RetryBudgetLimits = DEFAULT_LIMITS,
   ) {
-    this.unusedRetries = limits.maxRetries;
     this.updatedAtMs = nowMs;
   }
 
@@ -42,15 +28,9 @@
     this.share = share;
   }
 
-  /** Sets the limits; unused retries above the new maximum are removed. */
-  setLimits(limits: RetryBudgetLimits): void {
-    this.limits = limits;
-    this.unusedRetries = Math.min(this.unusedRetries, limits.maxRetries);
-  }
-
   /** Records a first attempt, which earns a share of a retry. */
   recordFirstAttempt(): void {
-    this.unusedRetries = Math.min(this.limits.maxRetries, this.unusedRetries + this.share);
+    this.unusedRetries = Math.min(MAX_UNUSED_RETRIES, this.unusedRetries + this.share);
   }
 
   /** @returns whether at least one retry is available */
@@ -72,8 +52,8 @@
 
   private addEarnedRetries(nowMs: number): void {
     if (nowMs <= this.updatedAtMs || this.share <= 0) return;
-    const earnedRetries = ((nowMs - this.updatedAtMs) / 1_000) * this.limits.retriesPerSecond;
-    this.unusedRetries = Math.min(this.limits.maxRetries, this.unusedRetries + earnedRetries);
+    const earnedRetries = ((nowMs - this.updatedAtMs) / 1_000) * RETRIES_PER_SECOND;
+    this.unusedRetries = Math.min(MAX_UNUSED_RETRIES, this.unusedRetries + earnedRetries);
     this.updatedAtMs = nowMs;
   }
 }
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,5 +1,4 @@
 import { CallerConnections, createMetrics, MetricName } from '@sardinegrade/common';
-import { RetryBudget } from '@sardinegrade/dispatch';
 import {
   BuildHistory,
   CrashTracker,
@@ -7,6 +6,7 @@
   RouteHistory,
   RouteTable,
   SharedLoadView,
+  SharedRetryBudget,
   StreamOrigins,
   StreamPace,
 } from '@sardinegrade/routing';
@@ -29,27 +29,18 @@
   SocketAddress,
   UpstreamId,
 } from '@sardinegrade/common';
-import type { RandomSource, RetryBudgetLimits } from '@sardinegrade/dispatch';
+import type { RandomSource } from '@sardinegrade/dispatch';
 import type {
   Crash,
   PromptPart,
   Route,
   RoutingConfiguration,
+  SharedRetryLimits,
   StoreVersions,
   Worker,
 } from '@sardinegrade/routing';
 import type { ForwardProtocol } from './types.js';
 
-/** Limits of the retries of one service, summed over all VMs. */
-export interface SharedRetryLimits {
-  /** Maximum ratio of retries to callers' requests. */
-  readonly share: number;
-  /** Number of additional retries within the window. */
-  readonly slack: number;
-  /** Length of the window, in milliseconds. */
-  readonly windowMs: number;
-}
-
 /** Dependencies and settings of the forwarder. */
 export interface ForwarderOptions {
   readonly protocol: ForwardProtocol;
@@ -68,18 +59,9 @@
   Workers = 'workers',
 }
 
-/** Assumed number of VMs until the first list of peers: more than the largest site has. */
-const DEFAULT_VM_COUNT = 100;
-
 /** Allowance for VMs that were added but are not listed yet, as a share of the listed ones. */
 const VM_GROWTH_SHARE = 0.25;
 
-/**
- * Share of the allowed retry budget that this router uses. The rest allows for requests in flight at a window's boundary,
- * which the operators' check may count in the adjacent window.
- */
-const USABLE_BUDGET_SHARE = 0.8;
-
 /**
  * How long a draining process accepts requests, in milliseconds: the host platform's operators excuse an answer that the
  * exit cuts only if its request was sent within three seconds.
@@ -179,10 +161,11 @@
   #routes = new RouteTable([]);
   #exitAtMs = Number.POSITIVE_INFINITY;
   #drainingSinceMs: number | undefined;
-  #vmCount = DEFAULT_VM_COUNT;
+  /** Number of VMs, this one included; undefined until the first list. */
+  #listedVmCount: number | undefined;
   readonly #builds = new BuildHistory();
   readonly #routeHistory = new RouteHistory();
-  readonly #budgets = new Map<ServiceName, RetryBudget>();
+  readonly #budgets = new Map<ServiceName, SharedRetryBudget>();
 
   /** @param options - dependencies and settings */
   constructor(readonly options: ForwarderOptions) {
@@ -353,23 +336,27 @@
       this.#builds.record(service, build, nowMs);
   }
 
-  /** Updates the number of VMs, which share the retry budgets. */
+  /** Updates the number of listed VMs, which share the retry budgets. */
   setVmCount(count: number): void {
-    this.#vmCount = Math.ceil(count * (1 + VM_GROWTH_SHARE));
-    for (const budget of this.#budgets.values()) budget.setLimits(this.#computeRetryLimits());
+    this.#listedVmCount = count;
   }
 
   /** @returns the retry budget of a service on this VM */
-  getBudget(service: ServiceName): RetryBudget {
+  getBudget(service: ServiceName): SharedRetryBudget {
     const existing = this.#budgets.get(service);
     if (existing !== undefined) return existing;
-    const { retries, getNowMs } = this.options;
-    const limits = this.#computeRetryLimits();
-    const budget = new RetryBudget(retries.share * USABLE_BUDGET_SHARE, getNowMs(), limits);
+    const budget = new SharedRetryBudget(this.options.retries, () => this.#estimateVmCount());
     this.#budgets.set(service, budget);
     return budget;
   }
 
+  /** Estimates how many VMs share the retry budgets: VMs that report may not be listed yet, and others do not report yet. */
+  #estimateVmCount(): number | undefined {
+    if (this.#listedVmCount === undefined) return undefined;
+    const reporting = this.sharedLoad.countLive(this.options.getNowMs()) + 1;
+    return Math.ceil(Math.max(reporting, this.#listedVmCount) * (1 + VM_GROWTH_SHARE));
+  }
+
   /** Whether a worker's process has ended; unknown, and so false, while this VM's own links are lost. */
   async #hasEnded(address: string): Promise<boolean> {
     if (!(await isPortClosed(address))) return false;
@@ -382,13 +369,6 @@
     return registered?.startedAtMs === startedAtMs && !registered.isLeaving;
   }
 
-  #computeRetryLimits(): RetryBudgetLimits {
-    const { slack, windowMs } = this.options.retries;
-    // Half can be spent immediately and half accrues within the window, so no window exceeds the slack.
-    const vmShare = (slack * USABLE_BUDGET_SHARE) / this.#vmCount / 2;
-    return { maxRetries: vmShare, retriesPerSecond: vmShare / (windowMs / MS_PER_SECOND) };
-  }
-
   #registerGauges(): void {
     const { metrics } = this;
     metrics.registerGauge(MetricName.Generation, () => [
--- a/packages/forwarder/src/exchange/Attempts.ts
+++ b/packages/forwarder/src/exchange/Attempts.ts
@@ -8,8 +8,7 @@
 } from '@sardinegrade/routing';
 
 import type { ServiceName, UpstreamId } from '@sardinegrade/common';
-import type { RetryBudget } from '@sardinegrade/dispatch';
-import type { Route, SendHistory } from '@sardinegrade/routing';
+import type { Route, SendHistory, SharedRetryBudget } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 
 /** The sends of one request, and whether another one may follow. */
@@ -83,7 +82,7 @@
     return decideNextStep(history) === NextStep.SendAgain;
   }
 
-  get #budget(): RetryBudget | undefined {
+  get #budget(): SharedRetryBudget | undefined {
     return this.service && this.state.getBudget(this.service);
   }
 
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -94,7 +94,8 @@
     const untilTimeoutMs = Math.max(MIN_REMAINING_MS, this.#getRemainingMs() + ANSWER_GRACE_MS);
     this.#timeoutTimer = setTimeout(() => this.#run(() => this.#onTimeout()), untilTimeoutMs);
     this.response.on('close', () => this.#run(() => this.#onCallerClose()));
-    if (this.#service !== undefined) this.state.getBudget(this.#service).recordFirstAttempt();
+    if (this.#service !== undefined)
+      this.state.getBudget(this.#service).recordRequest(this.state.options.getNowMs());
     this.#run(() => this.#sendNext());
   }
 
--- a/packages/forwarder/src/testing/startTestForwarder.ts
+++ b/packages/forwarder/src/testing/startTestForwarder.ts
@@ -51,6 +51,9 @@
 
 const SEED = 7;
 
+/** Number of VMs that share the retry budgets, of which each then has several retries. */
+const TEST_VM_COUNT = 100;
+
 /** Log lines that tell why a request has no whole answer. */
 const UNANSWERED = /request ended without a whole answer|send failed|refused at arrival/;
 
@@ -206,6 +209,7 @@
       sequence: 1,
     });
   }
+  state.setVmCount(TEST_VM_COUNT);
   state.apply(configuration);
   const front = new FrontServer(state);
   const port = await front.listen({ host: '127.0.0.1', port: 0 });
