perf(platform): in a large fleet few VMs watch the workers, and the others fetch the changes from them

Change: relays of load messages watch in short waits and tell the version that they have applied and the age of the store's last answer. A VM that reports to a relay fetches the changes since its version from it (changed entries, and the names of all, so that removals count, which raise no revision that remains). Nothing is elected: each VM decides by what it hears. Messages of older builds carry no such word, so a VM beside them watches for itself.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -3,6 +3,7 @@
   BuildHistory,
   CrashTracker,
   DataCentreMonitor,
+  PeerRole,
   RouteHistory,
   RouteTable,
   SharedLoadView,
@@ -149,7 +150,10 @@
     activeGeneration: 0,
     answerAgeMs: undefined,
     failureAgeMs: undefined,
+    workerWatch: undefined,
   });
+  /** Returns what this VM does for the others and they for it in the exchange of load messages. */
+  getPeerRole: () => PeerRole = () => PeerRole.Direct;
   /** Called with the versions that another VM has applied, and the address of its peer port. */
   onPeerVersions: (versions: StoreVersions, peer: SocketAddress) => void = () => undefined;
   /** When a list or watch of the store has last failed, in milliseconds; undefined if none has. */
@@ -255,9 +259,9 @@
     return true;
   }
 
-  /** Records that the store answered a list or watch of a kind. */
-  recordStoreAnswer(kind: SyncedKind, nowMs: number): void {
-    this.#storeAnsweredAtMs.set(kind, nowMs);
+  /** Records when the store answered a list or watch of a kind. */
+  recordStoreAnswer(kind: SyncedKind, atMs: number): void {
+    this.#storeAnsweredAtMs.set(kind, atMs);
   }
 
   /** @returns time since the store last answered a list or watch of the kind, in milliseconds */
--- a/packages/forwarder/src/peers/LoadReporter.test.ts
+++ b/packages/forwarder/src/peers/LoadReporter.test.ts
@@ -33,6 +33,7 @@
     activeGeneration: 0,
     answerAgeMs: undefined,
     failureAgeMs: undefined,
+    workerWatch: undefined,
   },
   workerLimits: [],
   streamOrigins: [],
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -95,6 +95,7 @@
     this.#socket.on('error', (error) =>
       logger.warn('UDP socket for load messages failed', { error }),
     );
+    state.getPeerRole = () => this.#gossip.role;
     state.onCrashes = (crashes) => this.#gossip.addNews({ crashes });
     state.onPlacement = (upstream, parts) => this.#recordPlacement(upstream, parts);
   }
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -46,6 +46,7 @@
     activeGeneration: 12,
     answerAgeMs: 730,
     failureAgeMs: 1_240,
+    workerWatch: { revision: 4_000_000_200, answerAgeMs: 640 },
   },
   engines: new Map(
     Array.from({ length: ENGINES }, (_, index) => [
@@ -258,6 +259,7 @@
         activeGeneration: odd,
         answerAgeMs: odd,
         failureAgeMs: odd,
+        workerWatch: { revision: odd, answerAgeMs: odd },
       },
     };
     const bytes = encodePeerMessage({ load: toLoadShare(oddMessage) });
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -24,6 +24,7 @@
   Placement,
   PromptPart,
   StreamOriginReport,
+  WorkerWatch,
 } from '@sardinegrade/routing';
 
 /** Unit of backlogs in messages, in tokens: prefill of a hundred tokens takes two milliseconds. */
@@ -96,6 +97,23 @@
     remainingMs: Math.min(MAX_DURATION_MS, group.remainingMs[index] ?? 0),
   }));
 
+const toWireWatch = (
+  watch: WorkerWatch | undefined,
+): Pick<LoadProtocol.LoadShare, 'watchedWorkersVersion' | 'watchedWorkersAgeMs'> =>
+  watch === undefined
+    ? {}
+    : {
+        watchedWorkersVersion: toUint64(watch.revision),
+        watchedWorkersAgeMs: toUint32(watch.answerAgeMs),
+      };
+
+const fromWireWatch = (load: LoadProtocol.LoadShare): WorkerWatch | undefined => {
+  const { watchedWorkersVersion: revision, watchedWorkersAgeMs: answerAgeMs } = load;
+  return revision === undefined || answerAgeMs === undefined
+    ? undefined
+    : { revision, answerAgeMs };
+};
+
 /** @returns the wire form of a load message */
 export const toLoadShare = (message: LoadMessage): LoadProtocol.LoadShare => {
   const loads = [...message.engines];
@@ -118,6 +136,7 @@
     activeGeneration: toUint64(message.storeVersions.activeGeneration),
     storeAnswerAgeMs: toOptionalUint32(message.storeVersions.answerAgeMs),
     storeFailureAgeMs: toOptionalUint32(message.storeVersions.failureAgeMs),
+    ...toWireWatch(message.storeVersions.workerWatch),
     workerLimits: message.workerLimits.map((limit) => ({
       ...limit,
       ageMs: toUint32(limit.ageMs),
@@ -208,6 +227,7 @@
     activeGeneration: load.activeGeneration,
     answerAgeMs: load.storeAnswerAgeMs,
     failureAgeMs: load.storeFailureAgeMs,
+    workerWatch: fromWireWatch(load),
   },
   workerLimits: load.workerLimits.filter(isLimit).map(({ instance, perSecond, ageMs }) => ({
     instance,
--- a/packages/platform/src/sync/ObjectSync.ts
+++ b/packages/platform/src/sync/ObjectSync.ts
@@ -1,5 +1,6 @@
 import { PlatformError, PlatformFailure } from '../PlatformError.js';
 import {
+  ERA_SPREAD_MS,
   INITIAL_RETRY_DELAY_MS,
   ISOLATION_CHECK_INTERVAL_MS,
   MAX_INITIAL_RETRY_DELAY_MS,
@@ -10,15 +11,19 @@
 } from './constants.js';
 import { compareVersions, INITIAL_VERSION, selectLaterVersion } from './compareVersions.js';
 import { SyncSource } from './enums.js';
+import { PeerFollower } from './PeerFollower.js';
 import { toSyncError } from './toSyncError.js';
 
+import type { FollowOptions } from './PeerFollower.js';
 import type { StoreEra } from './StoreEra.js';
 import type {
   FailedSyncCall,
   FeedChange,
+  FeedDelta,
   FeedObject,
   FeedSnapshot,
   ObjectFeed,
+  PeerWatch,
   StoreVersion,
   SyncPeer,
   SyncReceipt,
@@ -29,8 +34,11 @@
   /** Receives all objects of the kind, which replace those received before. */
   readonly onList: (objects: readonly FeedObject[], receipt: SyncReceipt) => void;
   readonly onChange: (change: FeedChange, receipt: SyncReceipt) => void;
-  /** Called for each answer of the store, also one without changes. */
-  readonly onAnswer: () => void;
+  /**
+   * Called for each answer of the store, also one without changes, and with the age of an answer to a peer that is followed,
+   * in milliseconds.
+   */
+  readonly onAnswer: (ageMs: number) => void;
   readonly onCallFailed: (call: FailedSyncCall) => void;
   /** Called when a peer has applied a newer change, and the own watch has not returned it in time. */
   readonly onChangeMissed: (peerVersion: StoreVersion, ownVersion: StoreVersion) => void;
@@ -60,6 +68,8 @@
    * together, because each one wakes the whole fleet.
    */
   readonly coalesceMs: number;
+  /** Whether a watch of other VMs may replace the own one; undefined if not. */
+  readonly following?: FollowOptions;
   readonly getNowMs: () => number;
   readonly random: () => number;
   readonly signal: AbortSignal;
@@ -78,6 +88,9 @@
  * signs of a change: each failed watch is followed by a list, a watch ends after a bounded time, and peers tell which
  * changes they have applied.
  *
+ * In a large fleet a few VMs watch for the others, which fetch the changes from them. A VM that hears of no such watch, or
+ * misses a change, calls the store itself.
+ *
  * A store that is restored from an older copy gives out revisions again. Nothing goes on across a restore: neither a watch
  * nor a list of several pages, and a version of an earlier era is older than any version of a later one.
  */
@@ -90,6 +103,11 @@
   #changeVersion = INITIAL_VERSION;
   /** All changes up to this version have been applied. Only answers with objects raise it, not silence. */
   #appliedVersion = INITIAL_VERSION;
+  /** Whether the objects are listed next, although a peer could be followed. */
+  #mustList = false;
+  /** Version of the last answer with objects: a delta from it returns all later changes. */
+  #stateVersion = INITIAL_VERSION;
+  readonly #follower: PeerFollower | undefined;
   /** The peer with the newest change, while that change has not been applied. */
   #newerPeer: SyncPeer | undefined;
   /** Whether a change that a peer has applied did not arrive in time. */
@@ -109,6 +127,8 @@
   /** @param options - the feed and kind of objects to follow, the observer, and intervals */
   constructor(private readonly options: SyncOptions) {
     this.#lastSuccessAtMs = options.getNowMs();
+    const { following, getNowMs } = options;
+    if (following !== undefined) this.#follower = new PeerFollower(following, getNowMs);
     options.era.addSpreadListener(({ era }) => this.#listIfOutdated(era), options.random);
   }
 
@@ -128,6 +148,33 @@
     return { version: this.#appliedVersion, objects: [...this.#objects.values()] };
   }
 
+  /** The watch that this VM keeps for others; undefined if it keeps none. */
+  get ownWatch(): PeerWatch | undefined {
+    const { following, getNowMs } = this.options;
+    if (!this.#hasObjects || following?.isWatcher() !== true) return undefined;
+    return { version: this.#stateVersion, answerAgeMs: getNowMs() - this.#lastSuccessAtMs };
+  }
+
+  /**
+   * Builds the changes since a version.
+   *
+   * @param since - version of another VM
+   * @returns the changes; undefined if this VM has none, or the version is not from the history that it knows
+   */
+  buildDelta(since: StoreVersion): FeedDelta | undefined {
+    if (!this.#hasObjects || since.era !== this.#stateVersion.era) return undefined;
+    const objects = [...this.#objects.values()];
+    return {
+      version: this.#stateVersion,
+      changeVersion: this.#changeVersion,
+      // The revision of an object that cannot be read is not known.
+      changed: objects.filter(
+        ({ revision, fault }) => revision > since.revision || fault !== undefined,
+      ),
+      names: objects.map(({ name }) => name),
+    };
+  }
+
   /** Reports objects and changes to the observer until the signal aborts. */
   async run(): Promise<void> {
     const { signal } = this.options;
@@ -137,8 +184,7 @@
         await this.#step();
       } catch (thrown) {
         // A watch that was ended because a change was missed has not failed; a list follows.
-        const isInterrupted =
-          this.#source === SyncSource.Watch && this.#interruption.signal.aborted;
+        const isInterrupted = this.#source !== SyncSource.List && this.#interruption.signal.aborted;
         if (!isInterrupted) await this.#handleFailure(toSyncError(thrown));
       }
     }
@@ -151,6 +197,8 @@
    */
   addPeerReport(peer: SyncPeer): void {
     this.#peerReportedAtMs = this.options.getNowMs();
+    const isFollowed = this.#follower?.addReport(peer, this.options.era.current) ?? false;
+    if (isFollowed && this.#hasObjects) this.#handleSuccess(peer.watch?.answerAgeMs);
     const ownVersion = selectLaterVersion(this.#appliedVersion, this.#refutedVersion);
     const knownVersion = selectLaterVersion(
       ownVersion,
@@ -175,6 +223,7 @@
   /** Ends the current watch or pause; the objects are listed next. */
   #listNext(): void {
     this.#watchVersion = undefined;
+    this.#mustList = true;
     this.#interruption.abort();
   }
 
@@ -185,12 +234,62 @@
 
   async #step(): Promise<void> {
     this.#callStartedAtMs = this.options.getNowMs();
-    if (this.#watchVersion === undefined) await this.#list();
+    const follower = this.#hasObjects && !this.#mustList ? this.#follower : undefined;
+    if (follower?.isFollowing === true) await this.#follow(follower);
+    else if (this.#watchVersion === undefined) await this.#list();
     else await this.#watch(this.#watchVersion);
   }
 
+  /** Waits until a peer that is followed has a newer version, and applies its changes. */
+  async #follow(follower: PeerFollower): Promise<void> {
+    this.#source = SyncSource.Peer;
+    const { signal } = this.#interruption;
+    const leader = await follower.waitForNewer(this.#stateVersion, signal);
+    if (signal.aborted) return;
+    if (leader?.fetchDelta === undefined) {
+      // All that followed the same peer notice its silence at the same time.
+      await this.#pause(this.options.random() * ERA_SPREAD_MS);
+      this.#watchVersion = undefined;
+      this.#mustList = true;
+      return;
+    }
+    this.#callStartedAtMs = this.options.getNowMs();
+    const delta = await leader.fetchDelta(this.#stateVersion);
+    this.#applyDelta(delta, signal);
+  }
+
+  #applyDelta({ version, changeVersion, changed, names }: FeedDelta, signal: AbortSignal): void {
+    // The objects are listed next, and may have been replaced meanwhile.
+    if (signal.aborted) return;
+    this.#checkEra(version);
+    if (compareVersions(version, this.#stateVersion) <= 0)
+      throw new PlatformError(PlatformFailure.Invalid, 'The peer has no newer version.');
+    const silentMs = this.options.getNowMs() - this.#lastSuccessAtMs;
+    const receipt: SyncReceipt = { source: SyncSource.Peer, version, silentMs };
+    const remaining = new Set(names);
+    const removed = [...this.#objects.values()].filter(({ name }) => !remaining.has(name));
+    this.#applyChanges(
+      [
+        ...removed.map((object): FeedChange => ({ object, isRemoved: true })),
+        ...changed.map((object): FeedChange => ({ object, isRemoved: false })),
+      ],
+      receipt,
+    );
+    this.#stateVersion = version;
+    this.#watchVersion = version;
+    this.#recordApplied(changeVersion, changeVersion);
+  }
+
+  #applyChanges(changes: readonly FeedChange[], receipt: SyncReceipt): void {
+    for (const change of changes) {
+      if (change.isRemoved) this.#objects.delete(change.object.name);
+      else this.#objects.set(change.object.name, change.object);
+      this.options.observer.onChange(change, receipt);
+    }
+  }
+
   async #watch(fromVersion: StoreVersion): Promise<void> {
-    const { feed, kind, observer, coalesceMs } = this.options;
+    const { feed, kind } = this.options;
     this.#source = SyncSource.Watch;
     const { signal } = this.#interruption;
     const isolationTimer = setInterval(
@@ -206,23 +305,25 @@
     if (version.era > fromVersion.era)
       throw createRestoredError(PlatformFailure.Truncated, 'during the watch');
     this.#checkEra(version);
-    const receipt: SyncReceipt = { source: SyncSource.Watch, version, silentMs };
-    for (const change of changes) {
-      if (change.isRemoved) this.#objects.delete(change.object.name);
-      else this.#objects.set(change.object.name, change.object);
-      observer.onChange(change, receipt);
-    }
+    this.#applyChanges(changes, { source: SyncSource.Watch, version, silentMs });
     this.#watchVersion = version;
     if (changes.length === 0) return;
+    this.#stateVersion = version;
     const changed = changes.map(({ object }) => object);
     const changeVersion = computeChangeVersion(version.era, changed);
     this.#recordApplied(changeVersion, changeVersion);
-    await this.#pause(coalesceMs);
+    await this.#pause(this.#chooseCoalesceMs());
+  }
+
+  #chooseCoalesceMs(): number {
+    const { coalesceMs, following } = this.options;
+    return following?.isWatcher() === true ? following.watchCoalesceMs : coalesceMs;
   }
 
   /** The waits of a fleet's watches end at different times, so that some VM soon notices a change that all missed. */
   #chooseWatchWaitMs(): number {
-    const { isolatedWaitMs, getSharedWaitMs, random } = this.options;
+    const { isolatedWaitMs, getSharedWaitMs, random, following } = this.options;
+    if (following?.isWatcher() === true) return following.watchWaitMs;
     return Math.max(isolatedWaitMs, Math.round(getSharedWaitMs() * (0.5 + random() / 2)));
   }
 
@@ -253,6 +354,7 @@
     const silentMs = this.#handleSuccess();
     const hasPeerReplaced = compareVersions(this.#appliedVersion, appliedBefore) > 0;
     // The objects of a peer have arrived meanwhile and are newer: the next list contains them.
+    this.#mustList = false;
     if (hasPeerReplaced && compareVersions(version, this.#appliedVersion) < 0) return;
     this.#replaceObjects({ version, objects }, { source: SyncSource.List, version, silentMs });
     this.#watchVersion = version;
@@ -277,6 +379,7 @@
     for (const object of objects) this.#objects.set(object.name, object);
     this.options.observer.onList(objects, receipt);
     this.#hasObjects = true;
+    this.#stateVersion = version;
     this.#recordApplied(version, computeChangeVersion(version.era, objects));
   }
 
@@ -293,13 +396,15 @@
     this.#isBehind = false;
   }
 
-  /** Records a successful call; returns the time since the previous one. */
-  #handleSuccess(): number {
-    const nowMs = this.options.getNowMs();
-    const outageMs = nowMs - this.#lastSuccessAtMs;
-    this.#lastSuccessAtMs = nowMs;
+  /** Records an answer of the store to this VM, or to a peer that is followed; returns the time since the previous one. */
+  #handleSuccess(ageMs = 0): number {
+    const answeredAtMs = this.options.getNowMs() - ageMs;
+    const outageMs = answeredAtMs - this.#lastSuccessAtMs;
+    // A peer may tell of an answer that is older than one of the own calls.
+    if (outageMs < 0) return 0;
+    this.#lastSuccessAtMs = answeredAtMs;
     this.#failureCount = 0;
-    this.options.observer.onAnswer();
+    this.options.observer.onAnswer(ageMs);
     if (this.#isUnavailable) {
       this.#isUnavailable = false;
       this.options.observer.onRecovered(outageMs);
@@ -320,6 +425,7 @@
     this.#reportFailure(this.#source, this.#callStartedAtMs, error);
     // A watch that starts while the store recovers may be accepted and miss changes; a list returns the current state.
     this.#watchVersion = undefined;
+    if (this.#source === SyncSource.Peer) this.#mustList = true;
     if (error.failure === PlatformFailure.Truncated) return;
     this.#failureCount += 1;
     const outageMs = this.options.getNowMs() - this.#lastSuccessAtMs;
--- a/packages/platform/src/sync/types.ts
+++ b/packages/platform/src/sync/types.ts
@@ -45,10 +45,33 @@
   readonly objects: readonly FeedObject[];
 }
 
+/** Changes of a kind between two versions, as another VM has applied them. */
+export interface FeedDelta {
+  /** Version up to which all changes have been applied. */
+  readonly version: StoreVersion;
+  /** Version of the newest change. */
+  readonly changeVersion: StoreVersion;
+  readonly changed: readonly FeedObject[];
+  /** Names of all objects: others have been removed. */
+  readonly names: readonly string[];
+}
+
+/** A watch that a VM keeps for others. */
+export interface PeerWatch {
+  /** Version up to which the VM has applied all changes. */
+  readonly version: StoreVersion;
+  /** Time since the store last answered the VM about objects of the kind, in milliseconds. */
+  readonly answerAgeMs: number;
+}
+
 /** Another VM that has applied a change which this VM may have missed. */
 export interface SyncPeer {
   /** Version of the newest change that the peer has applied. */
   readonly changeVersion: StoreVersion;
+  /** The peer's watch, if it watches for others. */
+  readonly watch?: PeerWatch | undefined;
+  /** Fetches the changes since a version from a peer that watches for others. Rejects with PlatformError. */
+  readonly fetchDelta?: (since: StoreVersion) => Promise<FeedDelta>;
   /** Fetches all objects from the peer. Rejects with PlatformError. */
   readonly fetchSnapshot: () => Promise<FeedSnapshot>;
 }
--- a/packages/routing/src/load/LoadGossip.test.ts
+++ b/packages/routing/src/load/LoadGossip.test.ts
@@ -32,6 +32,7 @@
     activeGeneration: 0,
     answerAgeMs: undefined,
     failureAgeMs: undefined,
+    workerWatch: undefined,
   };
 
   constructor(readonly peer: Peer) {
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -1,5 +1,5 @@
 import { RELAYED_INTERVAL_MS } from './computeReportInterval.js';
-import { LoadScope } from './enums.js';
+import { LoadScope, PeerRole } from './enums.js';
 import { listRelays } from './listRelays.js';
 import { RelaySelector } from './RelaySelector.js';
 import { mergeLoads } from './SharedLoadView.js';
@@ -84,6 +84,12 @@
     return this.#isRelay && !this.#isDirect;
   }
 
+  /** What this VM does for the others. */
+  get role(): PeerRole {
+    if (this.#isDirect) return PeerRole.Direct;
+    return this.#isRelay ? PeerRole.Relay : PeerRole.Subscriber;
+  }
+
   /** Whether each VM reports to all others, that is, the fleet is small. */
   get isDirect(): boolean {
     return this.#isDirect;
--- a/packages/routing/src/load/enums.ts
+++ b/packages/routing/src/load/enums.ts
@@ -12,3 +12,13 @@
   /** No load: the message carries placements that did not fit into the previous one, or evidence about prompt parts. */
   News = 'news',
 }
+
+/** What a VM does in the exchange of load messages. */
+export enum PeerRole {
+  /** Reports to all other VMs, as each VM of a small fleet does. */
+  Direct = 'direct',
+  /** Forwards what others report. */
+  Relay = 'relay',
+  /** Reports to a relay, and hears of the others through it. */
+  Subscriber = 'subscriber',
+}
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -42,6 +42,14 @@
   readonly crashes: readonly Crash[];
 }
 
+/** State of the workers at a VM that watches them in the platform's store for others. */
+export interface WorkerWatch {
+  /** Revision of the store up to which the VM has applied all changes. */
+  readonly revision: number;
+  /** Time since the store last answered the VM about workers, in milliseconds. */
+  readonly answerAgeMs: number;
+}
+
 /** Versions of the newest changes in the platform's store that a VM has applied; 0 before the first of the era. */
 export interface StoreVersions {
   /** Number of times that the store has been restored from an older copy, as far as the VM knows. */
@@ -54,6 +62,8 @@
   readonly answerAgeMs: number | undefined;
   /** Time since a list or watch of the VM has last failed, in milliseconds; undefined if none has. */
   readonly failureAgeMs: number | undefined;
+  /** The VM's watch of the workers, which others may follow; undefined if it does not watch for others. */
+  readonly workerWatch: WorkerWatch | undefined;
 }
 
 /** A load message between VMs. */
