--- a/tools/bundleRole.js
+++ b/tools/bundleRole.js
@@ -22,6 +22,19 @@
   },
 };
 
+const HISTOGRAM_BUILDER = resolve('node_modules/hdr-histogram-js/dist/HistogramBuilder.js');
+
+/** Replaces the import of hdr-histogram-js by the module that is used, without its WebAssembly. */
+const histogramBuilder = {
+  name: 'histogram-builder',
+  setup: ({ onResolve }) => {
+    onResolve({ filter: /^hdr-histogram-js$/ }, () => ({ path: HISTOGRAM_BUILDER }));
+    onResolve({ filter: /^\.\/wasm$/ }, ({ importer }) =>
+      importer === HISTOGRAM_BUILDER ? { path: resolve('tools/noWebAssembly.cjs') } : undefined,
+    );
+  },
+};
+
 /** Bundles the program that runs on the users' platform into one file, which loads faster than separate modules. */
 await build({
   entryPoints: ['platform/src/main.ts'],
@@ -32,7 +45,7 @@
   format: 'esm',
   legalComments: 'none',
   alias,
-  plugins: [undiciClients],
+  plugins: [undiciClients, histogramBuilder],
   // Bundled CommonJS libraries call require, which is not defined in an ES module.
   banner: {
     js: "import { createRequire as createModuleRequire } from 'node:module'; const require = createModuleRequire(import.meta.url);",
