fix(tools): a bundle that is built again is replaced at once

Cause (read in the code): three test files of the soak bundle the program, and a VM of one could load what another one is writing; the bundle now consists of three files. Change: each file is written beside the old one and renamed.

--- a/tools/bundleRole.js
+++ b/tools/bundleRole.js
@@ -1,4 +1,4 @@
-import { copyFileSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { mkdirSync, readdirSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { resolve } from 'node:path';
 import { Script } from 'node:vm';
@@ -40,9 +40,10 @@
 const BUNDLE = resolve('target/role.cjs');
 
 /** Bundles the program that runs on the users' platform into one file, which loads faster than separate modules. */
-await build({
+const { outputFiles } = await build({
   entryPoints: ['platform/src/runRole.ts'],
   outfile: BUNDLE,
+  write: false,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -56,6 +57,8 @@
   footer: { js: '})' },
 });
 
+const source = outputFiles[0].text;
+
 const requireModule = createRequire(import.meta.url);
 
 /** The flags that the role sets would become part of the cache, which is read before they are set. */
@@ -63,8 +66,18 @@
   name === 'node:v8' ? { setFlagsFromString: () => undefined } : requireModule(name);
 
 // Compiled code of what runs while the bundle is loaded, which starts nothing.
-const script = new Script(readFileSync(BUNDLE, 'utf8'), { filename: BUNDLE });
+const script = new Script(source, { filename: BUNDLE });
 const role = { exports: {} };
 script.runInThisContext()(role.exports, requireForCache, role);
-writeFileSync('target/role.cache', script.createCachedData());
-copyFileSync('tools/roleLoader.js', 'target/sardinegradeRole.js');
+
+/** Replaces a file at once: another process may be reading it. */
+const replaceFile = (file, content) => {
+  const written = `${file}.${process.pid}`;
+  writeFileSync(written, content);
+  renameSync(written, file);
+};
+
+mkdirSync('target', { recursive: true });
+replaceFile(BUNDLE, source);
+replaceFile('target/role.cache', script.createCachedData());
+replaceFile('target/sardinegradeRole.js', readFileSync('tools/roleLoader.js'));
