--- a/packages/platform/src/sync/constants.ts
+++ b/packages/platform/src/sync/constants.ts
@@ -27,7 +27,7 @@
 export const ISOLATION_CHECK_INTERVAL_MS = 250;
 
 /**
- * Time over which the calls of a fleet are spread that has learned of a restored store, in milliseconds: short beside the
- * time within which a configuration has to be applied.
+ * Time over which the calls of a fleet are spread that has learned of a restored store, or of VMs that have followed the same
+ * relay, in milliseconds: short beside the time within which a change has to be applied.
  */
 export const ERA_SPREAD_MS = 300;
--- a/tools/bundleRole.js
+++ b/tools/bundleRole.js
@@ -51,6 +51,7 @@
   legalComments: 'none',
   alias,
   plugins: [undiciClients, histogramBuilder],
+  // Used only to find state charts, which the role does not have.
   define: { 'import.meta.url': 'undefined' },
   // The loader calls the bundle with what a CommonJS module gets.
   banner: { js: '(function (exports, require, module) {' },
