feat: settings and types for duties, number of workers and prices; leases are a package of their own

The lease moves from packages/fleet to packages/lease, so that the role on the host platform can use it without the rest of packages/fleet.

--- a/packages/controller/src/EngineReconciler.ts
+++ b/packages/controller/src/EngineReconciler.ts
@@ -10,7 +10,8 @@
 } from './orders/index.js';
 
 import type { Clock, DataCentreName, Logger, UpstreamId } from '@sardinegrade/common';
-import type { FleetConfiguration, LeaseAgent } from '@sardinegrade/fleet';
+import type { FleetConfiguration } from '@sardinegrade/fleet';
+import type { LeaseAgent } from '@sardinegrade/lease';
 import type { PlatformClient } from '@sardinegrade/platform';
 import type { EngineClient, EngineOrder, EngineState, LoadLimits } from './orders/index.js';
 
--- a/packages/controller/src/runController.ts
+++ b/packages/controller/src/runController.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { createLogger, toBranded } from '@sardinegrade/common';
-import { createLeaseAgent } from '@sardinegrade/fleet';
+import { createLeaseAgent } from '@sardinegrade/lease';
 import { createPlatformClient } from '@sardinegrade/platform';
 import { periodic } from 'most';
 
--- a/packages/fleet/src/lease/reduceLease.ts
+++ b/packages/lease/src/reduceLease.ts
@@ -1,10 +1,8 @@
-import { createRequire } from 'node:module';
-
 import { buildTransitionTable } from '@sardinegrade/common';
 
 import { LeaseActionKind, LeaseEventKind, LeasePhase, LeaseTransition } from './enums.js';
+import { LEASE_CHART } from './leaseChart.js';
 
-import type { StateChart } from '@sardinegrade/common';
 import type {
   LeaseContext,
   LeaseEvent,
@@ -24,11 +22,7 @@
   ) => LeaseStep;
 };
 
-const findNextPhase = buildTransitionTable(
-  createRequire(import.meta.url)('./lease.json') as StateChart,
-  LeasePhase,
-  LeaseTransition,
-);
+const findNextPhase = buildTransitionTable(LEASE_CHART, LeasePhase, LeaseTransition);
 
 const HELD_PHASES: ReadonlySet<LeasePhase> = new Set([LeasePhase.Settling, LeasePhase.Holding]);
 const JITTER_SHARE = 0.5;
--- a/packages/routing/src/configuration/types.ts
+++ b/packages/routing/src/configuration/types.ts
@@ -1,4 +1,4 @@
-import type { Branded, ServiceName, WorkspaceName } from '@sardinegrade/common';
+import type { Branded, DataCentreName, ServiceName, WorkspaceName } from '@sardinegrade/common';
 
 import type { RouteKind } from './enums.js';
 
@@ -48,6 +48,19 @@
   readonly cacheTokens: number;
 }
 
+/** Bounds and prices for the number of workers of a service. */
+export interface ScalingBounds {
+  /** Minimum and maximum number of workers in one data centre, both kinds together. */
+  readonly min: number;
+  readonly max: number;
+  /** Time from an order until a new worker serves, in milliseconds. */
+  readonly bootMs: number;
+  /** Price of a spot worker, as a share of an ordinary one's. */
+  readonly spotPrice: number | undefined;
+  /** Price of a second of a worker, by data centre. */
+  readonly prices: ReadonlyMap<DataCentreName, number>;
+}
+
 /** A group of interchangeable workers. */
 export interface RoutedService {
   readonly name: ServiceName;
@@ -55,6 +68,8 @@
   readonly connectionLimit: number;
   /** Undefined for services that are not model engines ("plain" services). */
   readonly engine: EngineCapacity | undefined;
+  /** Undefined if its number of workers is not ours to decide. */
+  readonly scaling?: ScalingBounds | undefined;
 }
 
 /** Size limits and timeouts for callers' requests and connections. */
--- a/packages/routing/src/workers/types.ts
+++ b/packages/routing/src/workers/types.ts
@@ -17,6 +17,10 @@
   readonly startedAtMs: number;
   /** Rises with each report of one process. */
   readonly sequence: number;
+  /** Whether it may be reclaimed at short notice, all of a data centre at once. */
+  readonly isSpot?: boolean;
+  /** Time that a leaving worker has left, in milliseconds; undefined if it is not known. */
+  readonly leavesInMs?: number | undefined;
 }
 
 /**
--- a/tools/bundleRole.js
+++ b/tools/bundleRole.js
@@ -37,6 +37,16 @@
   },
 };
 
+/** Replaces the module that reads the chart of leases at run time by the chart itself. */
+const leaseChart = {
+  name: 'lease-chart',
+  setup: ({ onLoad }) => {
+    onLoad({ filter: /leaseChart\.ts$/ }, ({ path }) => ({
+      contents: `export const LEASE_CHART = ${readFileSync(path.replace('leaseChart.ts', 'lease.json'), 'utf8')};`,
+    }));
+  },
+};
+
 const BUNDLE = resolve('target/role.cjs');
 
 /** Bundles the program that runs on the users' platform into one file, which loads faster than separate modules. */
@@ -50,8 +60,8 @@
   format: 'cjs',
   legalComments: 'none',
   alias,
-  plugins: [undiciClients, histogramBuilder],
-  // Used only to find state charts, which the role does not have.
+  plugins: [undiciClients, histogramBuilder, leaseChart],
+  // Used only to find state charts; the role has that of leases, which is part of the bundle.
   define: { 'import.meta.url': 'undefined' },
   // The loader calls the bundle with what a CommonJS module gets.
   banner: { js: '(function (exports, require, module) {' },
--- a/tools/eslint/importDownwards.js
+++ b/tools/eslint/importDownwards.js
@@ -2,8 +2,9 @@
 const LAYERS = [
   ['common'],
   ['platform', 'upstream', 'peer'],
-  ['dispatch', 'orders', 'fleet'],
+  ['dispatch', 'orders', 'fleet', 'lease'],
   ['routing'],
+  ['duties'],
   ['entry', 'controller', 'cli', 'forwarder'],
   ['lab'],
 ];
