feat(routing): the lane of a prompt follows the targets of all routes of its service

Cause: a target counted as tight up to 400 ms. On a deployment whose most urgent streams have a target of 411 ms beside ones of 2,027 ms, they shared engines with long prompts, whose prefill stretched the gaps between their events. Change: the shortest target of a service is tight, too, if it is at most a quarter of the longest one.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -3,6 +3,7 @@
   BuildHistory,
   CrashTracker,
   DataCentreMonitor,
+  LaneTable,
   PeerRole,
   RouteHistory,
   RouteTable,
@@ -163,6 +164,7 @@
   /** When the store last answered a call, by kind; kinds without an answer so far are missing. */
   readonly #storeAnsweredAtMs = new Map<SyncedKind, number>();
   #routes = new RouteTable([]);
+  #lanes = new LaneTable([]);
   #exitAtMs = Number.POSITIVE_INFINITY;
   #drainingSinceMs: number | undefined;
   /** Number of VMs, this one included; undefined until the first list. */
@@ -215,6 +217,11 @@
     return this.#routes;
   }
 
+  /** Lanes of prompts by the routes of the active configuration. */
+  get lanes(): LaneTable {
+    return this.#lanes;
+  }
+
   /** Whether the process is shutting down: it still serves requests, but asks callers to close their connections. */
   get isDraining(): boolean {
     return this.#drainingSinceMs !== undefined;
@@ -255,6 +262,7 @@
     this.#configuration = configuration;
     this.#configurationAppliedAtMs = this.options.getNowMs();
     this.#routes = new RouteTable(configuration.routes);
+    this.#lanes = new LaneTable(configuration.routes);
     this.#routeHistory.replace(configuration.routes, this.options.getNowMs());
     return true;
   }
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -1,10 +1,4 @@
-import {
-  chooseEngine,
-  chooseWorker,
-  MAX_DIRECT_VMS,
-  PromptLane,
-  shouldWait,
-} from '@sardinegrade/routing';
+import { chooseEngine, chooseWorker, MAX_DIRECT_VMS, shouldWait } from '@sardinegrade/routing';
 
 import { filterCandidates } from './filterCandidates.js';
 
@@ -12,12 +6,6 @@
 import type { CandidateSet, WorkerRecord } from '../workers/index.js';
 import type { SelectionContext } from './filterCandidates.js';
 
-/**
- * Maximum target for the first event that counts as tight, in milliseconds. Prefill of a long prompt takes as
- * long.
- */
-const TIGHT_TARGET_MS = 400;
-
 /**
  * Number of homes of a part if VMs report to each other directly, and if reports go through relays. The simulations in
  * `chooseEngine.test.ts` compare the two.
@@ -99,7 +87,7 @@
   const { state, service, targetMs, nowMs } = context;
   const peerCount = state.sharedLoad.countLive(nowMs);
   const views = candidates.map((record) => buildEngineView(context, prompt, record));
-  const lane = targetMs <= TIGHT_TARGET_MS ? PromptLane.Tight : PromptLane.Bulk;
+  const lane = state.lanes.getLane(service.name, targetMs);
   const choice = chooseEngine(prompt, views, {
     ranking,
     lane,
