feat: leases know the era of a store, and can be paused and renewed on request

Cause: a store that is restored from an older copy gives out revisions again, so a renewal may replace the lease of another holder, and a release may come from the copy. The duties also need a wait after a released lease. Change: versions may contain the era; a write of another era loses the lease, and a release of another era is not trusted. New events renew the lease at once, and release it with a time before which it is not claimed. Conclusion: platforms without eras (era 0) and timings without releasedWaitMs behave as before.

--- a/packages/lease/src/createLeaseAgent.ts
+++ b/packages/lease/src/createLeaseAgent.ts
@@ -8,7 +8,7 @@
 import { canSendOrder, createLease, reduceLease } from './reduceLease.js';
 
 import type { Clock } from '@sardinegrade/common';
-import type { PlatformClient, PlatformObject } from '@sardinegrade/platform';
+import type { ConfirmOptions, PlatformClient, PlatformObject } from '@sardinegrade/platform';
 import type {
   LeaseAction,
   LeaseContext,
@@ -19,17 +19,33 @@
   LeaseValue,
 } from './types.js';
 
+/** Reads and conditional writes of the lease object. */
+export interface LeasePlatform extends Pick<PlatformClient, 'read' | 'write'> {
+  /** Reads an object in a state that may be some seconds old; daemons on standby use it instead of `read`. */
+  readonly readStale?: PlatformClient['read'];
+}
+
 /** Dependencies of a lease agent. */
 export interface LeaseAgentOptions {
-  readonly platform: PlatformClient;
+  readonly platform: LeasePlatform;
   /** Must be monotonic: the system clock may jump. */
   readonly clock: Clock;
   readonly random: () => number;
+  /** Kind of the lease object in the platform; LEASE_KIND if undefined. */
+  readonly kind?: string;
   /** Name of the lease object in the platform. */
   readonly name: string;
   /** Name of this daemon; written to the lease for operators. */
   readonly holder: string;
   readonly timings?: LeaseTimings | undefined;
+  /** How a write is confirmed whose answer was lost. */
+  readonly confirm?: Omit<ConfirmOptions, 'random'>;
+  /** Called after each change of the phase, with the event that caused it. */
+  readonly onPhase?: (phase: LeasePhase, previous: LeasePhase, cause: LeaseEventKind) => void;
+  /** Called with the error of each failed call to the platform. */
+  readonly onError?: (error: unknown) => void;
+  /** Called when an object is read whose value matches no schema. */
+  readonly onUnreadable?: (version: number) => void;
 }
 
 /** Acquires a lease for this daemon and keeps renewing it. */
@@ -39,6 +55,14 @@
   readonly getPhase: () => LeasePhase;
   /** @returns the fencing number for this daemon's engine orders; undefined if none may be sent now */
   readonly getFencing: () => number | undefined;
+  /** @returns when the last confirmed write of the current lease was sent, in milliseconds; undefined if none is held */
+  readonly getConfirmedAtMs: () => number | undefined;
+  /** Renews the lease now if it is held and no call is pending. */
+  readonly renew: () => void;
+  /**
+   * Releases the lease if it is held, and does not claim it before a time of the clock. No order may be in flight any more.
+   */
+  readonly pause: (untilMs: number) => void;
   /** Reports that an engine has received an order with a higher fencing number, so the lease is lost. */
   readonly reportFenced: () => void;
   /**
@@ -52,18 +76,17 @@
   holder: z.string(),
   session: z.string(),
   is_released: z.boolean(),
+  era: z.number().int().default(0),
 });
 
 /** Replaces a malformed value: the lease is treated as held by another daemon until it expires. */
-const UNREADABLE_VALUE: LeaseValue = { holder: '', session: '', isReleased: false };
-
-const decodeObject = (object: PlatformObject | undefined): LeaseObject | undefined => {
-  if (object === undefined) return undefined;
-  const { version } = object;
-  const { success, data } = VALUE_SCHEMA.safeParse(object.value);
-  if (!success) return { version, value: UNREADABLE_VALUE };
-  const { holder, session, is_released: isReleased } = data;
-  return { version, value: { holder, session, isReleased } };
+const UNREADABLE_VALUE: LeaseValue = { holder: '', session: '', isReleased: false, era: 0 };
+
+const decodeValue = (value: unknown): LeaseValue => {
+  const { success, data } = VALUE_SCHEMA.safeParse(value);
+  if (!success) return UNREADABLE_VALUE;
+  const { holder, session, is_released: isReleased, era } = data;
+  return { holder, session, isReleased, era };
 };
 
 class RunningLease implements LeaseAgent {
@@ -81,11 +104,20 @@
 
   readonly getPhase = (): LeasePhase => this.state.phase;
 
+  readonly getConfirmedAtMs = (): number | undefined => {
+    const { validUntilMs, timings } = this.state;
+    return validUntilMs === -Infinity ? undefined : validUntilMs - timings.durationMs;
+  };
+
   readonly getFencing = (): number | undefined =>
     canSendOrder(this.state, this.options.clock.getNowMs()) ? this.state.fencing : undefined;
 
   readonly reportFenced = (): void => this.handle({ kind: LeaseEventKind.Fenced });
 
+  readonly renew = (): void => this.handle({ kind: LeaseEventKind.Renew });
+
+  readonly pause = (untilMs: number): void => this.handle({ kind: LeaseEventKind.Pause, untilMs });
+
   readonly release = async (): Promise<void> => {
     this.handle({ kind: LeaseEventKind.Stop });
     if (this.state.phase === LeasePhase.Stopped) return;
@@ -97,8 +129,10 @@
   }
 
   private handle(event: LeaseEvent): void {
+    const previous = this.state.phase;
     const { state, actions } = reduceLease(this.state, event, this.createContext());
     this.state = state;
+    if (state.phase !== previous) this.options.onPhase?.(state.phase, previous, event.kind);
     for (const action of actions) void this.perform(action);
     if (state.phase !== LeasePhase.Stopped) return;
     for (const resolve of this.pendingReleases) resolve();
@@ -110,37 +144,47 @@
       this.handle(
         action.kind === LeaseActionKind.Read ? await this.read() : await this.write(action),
       );
-    } catch {
+    } catch (error) {
+      this.options.onError?.(error);
       this.handle({ kind: LeaseEventKind.CallFailed });
     }
   }
 
   private async read(): Promise<LeaseEvent> {
-    const object = await this.options.platform.read(LEASE_KIND, this.options.name);
-    return { kind: LeaseEventKind.Read, object: decodeObject(object) };
+    const { platform, kind = LEASE_KIND, name } = this.options;
+    const object = await (platform.readStale ?? platform.read)(kind, name);
+    return { kind: LeaseEventKind.Read, object: this.decodeObject(object) };
   }
 
   private async write(
     action: Extract<LeaseAction, { kind: LeaseActionKind.Write }>,
   ): Promise<LeaseEvent> {
-    const { holder, session, isReleased } = action.value;
+    const { holder, session, isReleased, era } = action.value;
     const result = await writeConfirmed(
       this.options.platform,
       {
-        kind: LEASE_KIND,
+        kind: this.options.kind ?? LEASE_KIND,
         name: this.options.name,
         ifVersion: action.ifVersion,
         changeId: randomUUID(),
-        value: { holder, session, is_released: isReleased },
+        value: { holder, session, is_released: isReleased, era },
       },
-      { random: this.options.random },
+      { ...this.options.confirm, random: this.options.random },
     );
     if (result.outcome === WriteOutcome.Conflict) {
-      return { kind: LeaseEventKind.WriteConflict, current: decodeObject(result.current) };
+      return { kind: LeaseEventKind.WriteConflict, current: this.decodeObject(result.current) };
     }
     const { version } = result;
     return { kind: LeaseEventKind.Written, version, sentAtMs: action.sentAtMs };
   }
+
+  private decodeObject(object: PlatformObject | undefined): LeaseObject | undefined {
+    if (object === undefined) return undefined;
+    const { version } = object;
+    const value = decodeValue(object.value);
+    if (value === UNREADABLE_VALUE) this.options.onUnreadable?.(version);
+    return { version, value };
+  }
 }
 
 /**
--- a/packages/lease/src/enums.ts
+++ b/packages/lease/src/enums.ts
@@ -5,6 +5,8 @@
   /** The lease is acquired, but engine orders of the previous holder may still reach an engine. */
   Settling = 'settling',
   Holding = 'holding',
+  /** The lease is being released, and claimed again later at the earliest. */
+  Pausing = 'pausing',
   Releasing = 'releasing',
   Stopped = 'stopped',
 }
@@ -15,6 +17,7 @@
   Acquire = 'acquire',
   Settle = 'settle',
   Lose = 'lose',
+  Pause = 'pause',
   Stop = 'stop',
   Release = 'release',
 }
@@ -30,6 +33,10 @@
   CallFailed = 'call_failed',
   /** An engine has received an order with a higher fencing number. */
   Fenced = 'outranked',
+  /** The lease is to be renewed now. */
+  Renew = 'renew',
+  /** The lease is to be released, and not claimed again for some time. */
+  Pause = 'pause',
   Stop = 'stop',
 }
 
--- a/packages/lease/src/index.ts
+++ b/packages/lease/src/index.ts
@@ -7,5 +7,6 @@
 export * from './constants.js';
 export * from './createLeaseAgent.js';
 export * from './enums.js';
+export * from './eraVersion.js';
 export * from './reduceLease.js';
 export type * from './types.js';
--- a/packages/lease/src/reduceLease.test.ts
+++ b/packages/lease/src/reduceLease.test.ts
@@ -189,7 +189,7 @@
 test('a released lease is acquired without a wait, an expired one only after its duration and the claim wait', () => {
   const { durationMs, orderDeadlineMs, marginMs } = LEASE_TIMINGS;
   for (const isReleased of [true, false]) {
-    const value = { holder: 'old', session: 'old', isReleased };
+    const value = { holder: 'old', session: 'old', isReleased, era: 0 };
     const platform: PlatformLease = { object: { version: 7, value }, version: 7 };
     const acquiredAtMs = runUntilHolding(createContender('new', 1), platform);
     const minimumMs = isReleased ? 0 : durationMs + orderDeadlineMs + marginMs;
--- a/packages/lease/src/reduceLease.ts
+++ b/packages/lease/src/reduceLease.ts
@@ -1,6 +1,7 @@
 import { buildTransitionTable } from '@sardinegrade/common';
 
 import { LeaseActionKind, LeaseEventKind, LeasePhase, LeaseTransition } from './enums.js';
+import { getVersionEra } from './eraVersion.js';
 import { LEASE_CHART } from './leaseChart.js';
 
 import type {
@@ -25,6 +26,10 @@
 const findNextPhase = buildTransitionTable(LEASE_CHART, LeasePhase, LeaseTransition);
 
 const HELD_PHASES: ReadonlySet<LeasePhase> = new Set([LeasePhase.Settling, LeasePhase.Holding]);
+const RELEASING_PHASES: ReadonlySet<LeasePhase> = new Set([
+  LeasePhase.Pausing,
+  LeasePhase.Releasing,
+]);
 const JITTER_SHARE = 0.5;
 
 /**
@@ -54,6 +59,7 @@
   isCallPending: false,
   nextCallAtMs: context.nowMs + context.random() * timings.renewIntervalMs,
   claimWaitMs: 0,
+  claimableFromMs: -Infinity,
   isReleaseSent: false,
 });
 
@@ -81,9 +87,8 @@
 const addJitter = (periodMs: number, context: LeaseContext): number =>
   periodMs * (1 + JITTER_SHARE * (context.random() - 0.5));
 
-/** Applies the loss of the lease. The next holder, even if it is this daemon, must wait until the lease expires. */
-const loseLease = (state: LeaseState, context: LeaseContext): LeaseState => ({
-  ...applyTransition(state, LeaseTransition.Lose),
+const clearHolding = (state: LeaseState, context: LeaseContext): LeaseState => ({
+  ...state,
   fencing: 0,
   validUntilMs: -Infinity,
   settlingEndsAtMs: Infinity,
@@ -91,6 +96,10 @@
   nextCallAtMs: context.nowMs + addJitter(state.timings.standbyIntervalMs, context),
 });
 
+/** Applies the loss of the lease. The next holder, even if it is this daemon, must wait until the lease expires. */
+const loseLease = (state: LeaseState, context: LeaseContext): LeaseState =>
+  clearHolding(applyTransition(state, LeaseTransition.Lose), context);
+
 const write = (state: LeaseState, isReleased: boolean, context: LeaseContext): LeaseStep => {
   const { holder, session, version } = state;
   return {
@@ -99,7 +108,7 @@
       {
         kind: LeaseActionKind.Write,
         ifVersion: version,
-        value: { holder, session, isReleased },
+        value: { holder, session, isReleased, era: getVersionEra(version) },
         sentAtMs: context.nowMs,
       },
     ],
@@ -109,8 +118,10 @@
 const callWhenDue = (state: LeaseState, context: LeaseContext): LeaseStep => {
   if (state.isCallPending || context.nowMs < state.nextCallAtMs) return keepState(state);
   if (HELD_PHASES.has(state.phase)) return write(state, false, context);
-  if (state.phase === LeasePhase.Releasing) return write(state, true, context);
-  if (state.phase !== LeasePhase.Standby) return keepState(state);
+  if (RELEASING_PHASES.has(state.phase)) return write(state, true, context);
+  if (state.phase !== LeasePhase.Standby || context.nowMs < state.claimableFromMs) {
+    return keepState(state);
+  }
   return { state: { ...state, isCallPending: true }, actions: [{ kind: LeaseActionKind.Read }] };
 };
 
@@ -124,9 +135,12 @@
 /** Computes how long engine orders of a previous holder may still be in flight after this daemon acquires the lease. */
 const computeClaimWait = (timings: LeaseTimings, object: LeaseObject | undefined): number => {
   const orderMs = timings.orderDeadlineMs + timings.marginMs;
-  // If the object is missing, a previous holder may exist whose lease has not expired yet.
-  if (object === undefined) return timings.durationMs + orderMs;
-  return object.value.isReleased ? 0 : orderMs;
+  if (object?.value.isReleased === false) return orderMs;
+  if (object !== undefined && object.value.era === getVersionEra(object.version)) {
+    return timings.releasedWaitMs ?? 0;
+  }
+  // If the object is missing or its release is of another era, a previous holder's lease may not have expired yet.
+  return timings.durationMs + orderMs;
 };
 
 const claim = (
@@ -167,9 +181,17 @@
 ): LeaseStep => {
   const { timings } = state;
   const idle = { ...state, isCallPending: false, version: event.version };
-  if (state.phase === LeasePhase.Releasing) {
-    if (state.isReleaseSent) return keepState(applyTransition(idle, LeaseTransition.Release));
-    // A renewal was pending when the agent was stopped; the release is written now.
+  // After a restore the write may have replaced a version of another holder that has the same revision.
+  const isOtherEra =
+    state.version !== 0 && getVersionEra(event.version) !== getVersionEra(state.version);
+  if (isOtherEra && state.phase !== LeasePhase.Standby) return keepState(loseLease(idle, context));
+  if (RELEASING_PHASES.has(state.phase)) {
+    if (state.isReleaseSent) {
+      return keepState(
+        clearHolding(applyTransition(idle, LeaseTransition.Release), context),
+      );
+    }
+    // A renewal was pending when the release was requested; it is written now.
     return callWhenDue({ ...idle, nextCallAtMs: context.nowMs }, context);
   }
   const held = {
@@ -192,11 +214,14 @@
   context: LeaseContext,
 ): LeaseStep => {
   const idle = { ...state, isCallPending: false };
-  const isOwn = event.current?.value.session === state.session;
-  const hasWritten = HELD_PHASES.has(state.phase) || state.phase === LeasePhase.Releasing;
+  const { current } = event;
+  const isOwn =
+    current?.value.session === state.session &&
+    getVersionEra(current.version) === getVersionEra(state.version);
+  const hasWritten = HELD_PHASES.has(state.phase) || RELEASING_PHASES.has(state.phase);
   if (isOwn && hasWritten) {
     // An earlier renewal took effect but its answer was lost: continue from the version that it wrote.
-    return keepState({ ...idle, version: event.current.version, nextCallAtMs: context.nowMs });
+    return keepState({ ...idle, version: current.version, nextCallAtMs: context.nowMs });
   }
   return keepState(loseLease(idle, context));
 };
@@ -218,6 +243,24 @@
     context,
   );
 
+const handleRenew = (state: LeaseState, context: LeaseContext): LeaseStep =>
+  HELD_PHASES.has(state.phase)
+    ? callWhenDue({ ...state, nextCallAtMs: context.nowMs }, context)
+    : keepState(state);
+
+const handlePause = (
+  state: LeaseState,
+  { untilMs }: EventOf<LeaseEventKind.Pause>,
+  context: LeaseContext,
+): LeaseStep => {
+  const paused = { ...state, claimableFromMs: untilMs };
+  if (!HELD_PHASES.has(state.phase)) return keepState(paused);
+  return callWhenDue(
+    { ...applyTransition(paused, LeaseTransition.Pause), fencing: 0, nextCallAtMs: context.nowMs },
+    context,
+  );
+};
+
 const HANDLERS: LeaseHandlers = {
   [LeaseEventKind.Tick]: (state, _event, context) => handleTick(state, context),
   [LeaseEventKind.Read]: handleRead,
@@ -226,6 +269,8 @@
   [LeaseEventKind.CallFailed]: (state, _event, context) => handleCallFailed(state, context),
   [LeaseEventKind.Fenced]: (state, _event, context) =>
     HELD_PHASES.has(state.phase) ? keepState(loseLease(state, context)) : keepState(state),
+  [LeaseEventKind.Renew]: (state, _event, context) => handleRenew(state, context),
+  [LeaseEventKind.Pause]: handlePause,
   [LeaseEventKind.Stop]: (state, _event, context) => handleStop(state, context),
 };
 
--- a/packages/lease/src/types.ts
+++ b/packages/lease/src/types.ts
@@ -11,6 +11,11 @@
   readonly orderDeadlineMs: number;
   /** Safety margin for clocks that run at different rates and for delays within a machine. */
   readonly marginMs: number;
+  /**
+   * Time between acquiring a lease that its holder has released and the first order; 0 if undefined. Holders that alternate
+   * faster than this would act in the order A, B, A.
+   */
+  readonly releasedWaitMs?: number | undefined;
 }
 
 /** Value of the lease object in the platform. */
@@ -20,6 +25,11 @@
   readonly session: string;
   /** The holder has released the lease and had no engine order in flight. */
   readonly isReleased: boolean;
+  /**
+   * Era of the version that this value replaced. A release of another era comes from a restored copy or from a late write,
+   * and a holder that acquired the lease after it may still send orders.
+   */
+  readonly era: number;
 }
 
 /** The lease object and its version, as read from the platform. */
@@ -55,6 +65,8 @@
   readonly nextCallAtMs: number;
   /** Time between acquiring the lease and sending the first engine order, in milliseconds. */
   readonly claimWaitMs: number;
+  /** Time before which a daemon on standby does not claim the lease, in milliseconds. */
+  readonly claimableFromMs: number;
   /** The pending write releases the lease. */
   readonly isReleaseSent: boolean;
 }
@@ -78,6 +90,12 @@
   | { readonly kind: LeaseEventKind.WriteConflict; readonly current: LeaseObject | undefined }
   | { readonly kind: LeaseEventKind.CallFailed }
   | { readonly kind: LeaseEventKind.Fenced }
+  | { readonly kind: LeaseEventKind.Renew }
+  | {
+      readonly kind: LeaseEventKind.Pause;
+      /** Time before which the lease is not claimed again, in milliseconds. */
+      readonly untilMs: number;
+    }
   | { readonly kind: LeaseEventKind.Stop };
 
 export type LeaseAction =
--- a/packages/platform/src/writeConfirmed.ts
+++ b/packages/platform/src/writeConfirmed.ts
@@ -6,6 +6,9 @@
 
 import type { ObjectWrite, PlatformClient, PlatformObject, WriteResult } from './types.js';
 
+/** The calls that a confirmed write needs. */
+type ObjectCalls = Pick<PlatformClient, 'read' | 'write'>;
+
 /** Number of read-backs of a confirmed write, and its sources of delays and randomness. */
 export interface ConfirmOptions {
   readonly attempts?: number;
@@ -32,13 +35,13 @@
 };
 
 /** Sends the write again; the condition on the version allows at most one of the copies to take effect. */
-const retryWrite = async (client: PlatformClient, write: ObjectWrite): Promise<WriteResult> => {
+const retryWrite = async (client: ObjectCalls, write: ObjectWrite): Promise<WriteResult> => {
   const result = await client.write(write);
   if (result.outcome === WriteOutcome.Written) return result;
   return compareWithCurrent(write, result.current) ?? result;
 };
 
-const confirmOnce = async (client: PlatformClient, write: ObjectWrite): Promise<WriteResult> => {
+const confirmOnce = async (client: ObjectCalls, write: ObjectWrite): Promise<WriteResult> => {
   const current = await client.read(write.kind, write.name);
   return compareWithCurrent(write, current) ?? (await retryWrite(client, write));
 };
@@ -58,7 +61,7 @@
  * read-back succeeded
  */
 export const writeConfirmed = async (
-  client: PlatformClient,
+  client: ObjectCalls,
   write: ObjectWrite,
   options: ConfirmOptions = {},
 ): Promise<WriteResult> => {
