--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -148,6 +148,16 @@
     help: 'Attempts to open a connection to an upstream through another daemon, by outcome.',
     labels: ['outcome'],
   },
+  [MetricName.DutyHolder]: {
+    kind: Gauge,
+    help: "Whether this daemon makes the calls to the host platform's API for all (1) or not (0).",
+    labels: [],
+  },
+  [MetricName.DutyCalls]: {
+    kind: Counter,
+    help: "Calls to the host platform's API, by duty and outcome.",
+    labels: ['duty', 'outcome'],
+  },
   [MetricName.StoreEra]: {
     kind: Gauge,
     help: 'Number of times that the store has been restored from an older copy.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -28,6 +28,8 @@
   StoreAnswerAge = 'sardinegrade_store_answer_age_seconds',
   LinksLost = 'sardinegrade_links_lost',
   Tunnels = 'sardinegrade_tunnels_total',
+  DutyHolder = 'sardinegrade_duty_holder',
+  DutyCalls = 'sardinegrade_duty_calls_total',
   StoreEra = 'sardinegrade_store_era',
   Members = 'sardinegrade_members',
   Upstreams = 'sardinegrade_upstreams',
--- a/packages/lease/src/reduceLease.ts
+++ b/packages/lease/src/reduceLease.ts
@@ -135,12 +135,12 @@
 /** Computes how long engine orders of a previous holder may still be in flight after this daemon acquires the lease. */
 const computeClaimWait = (timings: LeaseTimings, object: LeaseObject | undefined): number => {
   const orderMs = timings.orderDeadlineMs + timings.marginMs;
-  if (object?.value.isReleased === false) return orderMs;
-  if (object !== undefined && object.value.era === getVersionEra(object.version)) {
-    return timings.releasedWaitMs ?? 0;
-  }
   // If the object is missing or its release is of another era, a previous holder's lease may not have expired yet.
-  return timings.durationMs + orderMs;
+  const unknownHolderMs = timings.durationMs + orderMs;
+  if (object === undefined) return unknownHolderMs;
+  const { value, version } = object;
+  if (!value.isReleased) return orderMs;
+  return value.era === getVersionEra(version) ? (timings.releasedWaitMs ?? 0) : unknownHolderMs;
 };
 
 const claim = (
@@ -187,9 +187,7 @@
   if (isOtherEra && state.phase !== LeasePhase.Standby) return keepState(loseLease(idle, context));
   if (RELEASING_PHASES.has(state.phase)) {
     if (state.isReleaseSent) {
-      return keepState(
-        clearHolding(applyTransition(idle, LeaseTransition.Release), context),
-      );
+      return keepState(clearHolding(applyTransition(idle, LeaseTransition.Release), context));
     }
     // A renewal was pending when the release was requested; it is written now.
     return callWhenDue({ ...idle, nextCallAtMs: context.nowMs }, context);
