--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -163,6 +163,16 @@
     help: 'Upstreams by pool and health.',
     labels: ['pool', 'health'],
   },
+  [MetricName.UsageReports]: {
+    kind: Counter,
+    help: 'Usage reports sent to the host platform, by outcome.',
+    labels: ['outcome'],
+  },
+  [MetricName.UsageReportAge]: {
+    kind: Gauge,
+    help: 'Time since a usage report of the holder was last accepted; none at other daemons.',
+    labels: [],
+  },
   [MetricName.DroppedLabels]: {
     kind: Counter,
     help: 'Label sets counted under other because a metric had reached its bound.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -31,6 +31,8 @@
   StoreEra = 'sardinegrade_store_era',
   Members = 'sardinegrade_members',
   Upstreams = 'sardinegrade_upstreams',
+  UsageReports = 'sardinegrade_usage_reports_total',
+  UsageReportAge = 'sardinegrade_usage_report_age_seconds',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
 }
 
--- /dev/null
+++ b/packages/duties/src/usage/FleetClock.ts
@@ -0,0 +1,103 @@
+import type { VmId } from '@sardinegrade/common';
+
+/** Clocks of this VM, in milliseconds. */
+export interface FleetClockOptions {
+  /** Reads the monotonic clock. */
+  readonly getNowMs: () => number;
+  /** Reads the wall clock. */
+  readonly getWallMs: () => number;
+  /** Time in which the holder reads the clocks of all VMs once, in milliseconds. */
+  readonly roundMs: number;
+}
+
+/** Wall clock of another VM, relative to the monotonic clock of this one. */
+interface ClockSample {
+  readonly offsetMs: number;
+  readonly readAtMs: number;
+}
+
+/** Clocks that are needed at least for a median that one wrong clock does not change. */
+const MIN_CLOCKS = 3;
+
+/** Samples are used for this number of rounds: some VMs do not respond in each. */
+const SAMPLE_ROUNDS = 4;
+
+/** Difference between the clocks of this VM that tells of a jump or of a suspension, in milliseconds. */
+const MAX_DRIFT_MS = 250;
+
+const computeMedian = (values: readonly number[]): number => {
+  const sorted = [...values].sort((a, b) => a - b);
+  const middle = sorted.length / 2;
+  const [low, high] = [sorted[Math.ceil(middle) - 1], sorted[Math.floor(middle)]];
+  if (low === undefined || high === undefined) throw new RangeError('no values for a median');
+  return (low + high) / 2;
+};
+
+/**
+ * Fleet time: the monotonic clock of this VM plus an offset, which is the median of the wall clocks of the VMs. The holder
+ * computes the median from the clocks that it has read and states it to the others. Until this VM has heard of others, its own
+ * wall clock is used.
+ */
+export class FleetClock {
+  readonly #samples = new Map<VmId, ClockSample>();
+  #offsetMs: number | undefined;
+  #ownOffsetMs: number;
+  #disturbedAtMs = Number.NEGATIVE_INFINITY;
+
+  /** @param options - clocks of this VM */
+  constructor(private readonly options: FleetClockOptions) {
+    this.#ownOffsetMs = this.#readOwnOffsetMs();
+  }
+
+  /** Fleet time, in milliseconds since the start of 1970. */
+  get timeMs(): number {
+    return this.options.getNowMs() + (this.#offsetMs ?? this.#readOwnOffsetMs());
+  }
+
+  /**
+   * Fleet time to state to others, in milliseconds; undefined if this VM has not heard of others, or if its clocks have just
+   * moved against each other: a suspension stops the monotonic clock, and until the clocks of the others have been read again
+   * this VM would pass the lost time on.
+   */
+  get statedTimeMs(): number | undefined {
+    this.#checkOwnClocks();
+    const isDisturbed = this.options.getNowMs() - this.#disturbedAtMs <= this.options.roundMs;
+    return this.#offsetMs === undefined || isDisturbed ? undefined : this.timeMs;
+  }
+
+  /** Sets the fleet time that the holder has stated. */
+  setTime(timeMs: number): void {
+    this.#offsetMs = timeMs - this.options.getNowMs();
+  }
+
+  /**
+   * Adds the wall clock of another VM. The offset changes once most of the VMs have been read.
+   *
+   * @param vm - the VM
+   * @param wallMs - its wall clock, in milliseconds
+   * @param readAtMs - monotonic time of this VM at which it was read, in milliseconds
+   * @param vmCount - number of VMs, this one included
+   */
+  addSample(vm: VmId, wallMs: number, readAtMs: number, vmCount: number): void {
+    this.#checkOwnClocks();
+    this.#samples.set(vm, { offsetMs: wallMs - readAtMs, readAtMs });
+    const oldestMs = readAtMs - SAMPLE_ROUNDS * this.options.roundMs;
+    for (const [name, sample] of this.#samples)
+      if (sample.readAtMs < oldestMs) this.#samples.delete(name);
+    const offsetsMs = [...this.#samples.values()].map(({ offsetMs }) => offsetMs);
+    const clockCount = offsetsMs.length + 1;
+    if (clockCount < MIN_CLOCKS || clockCount <= vmCount / 2) return;
+    this.#offsetMs = computeMedian([...offsetsMs, this.#ownOffsetMs]);
+  }
+
+  #readOwnOffsetMs(): number {
+    return this.options.getWallMs() - this.options.getNowMs();
+  }
+
+  #checkOwnClocks(): void {
+    const offsetMs = this.#readOwnOffsetMs();
+    if (Math.abs(offsetMs - this.#ownOffsetMs) > MAX_DRIFT_MS)
+      this.#disturbedAtMs = this.options.getNowMs();
+    this.#ownOffsetMs = offsetMs;
+  }
+}
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -29,6 +29,7 @@
   ServiceName,
   SocketAddress,
   UpstreamId,
+  WorkspaceName,
 } from '@sardinegrade/common';
 import type { RandomSource } from '@sardinegrade/dispatch';
 import type {
@@ -60,6 +61,14 @@
   Workers = 'workers',
 }
 
+/** What told that a request has begun to run. */
+export enum RunSign {
+  /** The first event of its stream. */
+  FirstEvent = 'first_event',
+  /** The complete answer of a plain service, or one that is not a stream. */
+  PlainAnswer = 'plain_answer',
+}
+
 /** Allowance for VMs that were added but are not listed yet, as a share of the listed ones. */
 const VM_GROWTH_SHARE = 0.25;
 
@@ -140,6 +149,8 @@
   onCrashes: (crashes: readonly Crash[]) => void = () => undefined;
   /** Called when a prompt is sent to an engine that has not cached all of its shared parts. */
   onPlacement: (upstream: UpstreamId, parts: readonly PromptPart[]) => void = () => undefined;
+  /** Called once for each request of a workspace that has begun to run, however often it is sent. */
+  onRunBegun: (workspace: WorkspaceName, sign: RunSign) => void = () => undefined;
   /** Returns the number of times that the store has been restored from an older copy, as far as this VM knows. */
   getStoreEra: () => number = () => 0;
   /** Returns the versions of the newest changes in the store that this VM has applied; peers receive them. */
--- a/packages/forwarder/src/exchange/ExchangeReport.ts
+++ b/packages/forwarder/src/exchange/ExchangeReport.ts
@@ -1,5 +1,7 @@
 import { MetricName, ResultCode, toSardinegradeError, WasteCause } from '@sardinegrade/common';
+import { RouteKind } from '@sardinegrade/routing';
 
+import { RunSign } from '../ForwarderState.js';
 import { AnswerTimes } from './AnswerTimes.js';
 
 import type { ServiceName, TrafficLabels, UpstreamId } from '@sardinegrade/common';
@@ -78,11 +80,21 @@
    * in one chunk count as one.
    */
   recordEvents(): void {
+    if (this.#eventCount === 0) this.#notifyRunBegun();
     this.#eventCount += 1;
     const gapMs = this.times.record(this.state.options.getNowMs());
     if (gapMs !== undefined) this.state.pace.recordGap(this.admitted.route.name, gapMs);
   }
 
+  /** A stream that its caller resumes has begun with the request that received its first event. */
+  #notifyRunBegun(): void {
+    const { caller, route, holder } = this.admitted;
+    const isResumed = route.isResumable && caller.lastEventId !== undefined;
+    if (holder === undefined || isResumed) return;
+    const isStream = route.kind === RouteKind.Streaming;
+    this.state.onRunBegun(holder.workspace, isStream ? RunSign.FirstEvent : RunSign.PlainAnswer);
+  }
+
   /** Records a failed send. */
   recordFailedSend(
     { record, startedAtMs, claimed }: ActiveSend,
