--- a/packages/duties/src/usage/FleetClock.ts
+++ b/packages/duties/src/usage/FleetClock.ts
@@ -17,7 +17,16 @@
 }
 
 /** Clocks that are needed at least for a median that one wrong clock does not change. */
-const MIN_CLOCKS = 3;
+export const MIN_CLOCKS = 3;
+
+/**
+ * Part of the VMs whose clocks are needed at least: wall clocks have been seen to jump on up to 28 % of all VMs, which has to
+ * be less than half of those that are read.
+ */
+const MIN_CLOCK_SHARE = 2 / 3;
+
+/** By how much this VM's own wall clock may be wrong, in milliseconds: it may have jumped by some seconds. */
+export const OWN_CLOCK_ERROR_MS = 10_000;
 
 /** Samples are used for this number of rounds: some VMs do not respond in each. */
 const SAMPLE_ROUNDS = 4;
@@ -54,6 +63,11 @@
     return this.options.getNowMs() + (this.#offsetMs ?? this.#readOwnOffsetMs());
   }
 
+  /** Whether this VM has heard of others, so that the time does not jump with its own wall clock. */
+  get isSynced(): boolean {
+    return this.#offsetMs !== undefined;
+  }
+
   /**
    * Fleet time to state to others, in milliseconds; undefined if this VM has not heard of others, or if its clocks have just
    * moved against each other: a suspension stops the monotonic clock, and until the clocks of the others have been read again
@@ -71,7 +85,7 @@
   }
 
   /**
-   * Adds the wall clock of another VM. The offset changes once most of the VMs have been read.
+   * Adds the wall clock of another VM. The offset changes once enough of the VMs have been read.
    *
    * @param vm - the VM
    * @param wallMs - its wall clock, in milliseconds
@@ -86,7 +100,7 @@
       if (sample.readAtMs < oldestMs) this.#samples.delete(name);
     const offsetsMs = [...this.#samples.values()].map(({ offsetMs }) => offsetMs);
     const clockCount = offsetsMs.length + 1;
-    if (clockCount < MIN_CLOCKS || clockCount <= vmCount / 2) return;
+    if (clockCount < MIN_CLOCKS || clockCount < vmCount * MIN_CLOCK_SHARE) return;
     this.#offsetMs = computeMedian([...offsetsMs, this.#ownOffsetMs]);
   }
 
--- a/packages/duties/src/usage/ReportRecorder.ts
+++ b/packages/duties/src/usage/ReportRecorder.ts
@@ -1,3 +1,4 @@
+import { OWN_CLOCK_ERROR_MS } from './FleetClock.js';
 import { isSameCounts } from './mergeCounts.js';
 import {
   addReports,
@@ -69,7 +70,8 @@
         inputs: { name: USAGE_OBJECT, version: object.version },
       });
     const era = store.getEra();
-    const context = { era, readAtMs: clock.timeMs, windowMs, own: this.#own };
+    const readUntilMs = clock.timeMs + (clock.isSynced ? 0 : OWN_CLOCK_ERROR_MS);
+    const context = { era, readUntilMs, windowMs, own: this.#own };
     const record = deriveRecord(stored, context);
     if (stored?.era !== era)
       logger.info('usage reports begin after the windows that have ended', {
--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -1,6 +1,7 @@
 import { MetricName } from '@sardinegrade/common';
 
 import { DutyOutcome } from '../enums.js';
+import { MIN_CLOCKS, OWN_CLOCK_ERROR_MS } from './FleetClock.js';
 import { LogLimit } from './LogLimit.js';
 import { PacedStep } from './PacedStep.js';
 import { ReportRecorder } from './ReportRecorder.js';
@@ -101,6 +102,17 @@
     await Promise.all([fetches, this.#recording.run(), this.#sending.run()]);
   };
 
+  /** Time since this VM has become the holder, in milliseconds. */
+  get #heldMs(): number {
+    return this.#heldSinceMs === undefined ? 0 : this.options.getNowMs() - this.#heldSinceMs;
+  }
+
+  /** By how much the fleet time may be ahead; a fleet that is too small for a median relies on its clocks. */
+  get #clockErrorMs(): number {
+    const { clock, listPeers } = this.options;
+    return clock.isSynced || listPeers().length + 1 < MIN_CLOCKS ? 0 : OWN_CLOCK_ERROR_MS;
+  }
+
   /** First window whose counts may still be needed. */
   get #firstWindow(): number {
     const { settings, clock } = this.options;
@@ -134,6 +146,7 @@
 
   async #recordReady(): Promise<boolean> {
     const { clock, settings, holder, logger } = this.options;
+    if (!clock.isSynced && this.#heldMs < settings.usageWindowMs) return true;
     const { highestWindow } = await this.#recorder.read();
     const windows = listReadyWindows({
       highestWindow,
@@ -151,12 +164,12 @@
   }
 
   #isReady(window: number): boolean {
-    const { clock, settings, getNowMs } = this.options;
+    const { clock, settings } = this.options;
     const { usageWindowMs: windowMs, usageDueMs: dueMs } = settings;
     const endMs = computeWindowEndMs(window, windowMs);
     return isReportReady({
-      sinceEndMs: clock.timeMs - endMs,
-      heldMs: getNowMs() - (this.#heldSinceMs ?? getNowMs()),
+      sinceEndMs: clock.timeMs - this.#clockErrorMs - endMs,
+      heldMs: this.#heldMs,
       windowMs,
       dueMs,
       hasAllCounts: () => this.#poller.hasAllCounts(endMs),
--- a/packages/duties/src/usage/usageRecord.ts
+++ b/packages/duties/src/usage/usageRecord.ts
@@ -81,8 +81,8 @@
 export interface RecordContext {
   /** Era of the store. */
   readonly era: number;
-  /** Fleet time at which the record has been read, in milliseconds. */
-  readonly readAtMs: number;
+  /** Latest time at which the record may have been read, in milliseconds. */
+  readonly readUntilMs: number;
   readonly windowMs: number;
   /** Reports that this process has recorded itself. */
   readonly own: ReadonlyMap<number, WorkspaceCounts>;
@@ -100,10 +100,10 @@
  */
 export const deriveRecord = (
   stored: UsageRecord | undefined,
-  { era, readAtMs, windowMs, own }: RecordContext,
+  { era, readUntilMs, windowMs, own }: RecordContext,
 ): UsageRecord => {
   if (stored?.era === era) return stored;
-  const endedWindow = computeWindow(readAtMs, windowMs) - 1;
+  const endedWindow = computeWindow(readUntilMs, windowMs) - 1;
   const highestWindow = Math.max(endedWindow, stored?.highestWindow ?? 0, ...own.keys());
   return { era, highestWindow, reports: keepLatest(own) };
 };
