--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -2,3 +2,4 @@
 export * from './enums.js';
 export * from './holder/index.js';
 export type * from './types.js';
+export * from './usage/index.js';
