--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -100,6 +100,11 @@
     state.onPlacement = (upstream, parts) => this.#recordPlacement(upstream, parts);
   }
 
+  /** The other VMs. */
+  get peers(): readonly Peer[] {
+    return this.#peers;
+  }
+
   /** Starts listening and reporting. Rejects if the port cannot be opened. */
   start(): Promise<void> {
     const { host, port } = this.options.address;
