--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -58,8 +58,8 @@
   readonly #poller: UsagePoller;
   readonly #recorder: ReportRecorder;
   readonly #logLimit: LogLimit;
-  /** Windows whose reports this process has sent with a final outcome. */
-  readonly #sentWindows = new Set<number>();
+  /** Calls without a final outcome so far, by window; infinite after a final outcome. */
+  readonly #attempts = new Map<number, number>();
   #heldSinceMs: number | undefined;
   #acceptedAtMs: number | undefined;
   /** A call of the API that is not answered does not delay the records, nor the other way round. */
@@ -176,14 +176,21 @@
     });
   }
 
-  /** Sends what is recorded, in the order of the windows, until a call fails. Returns whether none has failed. */
+  /**
+   * Sends what is recorded until a call fails. Reports with the fewest attempts come first, so that one that fails again and
+   * again does not delay those that are not late yet. Returns whether no call has failed.
+   */
   async #sendRecorded(): Promise<boolean> {
     const { clock, settings, holder } = this.options;
     this.#removeOldWindows();
-    const reports = [...this.#recorder.listReports()].sort(([a], [b]) => a - b);
-    for (const [window, counts] of reports) {
-      if (this.#sentWindows.has(window) || !holder.isHolder()) continue;
+    const due = [...this.#recorder.listReports()]
+      .map(([window, counts]) => ({ window, counts, attempts: this.#attempts.get(window) ?? 0 }))
+      .filter(({ attempts }) => Number.isFinite(attempts))
+      .sort((a, b) => a.attempts - b.attempts || a.window - b.window);
+    for (const { window, counts, attempts } of due) {
+      if (!holder.isHolder()) return true;
       if (!isStillReported(window, clock.timeMs, settings.usageWindowMs)) continue;
+      this.#attempts.set(window, attempts + 1);
       if (!(await this.#send({ window, counts }))) return false;
     }
     return true;
@@ -198,15 +205,15 @@
     if (outcome === DutyOutcome.Refused)
       logger.error('usage report was refused', { inputs: { window: report.window } });
     const isFinal = FINAL_OUTCOMES.has(outcome);
-    if (isFinal) this.#sentWindows.add(report.window);
+    if (isFinal) this.#attempts.set(report.window, Number.POSITIVE_INFINITY);
     return isFinal;
   }
 
   #removeOldWindows(): void {
     const { clock, settings } = this.options;
-    for (const window of this.#sentWindows)
+    for (const window of this.#attempts.keys())
       if (!isStillReported(window, clock.timeMs, settings.usageWindowMs))
-        this.#sentWindows.delete(window);
+        this.#attempts.delete(window);
   }
 }
 
