feat: load messages carry what waits at VMs

The number of workers is to follow demand, and requests that no engine accepts yet are part of it, but only their own VM knew of them. Values out of range are left out, so that one message cannot cause orders.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -345,6 +345,11 @@
     this.#listedVmCount = count;
   }
 
+  /** Number of listed VMs, this one included; undefined until the first list. */
+  get listedVmCount(): number | undefined {
+    return this.#listedVmCount;
+  }
+
   /** @returns the retry budget of a service on this VM */
   getBudget(service: ServiceName): SharedRetryBudget {
     const existing = this.#budgets.get(service);
--- a/packages/forwarder/src/peers/LoadReporter.test.ts
+++ b/packages/forwarder/src/peers/LoadReporter.test.ts
@@ -22,6 +22,7 @@
   dataCentre: toBranded('dc-a'),
   scope: LoadScope.ForAll,
   vmCount: 1,
+  waiting: { requests: 0, promptTokens: 0 },
   engines: new Map(),
   placements: [],
   crashes: [],
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -2,7 +2,7 @@
 
 import { hashText, rankByRendezvous } from '@sardinegrade/common';
 import { LoadProtocol } from '@sardinegrade/peer';
-import { computeReportInterval, LoadGossip, LoadScope } from '@sardinegrade/routing';
+import { computeReportInterval, LoadGossip, LoadScope, NO_WAITING } from '@sardinegrade/routing';
 
 import {
   CACHE_REQUEST_INTERVAL_MS,
@@ -45,6 +45,7 @@
 const NO_LOAD: Partial<LoadMessage> = {
   scope: LoadScope.News,
   engines: new Map(),
+  waiting: NO_WAITING,
   crashes: [],
   placements: [],
   dataCentreAges: new Map(),
@@ -159,7 +160,8 @@
       workerNotices.hasUnsent ||
       workerLimits.brittle.hasUnsent ||
       this.#unsentOrigins.length > 0;
-    const isBusy = loads.size > 0 || this.#gossip.hasNews || hasUnsent;
+    const isWaiting = this.options.state.queue.size > 0;
+    const isBusy = loads.size > 0 || isWaiting || this.#gossip.hasNews || hasUnsent;
     // The first report without load clears this VM's load at the receivers.
     const isDue = isBusy || this.#wasBusy || nowMs - this.#sentAtMs >= IDLE_REPORT_INTERVAL_MS;
     if (this.#gossip.isDirect && !isDue) return;
@@ -177,6 +179,7 @@
   #send(loads: EngineLoads, nowMs: number): void {
     let encoded: readonly Uint8Array[] = [];
     let last: LoadMessage | undefined;
+    const { waiting } = this.options.state.queue;
     const { partQuarantine, workerLimits, workerNotices } = this.options.state;
     const evidence = partQuarantine.collectUnsent();
     const notices = {
@@ -187,7 +190,7 @@
     const brittleWorkers = workerLimits.brittle.collectUnsent();
     const origins = this.#unsentOrigins;
     this.#unsentOrigins = [];
-    for (const { address, message } of this.#gossip.tick(loads, nowMs)) {
+    for (const { address, message } of this.#gossip.tick(loads, nowMs, waiting)) {
       // Messages to several receivers are encoded once.
       if (message !== last) {
         encoded = [
@@ -216,6 +219,7 @@
         ...message,
         scope: LoadScope.News,
         engines: new Map(),
+        waiting: NO_WAITING,
         crashes: [],
         placements: placements.slice(next, next + PLACEMENTS_PER_DATAGRAM),
       };
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -8,6 +8,7 @@
   LoadScope,
   MAX_CRASHES_PER_PART,
   MAX_SENT_ENTRIES,
+  NO_WAITING,
 } from '@sardinegrade/routing';
 
 import {
@@ -39,6 +40,7 @@
   dataCentre: toBranded('hobart-a'),
   scope,
   vmCount: 75,
+  waiting: { requests: 40, promptTokens: 520_000 },
   storeVersions: {
     era: 3,
     configuration: 4_000_000_000,
@@ -127,6 +129,7 @@
   const message = {
     ...buildMessage(LoadScope.News),
     engines: new Map(),
+    waiting: NO_WAITING,
     placements: [],
     dataCentreAges: new Map(),
     workerLimits: [],
@@ -154,6 +157,7 @@
   const message = {
     ...buildMessage(LoadScope.News),
     engines: new Map(),
+    waiting: NO_WAITING,
     placements: [],
     dataCentreAges: new Map(),
     workerLimits: [],
@@ -173,6 +177,7 @@
   const message = {
     ...buildMessage(LoadScope.News),
     engines: new Map(),
+    waiting: NO_WAITING,
     placements: [],
     dataCentreAges: new Map(),
     workerLimits: [],
@@ -194,6 +199,7 @@
   const message = {
     ...buildMessage(LoadScope.News),
     engines: new Map(),
+    waiting: NO_WAITING,
     placements: [],
     dataCentreAges: new Map(),
     partEvidence: [],
@@ -212,6 +218,7 @@
   const message = {
     ...buildMessage(LoadScope.News),
     engines: new Map(),
+    waiting: NO_WAITING,
     placements: [],
     dataCentreAges: new Map(),
     partEvidence: [],
@@ -237,6 +244,7 @@
     const oddMessage: LoadMessage = {
       ...message,
       vmCount: odd,
+      waiting: { requests: odd, promptTokens: odd },
       engines: new Map([[1, { backlogTokens: odd, runs: odd }]]),
       placements: [{ engine: 1, parts: [{ id: toBranded('a1'), tokens: odd }] }],
       streamOrigins: [{ ...origin, remainingMs: odd }],
@@ -329,3 +337,8 @@
     assert.throws(() => receiveWith(part), RangeError, JSON.stringify(part).slice(0, 60));
   }
 });
+
+test('waiting requests out of range are left out, so that one message does not cause orders of workers', () => {
+  const part = { queuedRequests: 0xff_ff_ff_ff, queuedHundreds: 1 };
+  assert.deepEqual(receiveWith(part).waiting, NO_WAITING);
+});
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -6,7 +6,7 @@
   toBranded,
 } from '@sardinegrade/common';
 import { LoadProtocol } from '@sardinegrade/peer';
-import { LoadScope } from '@sardinegrade/routing';
+import { LoadScope, NO_WAITING } from '@sardinegrade/routing';
 
 import type {
   BuildName,
@@ -24,6 +24,7 @@
   Placement,
   PromptPart,
   StreamOriginReport,
+  WaitingLoad,
   WorkerWatch,
 } from '@sardinegrade/routing';
 
@@ -136,6 +137,8 @@
     activeGeneration: toUint64(message.storeVersions.activeGeneration),
     storeAnswerAgeMs: toOptionalUint32(message.storeVersions.answerAgeMs),
     storeFailureAgeMs: toOptionalUint32(message.storeVersions.failureAgeMs),
+    queuedRequests: toUint32(message.waiting.requests),
+    queuedHundreds: toUint32(message.waiting.promptTokens / TOKENS_PER_UNIT),
     ...toWireWatch(message.storeVersions.workerWatch),
     workerLimits: message.workerLimits.map((limit) => ({
       ...limit,
@@ -201,6 +204,15 @@
   return loads;
 };
 
+/** Reads what waits at VMs; none if it is out of range, so that one message cannot cause orders of workers. */
+const fromWireWaiting = ({
+  queuedRequests,
+  queuedHundreds,
+}: LoadProtocol.LoadShare): WaitingLoad =>
+  queuedRequests > MAX_COUNT || queuedHundreds > MAX_BACKLOG_UNITS
+    ? NO_WAITING
+    : { requests: queuedRequests, promptTokens: queuedHundreds * TOKENS_PER_UNIT };
+
 const isLimit = ({ perSecond = 0 }: Pick<LoadProtocol.WorkerLimit, 'perSecond'>): boolean =>
   perSecond >= 0 && perSecond <= MAX_PER_SECOND;
 
@@ -210,6 +222,7 @@
   sequence: load.sequence,
   dataCentre: toBranded<DataCentreName>(load.dataCentre),
   engines: fromWireLoads(load),
+  waiting: fromWireWaiting(load),
   placements: load.placements.map(fromWirePlacement),
   crashes: load.crashes.map(({ fingerprint, upstream }) => ({
     fingerprint: toBranded<Fingerprint>(fingerprint),
--- a/packages/forwarder/src/waiting/RequestQueue.ts
+++ b/packages/forwarder/src/waiting/RequestQueue.ts
@@ -1,6 +1,6 @@
-import { rankWaiting, selectTries } from '@sardinegrade/routing';
+import { PREFILL_TOKENS_PER_MS, rankWaiting, selectTries } from '@sardinegrade/routing';
 
-import type { WaitingRequest } from '@sardinegrade/routing';
+import type { WaitingLoad, WaitingRequest } from '@sardinegrade/routing';
 
 /**
  * Minimum interval between two passes over the queue, in milliseconds, and the interval at which queued requests are
@@ -35,6 +35,13 @@
     return this.#requests.size;
   }
 
+  /** Queued requests and their prompt tokens. */
+  get waiting(): WaitingLoad {
+    let prefillMs = 0;
+    for (const request of this.#requests) prefillMs += request.prefillMs;
+    return { requests: this.#requests.size, promptTokens: prefillMs * PREFILL_TOKENS_PER_MS };
+  }
+
   /** @returns number of queued requests that are at least as urgent as one with this priority rank */
   countAhead(priority: number): number {
     let count = 0;
--- a/packages/routing/src/load/LoadGossip.test.ts
+++ b/packages/routing/src/load/LoadGossip.test.ts
@@ -75,7 +75,8 @@
       const loads = new Map(
         vm.runs === 0 ? [] : [[ENGINE_HASH, { backlogTokens: 100, runs: vm.runs }]],
       );
-      for (const { address, message } of vm.gossip.tick(loads, this.nowMs)) {
+      const waiting = { requests: vm.runs, promptTokens: vm.runs * 10 };
+      for (const { address, message } of vm.gossip.tick(loads, this.nowMs, waiting)) {
         vm.sent += 1;
         const to = this.vms.find(({ peer }) => peer.address.host === address.host);
         if (to === undefined || to.isStopped || this.isCut(vm, to)) continue;
@@ -100,7 +101,8 @@
   return fleet.live
     .filter(({ view, runs }) => {
       const isComplete = view.countLive(fleet.nowMs) === fleet.live.length - 1;
-      return !isComplete || view.getLoad(ENGINE_HASH).runs !== total - runs;
+      const loads = [view.getLoad(ENGINE_HASH).runs, view.waiting.requests];
+      return !isComplete || loads.some((load) => load !== total - runs);
     })
     .map(({ peer }) => peer.vm);
 };
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -2,7 +2,7 @@
 import { LoadScope, PeerRole } from './enums.js';
 import { listRelays } from './listRelays.js';
 import { RelaySelector } from './RelaySelector.js';
-import { mergeLoads } from './SharedLoadView.js';
+import { mergeLoads, mergeWaiting, NO_WAITING } from './SharedLoadView.js';
 
 import type { DataCentreName, SocketAddress, VmId } from '@sardinegrade/common';
 import type { DataCentreMonitor } from './DataCentreMonitor.js';
@@ -15,6 +15,7 @@
   Peer,
   StoreVersions,
   VmIdentity,
+  WaitingLoad,
 } from './types.js';
 
 /** Time without a report after which a subscriber is removed and receives no more digests, in milliseconds. */
@@ -37,6 +38,12 @@
   readonly reportedAtMs: number;
 }
 
+/** Load that this VM has placed on engines, and what waits at it. */
+interface OwnLoad {
+  readonly engines: EngineLoads;
+  readonly waiting: WaitingLoad;
+}
+
 /** News and the VM from which they were received. */
 interface ReceivedNews {
   readonly source: VmId;
@@ -143,13 +150,19 @@
    *
    * @param ownLoads - load of this VM
    * @param nowMs - current time, in milliseconds
+   * @param waiting - what waits at this VM
    * @returns the messages with their destinations
    */
-  tick(ownLoads: EngineLoads, nowMs: number): readonly OutgoingMessage[] {
+  tick(
+    ownLoads: EngineLoads,
+    nowMs: number,
+    waiting: WaitingLoad = NO_WAITING,
+  ): readonly OutgoingMessage[] {
     this.#dropSilentSubscribers(nowMs);
-    const outgoing = this.#buildReports(ownLoads, nowMs);
+    const own: OwnLoad = { engines: ownLoads, waiting };
+    const outgoing = this.#buildReports(own, nowMs);
     for (const [name, { address }] of this.#subscribers) {
-      outgoing.push({ address, message: this.#buildDigest(name, ownLoads, nowMs) });
+      outgoing.push({ address, message: this.#buildDigest(name, own, nowMs) });
     }
     this.#pendingNews = [];
     return outgoing;
@@ -172,7 +185,12 @@
 
   /** @returns a message without load and news, to which evidence about prompt parts can be added */
   buildEmptyMessage(): LoadMessage {
-    return this.#buildMessage(LoadScope.News, { engines: new Map(), vmCount: 0, news: NO_NEWS });
+    return this.#buildMessage(LoadScope.News, {
+      engines: new Map(),
+      waiting: NO_WAITING,
+      vmCount: 0,
+      news: NO_NEWS,
+    });
   }
 
   #pushNews(received: ReceivedNews): void {
@@ -220,44 +238,53 @@
     }
   }
 
-  #buildReports(ownLoads: EngineLoads, nowMs: number): OutgoingMessage[] {
+  #buildReports(own: OwnLoad, nowMs: number): OutgoingMessage[] {
     const targets = this.#isRelay ? this.#relays : this.#relaySelector.listTargets(nowMs);
     if (targets.length === 0) return [];
     const { view } = this.options;
-    let engines = ownLoads;
+    let { engines, waiting } = own;
     let vmCount = 1;
     for (const vm of this.#subscribers.keys()) {
       const report = view.find(vm);
       if (report === undefined) continue;
       engines = mergeLoads(engines, report.engines);
+      waiting = mergeWaiting(waiting, report.waiting);
       vmCount += report.vmCount;
     }
     const news = mergeNews(this.#pendingNews.filter(({ isSentToRelays }) => !isSentToRelays));
     const scope = this.#isRelay ? LoadScope.ForAll : LoadScope.ForRelay;
-    const message = this.#buildMessage(scope, { engines, vmCount, news });
+    const message = this.#buildMessage(scope, { engines, waiting, vmCount, news });
     return targets.map(({ address }) => ({ address, message }));
   }
 
-  #buildDigest(subscriber: VmId, ownLoads: EngineLoads, nowMs: number): LoadMessage {
+  #buildDigest(subscriber: VmId, own: OwnLoad, nowMs: number): LoadMessage {
     const { view, dataCentres } = this.options;
-    const engines = mergeLoads(view.computeTotalsWithout(subscriber), ownLoads);
+    const engines = mergeLoads(view.computeTotalsWithout(subscriber), own.engines);
+    const waiting = mergeWaiting(view.computeWaitingWithout(subscriber), own.waiting);
     const vmCount = view.countLive(nowMs) + 1 - (view.find(subscriber)?.vmCount ?? 0);
     const news = mergeNews(this.#pendingNews.filter(({ source }) => source !== subscriber));
     const dataCentreAges = dataCentres.listLastSeenAges(nowMs);
-    return this.#buildMessage(LoadScope.Digest, { engines, vmCount, news, dataCentreAges });
+    return this.#buildMessage(LoadScope.Digest, {
+      engines,
+      waiting,
+      vmCount,
+      news,
+      dataCentreAges,
+    });
   }
 
   #buildMessage(
     scope: LoadScope,
     content: {
       readonly engines: EngineLoads;
+      readonly waiting: WaitingLoad;
       readonly vmCount: number;
       readonly news: News;
       readonly dataCentreAges?: ReadonlyMap<DataCentreName, number>;
     },
   ): LoadMessage {
     this.#sequence += 1;
-    const { engines, vmCount, news, dataCentreAges = new Map() } = content;
+    const { engines, waiting, vmCount, news, dataCentreAges = new Map() } = content;
     return {
       ...this.options.identity,
       ...news,
@@ -265,6 +292,7 @@
       scope,
       sequence: this.#sequence,
       engines,
+      waiting,
       vmCount,
       dataCentreAges,
       partEvidence: [],
--- a/packages/routing/src/load/SharedLoadView.ts
+++ b/packages/routing/src/load/SharedLoadView.ts
@@ -1,5 +1,5 @@
 import type { VmId } from '@sardinegrade/common';
-import type { EngineLoad, EngineLoads, LoadReport } from './types.js';
+import type { EngineLoad, EngineLoads, LoadReport, WaitingLoad } from './types.js';
 
 interface ReceivedReport {
   readonly report: LoadReport;
@@ -14,6 +14,26 @@
 
 const NO_LOAD: EngineLoad = { backlogTokens: 0, runs: 0 };
 
+/** No waiting requests. */
+export const NO_WAITING: WaitingLoad = { requests: 0, promptTokens: 0 };
+
+/**
+ * Adds or subtracts what waits at VMs.
+ *
+ * @param first - load to start from
+ * @param second - load to add or subtract
+ * @param sign - 1 adds, -1 subtracts
+ * @returns the result
+ */
+export const mergeWaiting = (
+  first: WaitingLoad,
+  second: WaitingLoad,
+  sign: 1 | -1 = 1,
+): WaitingLoad => ({
+  requests: first.requests + sign * second.requests,
+  promptTokens: first.promptTokens + sign * second.promptTokens,
+});
+
 /** Adds loads to totals, or subtracts them. */
 const addLoads = (totals: Map<number, EngineLoad>, loads: EngineLoads, sign: 1 | -1): void => {
   for (const [engine, load] of loads) {
@@ -48,6 +68,7 @@
   readonly #reports = new Map<VmId, ReceivedReport>();
   /** Sums over all reports by the hash of the engine's id: a lookup takes constant time in a fleet of any size. */
   readonly #totals = new Map<number, EngineLoad>();
+  #waiting = NO_WAITING;
 
   /**
    * Applies a report unless a newer one of the same VM is known.
@@ -79,6 +100,11 @@
     return this.#totals.get(engine) ?? NO_LOAD;
   }
 
+  /** What waits at all other VMs; reports of VMs that are gone are included until the next `countLive`. */
+  get waiting(): WaitingLoad {
+    return this.#waiting;
+  }
+
   /** Counts the other VMs that are alive, and removes the reports of those that are gone. */
   countLive(nowMs: number): number {
     let count = 0;
@@ -109,7 +135,13 @@
     return mergeLoads(this.#totals, ownLoads, -1);
   }
 
-  #addToTotals({ engines }: LoadReport, sign: 1 | -1): void {
+  /** @returns what waits at all VMs except one and this VM itself */
+  computeWaitingWithout(vm: VmId): WaitingLoad {
+    return mergeWaiting(this.#waiting, this.find(vm)?.waiting ?? NO_WAITING, -1);
+  }
+
+  #addToTotals({ engines, waiting }: LoadReport, sign: 1 | -1): void {
     addLoads(this.#totals, engines, sign);
+    this.#waiting = mergeWaiting(this.#waiting, waiting, sign);
   }
 }
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -17,6 +17,12 @@
 /** Loads by the hash of the engine's id. An engine without an entry has no load. */
 export type EngineLoads = ReadonlyMap<number, EngineLoad>;
 
+/** Requests that wait at VMs because no engine accepts them yet. */
+export interface WaitingLoad {
+  readonly requests: number;
+  readonly promptTokens: number;
+}
+
 /** Report of the load that one or more VMs put on the engines. */
 export interface LoadReport {
   readonly vm: VmId;
@@ -25,6 +31,7 @@
   /** Increases with each message of one process. */
   readonly sequence: number;
   readonly engines: EngineLoads;
+  readonly waiting: WaitingLoad;
   /** Number of VMs whose load is included. */
   readonly vmCount: number;
 }
