--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -163,6 +163,21 @@
     help: 'Upstreams by pool and health.',
     labels: ['pool', 'health'],
   },
+  [MetricName.OrderedWorkers]: {
+    kind: Gauge,
+    help: 'Workers last ordered by this daemon while it holds the duty, by data centre and kind.',
+    labels: ['service', 'data_centre', 'kind'],
+  },
+  [MetricName.WorkerOrders]: {
+    kind: Counter,
+    help: 'Orders of workers, by outcome.',
+    labels: ['outcome'],
+  },
+  [MetricName.DemandEngines]: {
+    kind: Gauge,
+    help: 'Demand in fully used engines, at the daemon that holds the duty.',
+    labels: ['service'],
+  },
   [MetricName.DroppedLabels]: {
     kind: Counter,
     help: 'Label sets counted under other because a metric had reached its bound.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -31,6 +31,9 @@
   StoreEra = 'sardinegrade_store_era',
   Members = 'sardinegrade_members',
   Upstreams = 'sardinegrade_upstreams',
+  OrderedWorkers = 'sardinegrade_ordered_workers',
+  WorkerOrders = 'sardinegrade_worker_orders_total',
+  DemandEngines = 'sardinegrade_demand_engines',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
 }
 
--- /dev/null
+++ b/packages/duties/src/capacity/createScaler.ts
@@ -0,0 +1,167 @@
+import { MetricName } from '@sardinegrade/common';
+
+import { DutyKind } from '../enums.js';
+import { findViewFault } from './findViewFault.js';
+import { ServiceScaler } from './ServiceScaler.js';
+
+import type { DataCentreName, Logger, Metrics, ServiceName } from '@sardinegrade/common';
+import type { DutyClient, DutyHolder, DutySettings } from '../types.js';
+import type { DecisionContext } from './ServiceScaler.js';
+import type { CapacityView } from './types.js';
+
+/** Interval at which demand is sampled, in milliseconds: load messages are up to 300 ms old. */
+export const SAMPLE_INTERVAL_MS = 250;
+
+/** Interval of decisions, in milliseconds. */
+const DECISION_INTERVAL_MS = 1_000;
+
+/** Time after this VM became the holder during which workers are only added, in milliseconds. */
+const NEW_HOLDER_MS = 10_000;
+
+/** Time for which a data centre has to be unreachable until its workers no longer count: single reports may be late. */
+const CUT_AFTER_MS = 2_000;
+
+/** Dependencies of a scaler. */
+export interface ScalerOptions {
+  readonly settings: DutySettings;
+  readonly holder: DutyHolder;
+  readonly client: DutyClient;
+  /** Returns what this VM knows now; undefined if it does not know enough yet. */
+  readonly getView: () => CapacityView | undefined;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Reads a monotonic clock, in milliseconds. */
+  readonly getNowMs: () => number;
+}
+
+/** Orders workers while this VM holds the duties. */
+export interface Scaler {
+  /** Samples the demand and, once a second, decides. `start` calls it at regular intervals. */
+  readonly tick: () => void;
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+/** State of the time during which this VM holds the duties. */
+class Tenure {
+  readonly #services = new Map<ServiceName, ServiceScaler>();
+  #unreachableSinceMs: ReadonlyMap<DataCentreName, number> = new Map();
+  #decidedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly options: ScalerOptions,
+    private readonly sinceMs: number,
+  ) {}
+
+  get services(): Iterable<ServiceScaler> {
+    return this.#services.values();
+  }
+
+  recordDemand(view: CapacityView): void {
+    const nowMs = this.options.getNowMs();
+    this.#unreachableSinceMs = new Map(
+      [...view.unreachable].map((name) => [name, this.#unreachableSinceMs.get(name) ?? nowMs]),
+    );
+    for (const service of view.services) this.#getScaler(service.service).recordDemand(service);
+  }
+
+  /** Claims the next decision; false if the last one was less than an interval ago. */
+  claimDecision(): boolean {
+    const nowMs = this.options.getNowMs();
+    if (nowMs - this.#decidedAtMs < DECISION_INTERVAL_MS) return false;
+    this.#decidedAtMs = nowMs;
+    return true;
+  }
+
+  decide(view: CapacityView): void {
+    const nowMs = this.options.getNowMs();
+    const cut = [...this.#unreachableSinceMs]
+      .filter(([, sinceMs]) => nowMs - sinceMs >= CUT_AFTER_MS)
+      .map(([name]) => name);
+    const context: DecisionContext = {
+      cut: new Set(cut),
+      mayReduce: nowMs - this.sinceMs >= NEW_HOLDER_MS && view.unreachable.size === 0,
+    };
+    for (const service of view.services) this.#getScaler(service.service).decide(service, context);
+  }
+
+  #getScaler(service: ServiceName): ServiceScaler {
+    const existing = this.#services.get(service);
+    if (existing !== undefined) return existing;
+    const scaler = new ServiceScaler({ ...this.options, service });
+    this.#services.set(service, scaler);
+    return scaler;
+  }
+}
+
+class RunningScaler implements Scaler {
+  #tenure: Tenure | undefined;
+  #loggedFault: string | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: ScalerOptions) {
+    const { metrics } = options;
+    const list = (): readonly ServiceScaler[] => [...(this.#tenure?.services ?? [])];
+    metrics.registerGauge(MetricName.OrderedWorkers, () =>
+      list().flatMap(({ ordered }) => [...ordered]),
+    );
+    metrics.registerGauge(MetricName.DemandEngines, () =>
+      list().map(({ demandEngines }) => demandEngines),
+    );
+  }
+
+  readonly tick = (): void => {
+    const { holder, getView, getNowMs } = this.options;
+    if (!holder.isHolder()) {
+      this.#tenure = undefined;
+      return;
+    }
+    this.#tenure ??= new Tenure(this.options, getNowMs());
+    const view = getView();
+    const fault = findViewFault(view);
+    if (view !== undefined && fault === undefined) this.#tenure.recordDemand(view);
+    if (!this.#tenure.claimDecision()) return;
+    this.#logFault(fault, view);
+    if (view !== undefined && fault === undefined) this.#tenure.decide(view);
+  };
+
+  readonly start = (): void => {
+    if (!this.options.settings.kinds.has(DutyKind.Autoscale)) return;
+    this.#timer ??= setInterval(() => this.#runTick(), SAMPLE_INTERVAL_MS);
+  };
+
+  readonly stop = (): void => {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  };
+
+  /** An unexpected error must not end the process: without orders, requests are still served. */
+  #runTick(): void {
+    try {
+      this.tick();
+    } catch (error) {
+      this.options.logger.error('decision on the number of workers failed', { error });
+    }
+  }
+
+  /** Logs a reason once, until it changes. */
+  #logFault(fault: string | undefined, view: CapacityView | undefined): void {
+    if (fault !== undefined && fault !== this.#loggedFault) {
+      const inputs = {
+        age_ms: view && Math.round(view.ageMs),
+        heard: view?.heardVmCount,
+        listed: view?.listedVmCount,
+      };
+      this.options.logger.warn(`no workers are ordered: ${fault}`, { inputs });
+    }
+    this.#loggedFault = fault;
+  }
+}
+
+/**
+ * Creates the part of a VM that orders workers while it holds the duties.
+ *
+ * @param options - settings, holder, client and the view of this VM
+ * @returns the scaler; `start` does nothing unless the settings list the duty
+ */
+export const createScaler = (options: ScalerOptions): Scaler => new RunningScaler(options);
--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,3 +1,4 @@
 /** Calls to the host platform that one VM makes for all others: who makes them, usage reports and orders of workers. */
+export * from './capacity/index.js';
 export * from './enums.js';
 export type * from './types.js';
