--- a/packages/duties/src/capacity/computeNeeds.ts
+++ b/packages/duties/src/capacity/computeNeeds.ts
@@ -77,7 +77,8 @@
 /**
  * Computes how many workers a plan has to keep: enough for the worst second of the last wave within half of the target, for
  * a burst of 1.5 times that within the target, for the worst second after the loss of the largest spot group within the
- * target, and enough ordinary ones for the mean load.
+ * target, and enough ordinary ones for the mean load within the target, since all spot workers may be lost one group after
+ * the other.
  *
  * @param demand - demand of the last seconds
  * @param engine - what one engine can do, and what callers expect
@@ -92,5 +93,5 @@
     computeNeededEngines(applyFactor(peak, BURST_FACTOR), engine, EXCEPTIONAL),
   ),
   afterLoss: computeNeededEngines(peak, engine, EXCEPTIONAL),
-  ordinary: computeNeededEngines(mean, engine, PLANNED),
+  ordinary: computeNeededEngines(mean, engine, EXCEPTIONAL),
 });
--- a/packages/duties/src/capacity/planCapacity.test.ts
+++ b/packages/duties/src/capacity/planCapacity.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { toBranded } from '@sardinegrade/common';
 import fc from 'fast-check';
 
 import {
@@ -82,7 +81,7 @@
 });
 
 const counts = fc.nat({ max: 33 });
-const siteOf = (dataCentre: DataCentreName): fc.Arbitrary<SiteState> =>
+const buildSites = (dataCentre: DataCentreName): fc.Arbitrary<SiteState> =>
   fc
     .tuple(counts, counts, fc.boolean(), fc.boolean())
     .map(([ordinary, spot, ordinaryAllowed, spotAllowed]) =>
@@ -92,7 +91,7 @@
     );
 
 test('any plan stays within the bounds, adds only, or keeps what the peak needs at a lower price', () => {
-  const sitesOf = fc.tuple(...NAMES.map(siteOf));
+  const sitesOf = fc.tuple(...NAMES.map(buildSites));
   fc.assert(
     fc.property(sitesOf, fc.nat({ max: 4_000 }), fc.boolean(), (sites, requests, mayReduce) => {
       const { reason, allocation, needs } = planCapacity(
