--- a/packages/duties/src/capacity/ServiceScaler.ts
+++ b/packages/duties/src/capacity/ServiceScaler.ts
@@ -34,12 +34,6 @@
 /** Time between two reductions, in milliseconds: the effect of the first one shows in the demand by then. */
 const HOLD_AFTER_REDUCTION_MS = 4_000;
 
-/**
- * Largest number of orders of a service in one decision, one a second. The host platform accepts 50 calls a second from
- * all VMs, and usage reports are among them.
- */
-const MAX_ORDERS_PER_DECISION = 10;
-
 /** Dependencies of `ServiceScaler`. */
 export interface ServiceScalerOptions {
   readonly service: ServiceName;
@@ -99,17 +93,20 @@
    *
    * @param view - the service
    * @param context - circumstances that concern all services
+   * @param maxOrders - largest number of orders; the others follow with the next decision
+   * @returns the number of orders
    */
-  decide(view: ServiceView, context: DecisionContext): void {
+  decide(view: ServiceView, context: DecisionContext, maxOrders: number): number {
     const fault = findServiceFault(view);
     if (fault !== this.#loggedFault && fault !== undefined)
       this.options.logger.warn(`no workers are ordered: ${fault}`, { service: view.service });
     this.#loggedFault = fault;
-    if (fault !== undefined || view.engine === undefined) return;
+    if (fault !== undefined || view.engine === undefined) return 0;
     const input = this.#buildInput(view, view.engine, context);
     const plan = planCapacity(input);
-    const changes = this.#listOrders(input, plan).slice(0, MAX_ORDERS_PER_DECISION);
+    const changes = this.#listOrders(input, plan).slice(0, maxOrders);
     for (const change of changes) this.#send(change, input, plan, countAllWorkers(view.leaving));
+    return changes.length;
   }
 
   #buildInput(
--- a/packages/duties/src/capacity/capacityReplay.test.ts
+++ b/packages/duties/src/capacity/capacityReplay.test.ts
@@ -48,7 +48,7 @@
 };
 
 test('waves: first events stay in time at each crest, for less than the fixed number costs', async (t) => {
-  const result = await compare(t, { classes: buildClasses(computeWave), durationMs: 120_000 });
+  const result = await compare(t, { classes: buildClasses(computeWave), durationMs: 240_000 });
   assert.ok(result.lateShare <= MAX_LATE_SHARE, `${result.lateShare} late`);
 });
 
@@ -80,6 +80,41 @@
   });
 }
 
+test('a fifth of the workers crash at a crest: they are replaced in time', async (t) => {
+  const onStep: ReplayOptions['onStep'] = (model) => {
+    if (model.nowMs === 80_000) model.workers = model.workers.filter((_, index) => index % 5 > 0);
+  };
+  const result = await compare(t, {
+    classes: buildClasses(computeWave),
+    durationMs: 120_000,
+    onStep,
+  });
+  assert.ok(result.lateShare <= MAX_LATE_SHARE, `${result.lateShare} late`);
+});
+
+test('a third of the VMs unheard: their load seems to have gone, and nothing is given up', async () => {
+  const result = await runReplay(Policy.Scaler, {
+    classes: buildClasses(computeWave),
+    durationMs: 60_000,
+    buildView: (model) => model.buildView({ heardVmCount: 50 }),
+  });
+  assert.equal(countAllWorkers(result.model.count(() => true)), 98);
+});
+
+test('waves with a burst: no fixed number that costs less has as few late requests', async (t) => {
+  const classes = buildClasses(computeWave, (nowMs) => computeWave(nowMs) * computeBurst(nowMs));
+  const options = { classes, durationMs: 240_000 };
+  const { model } = await compare(t, options);
+  for (const each of [18, 20, 21, 22, 23, 25]) {
+    const fixed = await runReplay(Policy.Fixed, { ...options, fixed: [each, each, each] });
+    const { price, late, arrived, workerSeconds } = fixed.model;
+    t.diagnostic(
+      `${each * 3} workers: ${Math.round(workerSeconds)} worker-seconds, price ${Math.round(price)}, ${late} of ${arrived} late`,
+    );
+    if (price < model.price) assert.ok(late >= model.late, `${each * 3} workers`);
+  }
+});
+
 test('409 everywhere: nothing is given up that cannot be replaced, and refused orders are 3 s apart', async (t) => {
   const onStep: ReplayOptions['onStep'] = (model) => {
     model.isUnavailable = () => true;
--- a/packages/duties/src/capacity/createScaler.test.ts
+++ b/packages/duties/src/capacity/createScaler.test.ts
@@ -5,7 +5,7 @@
 
 import { DutyOutcome } from '../enums.js';
 import { createScaler, SAMPLE_INTERVAL_MS } from './createScaler.js';
-import { buildClasses, BOUNDS, computeSteady, SETTINGS } from './testing/runReplay.js';
+import { buildClasses, buildLogger, BOUNDS, computeSteady, SETTINGS } from './testing/runReplay.js';
 import { WorkerModel } from './testing/WorkerModel.js';
 
 import type { Metrics } from '@sardinegrade/common';
@@ -26,13 +26,7 @@
 /** Creates a scaler of a service without workers, whose time advances without sleeping. */
 const createTestScaler = (bounds: ScalingBounds = BOUNDS): TestScaler => {
   let nowMs = 0;
-  const logger = {
-    error: (message: string) => scaler.warnings.push(message),
-    warn: (message: string) => scaler.warnings.push(message),
-    info: () => undefined,
-    debug: () => undefined,
-    withFields: () => logger,
-  };
+  const warnings: string[] = [];
   const metrics = createMetrics();
   const { tick } = createScaler({
     settings: SETTINGS,
@@ -45,13 +39,13 @@
       reportUsage: () => Promise.resolve(DutyOutcome.Refused),
     },
     getView: () => scaler.view,
-    logger,
+    logger: buildLogger(warnings),
     metrics,
     getNowMs: () => nowMs,
   });
   const scaler: TestScaler = {
     orders: [],
-    warnings: [],
+    warnings,
     metrics,
     isHolder: true,
     outcome: DutyOutcome.Accepted,
@@ -74,14 +68,8 @@
   assert.deepEqual(scaler.orders, []);
   scaler.isHolder = true;
   await scaler.run(2_000);
-  assert.deepEqual(
-    scaler.orders.map(({ count, isSpot }) => [count, isSpot]),
-    [
-      [1, true],
-      [1, true],
-      [1, true],
-    ],
-  );
+  assert.equal(scaler.orders.length, BOUNDS.prices.size);
+  assert.ok(scaler.orders.every(({ count, isSpot }) => count === 1 && isSpot));
   const labels = { outcome: DutyOutcome.Accepted };
   assert.equal(scaler.metrics.getCount(MetricName.WorkerOrders, labels), 3);
   assert.match(scaler.metrics.renderPrometheus(), /sardinegrade_ordered_workers\{.*kind="spot"/);
--- a/packages/duties/src/capacity/createScaler.ts
+++ b/packages/duties/src/capacity/createScaler.ts
@@ -21,6 +21,18 @@
 /** Time for which a data centre has to be unreachable until its workers no longer count: single reports may be late. */
 const CUT_AFTER_MS = 2_000;
 
+/**
+ * Smallest share of the listed VMs whose load must be known for workers to be given up: with fewer, demand seems lower than
+ * it is. Some VMs are listed for a short time after their end.
+ */
+const MIN_HEARD_TO_REDUCE = 0.9;
+
+/**
+ * Largest number of orders in one decision, one a second. The host platform accepts 50 calls a second from all VMs, and usage
+ * reports are among them.
+ */
+const MAX_ORDERS_PER_DECISION = 10;
+
 /** Dependencies of a scaler. */
 export interface ScalerOptions {
   readonly settings: DutySettings;
@@ -83,9 +95,14 @@
       .map(([name]) => name);
     const context: DecisionContext = {
       cut: new Set(cut),
-      mayReduce: nowMs - this.sinceMs >= NEW_HOLDER_MS && view.unreachable.size === 0,
+      mayReduce:
+        nowMs - this.sinceMs >= NEW_HOLDER_MS &&
+        view.unreachable.size === 0 &&
+        view.heardVmCount >= view.listedVmCount * MIN_HEARD_TO_REDUCE,
     };
-    for (const service of view.services) this.#getScaler(service.service).decide(service, context);
+    let left = MAX_ORDERS_PER_DECISION;
+    for (const service of view.services)
+      left -= this.#getScaler(service.service).decide(service, context, left);
   }
 
   #getScaler(service: ServiceName): ServiceScaler {
--- a/packages/duties/src/capacity/testing/WorkerModel.ts
+++ b/packages/duties/src/capacity/testing/WorkerModel.ts
@@ -46,12 +46,12 @@
   nowMs = 0;
   workers: ModelWorker[] = [];
   arrived = 0;
-  late = 0;
   workerSeconds = 0;
   price = 0;
   isUnavailable: (dataCentre: DataCentreName, kind: WorkerKind) => boolean = () => false;
   readonly #queue: ModelRequest[] = [];
   #nextArrivalMs = 0;
+  #late = 0;
   #draws = 0;
 
   constructor(
@@ -60,6 +60,11 @@
     private readonly seed: number,
   ) {}
 
+  /** Number of requests whose first event came, or will come, later than its target. */
+  get late(): number {
+    return this.#late + this.#queue.filter((request) => this.#isLate(request)).length;
+  }
+
   /** Executes an order as the host platform does. */
   applyOrder({ dataCentre, count, isSpot }: WorkerOrder, bootMs = this.bounds.bootMs): DutyOutcome {
     const kind = isSpot ? WorkerKind.Spot : WorkerKind.Ordinary;
@@ -149,15 +154,12 @@
       ready: this.count((worker) => usable.has(worker)),
       leaving: this.count(({ goneAtMs }) => goneAtMs < Infinity),
     };
-    const unreachable = new Set<DataCentreName>();
-    return {
-      ageMs: 250,
-      heardVmCount: 75,
-      listedVmCount: 75,
-      unreachable,
-      services: [service],
-      ...part,
-    };
+    const vms = { heardVmCount: 75, listedVmCount: 75, unreachable: new Set<DataCentreName>() };
+    return { ageMs: 250, ...vms, services: [service], ...part };
+  }
+
+  #isLate({ arrivedAtMs, kind }: ModelRequest): boolean {
+    return this.nowMs - arrivedAtMs > kind.targetMs;
   }
 
   #listStaying(): readonly ModelWorker[] {
@@ -184,7 +186,7 @@
     const startsAtMs = Math.max(arrivedAtMs, best.freeAtMs, this.nowMs - STEP_MS);
     best.freeAtMs = startsAtMs + kind.promptTokens / ENGINE.prefillTokensPerMs;
     best.endsAtMs.push(best.freeAtMs + DECODE_MS);
-    if (best.freeAtMs - arrivedAtMs > kind.targetMs) this.late += 1;
+    if (best.freeAtMs - arrivedAtMs > kind.targetMs) this.#late += 1;
   }
 
   #drawClass(): ModelClass {
--- a/packages/duties/src/capacity/testing/runReplay.ts
+++ b/packages/duties/src/capacity/testing/runReplay.ts
@@ -10,9 +10,9 @@
 import type { CapacityView } from '../types.js';
 import type { ModelClass } from './WorkerModel.js';
 
-const DOKKI = toBranded<DataCentreName>('dokki');
-const HARAM = toBranded<DataCentreName>('haram');
-const OCTOBER = toBranded<DataCentreName>('october');
+const [DOKKI, HARAM, OCTOBER] = ['dokki', 'haram', 'october'].map((name) =>
+  toBranded<DataCentreName>(name),
+) as [DataCentreName, DataCentreName, DataCentreName];
 
 export const BOUNDS: ScalingBounds = {
   min: 1,
@@ -26,12 +26,8 @@
   ]),
 };
 
-/** Number of workers that run all the time without orders. */
-const FIXED: readonly (readonly [DataCentreName, number])[] = [
-  [DOKKI, 33],
-  [HARAM, 33],
-  [OCTOBER, 32],
-];
+/** Number of workers in each data centre that run all the time without orders. */
+const FIXED = [33, 33, 32];
 
 export const SETTINGS: DutySettings = {
   address: { host: '127.0.0.1', port: 1 },
@@ -74,19 +70,26 @@
   /** Answers an order; by default the model executes it. Undefined leaves it without an answer for 2 s. */
   readonly answer?: (model: WorkerModel, order: WorkerOrder) => DutyOutcome | undefined;
   readonly seed?: number;
-}
-
-export interface ReplayOrder extends WorkerOrder {
-  readonly atMs: number;
+  /** Number of ordinary workers in each data centre at the start; today's number by default. */
+  readonly fixed?: readonly number[];
 }
 
 export interface ReplayResult {
   readonly model: WorkerModel;
-  readonly orders: readonly ReplayOrder[];
+  readonly orders: readonly (WorkerOrder & { readonly atMs: number })[];
   readonly warnings: readonly string[];
   readonly lateShare: number;
 }
 
+/** @returns a logger that keeps warnings and errors */
+export const buildLogger = (warnings: string[]): Logger => ({
+  error: (message) => warnings.push(message),
+  warn: (message) => warnings.push(message),
+  info: () => undefined,
+  debug: () => undefined,
+  withFields: () => buildLogger(warnings),
+});
+
 const UNANSWERED_MS = 2_000;
 
 /** Share of the slots that the oracle uses. */
@@ -108,25 +111,18 @@
 };
 
 /**
- * Runs a policy against the model, from today's number of workers; the oracle starts with the number that it needs.
+ * Runs a policy against the model, from today's number of workers; the oracle leaves it with the first step.
  *
  * @param policy - who decides
  * @param options - load, faults and duration
  * @returns the model after the run, the orders and the warnings
  */
 export const runReplay = async (policy: Policy, options: ReplayOptions): Promise<ReplayResult> => {
-  const { classes, durationMs, bounds = BOUNDS, onStep, seed = 1 } = options;
+  const { classes, durationMs, bounds = BOUNDS, onStep, seed = 1, fixed = FIXED } = options;
   const model = new WorkerModel(bounds, classes, seed);
-  const orders: ReplayOrder[] = [];
+  const orders: (WorkerOrder & { readonly atMs: number })[] = [];
   const warnings: string[] = [];
   const open: { readonly untilMs: number; readonly settle: () => void }[] = [];
-  const logger: Logger = {
-    error: (message) => warnings.push(message),
-    warn: (message) => warnings.push(message),
-    info: () => undefined,
-    debug: () => undefined,
-    withFields: () => logger,
-  };
   const sendOrder = (order: WorkerOrder): Promise<DutyOutcome> => {
     orders.push({ ...order, atMs: model.nowMs });
     const outcome =
@@ -142,16 +138,12 @@
     holder: { isHolder: () => true, claimPermit: () => ({ fence: 1 }) },
     client: { orderWorkers: sendOrder, reportUsage: () => Promise.resolve(DutyOutcome.Refused) },
     getView: () => (options.buildView ?? ((current) => current.buildView()))(model),
-    logger,
+    logger: buildLogger(warnings),
     metrics: createMetrics(),
     getNowMs: () => model.nowMs,
   });
-  if (policy === Policy.Oracle) applyOracle(model);
-  else
-    for (const [dataCentre, count] of FIXED)
-      model.applyOrder({ service: SERVICE, dataCentre, count, isSpot: false }, 0);
-  if (policy === Policy.Oracle)
-    model.workers = model.workers.map((worker) => ({ ...worker, readyAtMs: 0 }));
+  for (const [index, dataCentre] of [...bounds.prices.keys()].entries())
+    model.applyOrder({ service: SERVICE, dataCentre, count: fixed[index] ?? 0, isSpot: false }, 0);
   while (model.nowMs < durationMs) {
     onStep?.(model);
     model.step();
