--- a/packages/duties/src/capacity/capacityReplay.test.ts
+++ b/packages/duties/src/capacity/capacityReplay.test.ts
@@ -156,6 +156,8 @@
   const result = await compare(t, { classes: buildClasses(computeSteady), durationMs: 160_000 });
   const later = result.orders.filter(({ atMs }) => atMs >= 100_000);
   assert.deepEqual(later, []);
+  // The fixed number is ample, so that any order in the first 10 s would be for fewer or cheaper workers.
+  assert.ok(result.orders.every(({ atMs }) => atMs >= 10_000));
   assert.ok(result.lateShare <= MAX_LATE_SHARE, `${result.lateShare} late`);
 });
 
