--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -35,6 +35,9 @@
   Upstreams = 'sardinegrade_upstreams',
   UsageReports = 'sardinegrade_usage_reports_total',
   UsageReportAge = 'sardinegrade_usage_report_age_seconds',
+  OrderedWorkers = 'sardinegrade_ordered_workers',
+  WorkerOrders = 'sardinegrade_worker_orders_total',
+  DemandEngines = 'sardinegrade_demand_engines',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
 }
 
