fix: workers that are accepted but do not appear are ordered elsewhere

A data centre that accepts orders without effect was chosen again and again, since it is the cheapest.

--- a/packages/duties/src/capacity/ServiceScaler.ts
+++ b/packages/duties/src/capacity/ServiceScaler.ts
@@ -9,6 +9,7 @@
 import {
   computeInForce,
   isRepeatDue,
+  isUndelivered,
   NO_ORDER,
   recordOrder,
   recordOutcome,
@@ -120,8 +121,11 @@
       const readyHere = ready.get(dataCentre) ?? NO_WORKERS;
       const compute = (kind: WorkerKind): number =>
         computeInForce(this.#getState(dataCentre, kind), readyHere[kind], bounds.bootMs, nowMs);
-      const canOrder = (kind: WorkerKind): boolean =>
-        nowMs >= this.#getState(dataCentre, kind).blockedUntilMs;
+      const canOrder = (kind: WorkerKind): boolean => {
+        const state = this.#getState(dataCentre, kind);
+        const isMissing = isUndelivered(state, readyHere[kind], bounds.bootMs, nowMs);
+        return nowMs >= state.blockedUntilMs && !isMissing;
+      };
       return {
         dataCentre,
         ready: readyHere,
--- a/packages/duties/src/capacity/capacityReplay.test.ts
+++ b/packages/duties/src/capacity/capacityReplay.test.ts
@@ -92,6 +92,26 @@
   assert.ok(result.lateShare <= MAX_LATE_SHARE, `${result.lateShare} late`);
 });
 
+test('a data centre that accepts orders without effect: its lost workers are replaced elsewhere', async () => {
+  const isBroken = (dataCentre: string, atMs: number): boolean =>
+    dataCentre === 'haram' && atMs >= 80_000;
+  const { model, lateShare } = await runReplay(Policy.Scaler, {
+    classes: buildClasses(computeWave),
+    // One order without effect, one elsewhere, and their boot times.
+    durationMs: 105_000,
+    answer: (current, order) =>
+      isBroken(order.dataCentre, current.nowMs) ? DutyOutcome.Accepted : current.applyOrder(order),
+    onStep: (current) => {
+      const { nowMs } = current;
+      if (nowMs !== 80_000) return;
+      current.workers = current.workers.filter(({ dataCentre }) => !isBroken(dataCentre, nowMs));
+    },
+  });
+  assert.ok(lateShare <= MAX_LATE_SHARE, `${lateShare} late`);
+  const neededAtCrest = model.computeEngines(1.27) / 0.85;
+  assert.ok(model.workers.length >= neededAtCrest, `${model.workers.length} workers`);
+});
+
 test('a third of the VMs unheard: their load seems to have gone, and nothing is given up', async () => {
   const result = await runReplay(Policy.Scaler, {
     classes: buildClasses(computeWave),
--- a/packages/duties/src/capacity/orderBook.ts
+++ b/packages/duties/src/capacity/orderBook.ts
@@ -113,6 +113,32 @@
   return Math.max(0, order.count - lost);
 };
 
+/** Time during which no more workers are ordered where accepted ones have not appeared, in milliseconds. */
+const UNDELIVERED_MS = 10_000;
+
+/**
+ * Finds out whether workers of an accepted order are missing although they should have booted.
+ *
+ * Load pattern: a data centre accepts orders, but its workers do not start. Being the cheapest, it would be chosen again and
+ * again while callers wait.
+ *
+ * @param state - orders so far
+ * @param ready - number of workers that take requests
+ * @param bootMs - time until an ordered worker serves, in milliseconds
+ * @param nowMs - current time, in milliseconds
+ * @returns whether what is missing is to be ordered elsewhere
+ */
+export const isUndelivered = (
+  { inForce }: OrderState,
+  ready: number,
+  bootMs: number,
+  nowMs: number,
+): boolean => {
+  if (inForce === undefined || inForce.count <= inForce.readyBefore) return false;
+  const overdueMs = nowMs - inForce.atMs - bootMs - SETTLE_MS;
+  return ready < inForce.count && overdueMs > 0 && overdueMs <= UNDELIVERED_MS;
+};
+
 /** @returns whether the order without an answer is to be repeated */
 export const isRepeatDue = (
   { pending, inForce, isUnconfirmed }: OrderState,
