--- a/packages/duties/src/usage/UsagePoller.ts
+++ b/packages/duties/src/usage/UsagePoller.ts
@@ -44,19 +44,21 @@
   }
 
   /**
-   * Starts the fetches that are due.
+   * Fetches the VMs that are due, a few at once; resolves when none is due any more.
    *
    * @param firstWindow - first window whose counts are wanted
-   * @returns the fetches in progress, which do not reject
    */
   async fetchDue(firstWindow: number): Promise<void> {
     const { listPeers, getNowMs, clock } = this.options;
     const peers = new Map(listPeers().map((peer) => [peer.vm, peer]));
-    const limit = MAX_FETCHES - this.#fetches;
-    const due = this.#schedule.takeDue([...peers.keys()], getNowMs(), limit);
-    const request = { firstWindow, timeMs: clock.statedTimeMs };
-    const fetches = due.flatMap((vm) => peers.get(vm) ?? []);
-    await Promise.all(fetches.map((peer) => this.#fetch(peer, request, peers.size + 1)));
+    const vms = [...peers.keys()];
+    for (;;) {
+      const due = this.#schedule.takeDue(vms, getNowMs(), MAX_FETCHES - this.#fetches);
+      if (due.length === 0) return;
+      const request = { firstWindow, timeMs: clock.statedTimeMs };
+      const fetches = due.flatMap((vm) => peers.get(vm) ?? []);
+      await Promise.all(fetches.map((peer) => this.#fetch(peer, request, vms.length + 1)));
+    }
   }
 
   /** Starts anew, with a first round. */
--- a/packages/duties/src/usage/UsageView.ts
+++ b/packages/duties/src/usage/UsageView.ts
@@ -13,6 +13,7 @@
 /** Merged counts of all VMs: the largest count that was seen for each VM process, window and workspace. */
 export class UsageView {
   readonly #processes = new Map<string, ProcessUsage>();
+  #sweptWindow: number | undefined;
   /** Fleet time up to which the counts of a VM are final, in milliseconds. */
   readonly #finalUntilMs = new Map<VmId, number>();
 
@@ -64,9 +65,11 @@
     );
   }
 
-  /** Removes windows that are not kept any more. */
+  /** Removes windows that are not kept any more; does so once in each window. */
   sweep(timeMs: number): void {
     const current = computeWindow(timeMs, this.windowMs);
+    if (current === this.#sweptWindow) return;
+    this.#sweptWindow = current;
     for (const [key, { windows, lastWindow }] of this.#processes) {
       for (const window of windows.keys())
         if (!isKeptWindow(window, current)) windows.delete(window);
--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -44,7 +44,7 @@
 }
 
 /** Interval of ticks, in milliseconds: fetches are spread with this precision. */
-const TICK_MS = 50;
+const TICK_MS = 100;
 
 const MS_PER_SECOND = 1_000;
 
