--- a/packages/duties/src/holder/suspension.ts
+++ b/packages/duties/src/holder/suspension.ts
@@ -1,5 +1,8 @@
 import { MAX_DRIFT_MS } from './constants.js';
 
+/** Difference up to which two offsets count as the same one, in milliseconds. */
+const MAX_EQUAL_OFFSET_MS = 1;
+
 /** Difference of wall clock and monotonic clock at one check. */
 interface ClockOffset {
   readonly atMs: number;
@@ -8,7 +11,7 @@
 
 /** What the checks of the clocks have shown. */
 export interface SuspensionState {
-  /** Checks of the last `windowMs`, oldest first; only those since the last suspected suspension. */
+  /** Checks of the last `windowMs`, oldest first; equal ones only once, and only those since the last suspicion. */
   readonly offsets: readonly ClockOffset[];
   /** Monotonic time of the last check that suspected a suspension, in milliseconds. */
   readonly suspectedAtMs: number | undefined;
@@ -23,6 +26,19 @@
 /** State before the first check. */
 export const NO_SUSPENSION: SuspensionState = { offsets: [], suspectedAtMs: undefined };
 
+/**
+ * Merges equal offsets, so that their number stays small. The older offset is kept: clocks that drift slowly would
+ * otherwise be compared only with their last check.
+ */
+const mergeNewest = (
+  newest: ClockOffset | undefined,
+  current: ClockOffset,
+): readonly ClockOffset[] => {
+  if (newest === undefined) return [current];
+  const isSame = Math.abs(newest.offsetMs - current.offsetMs) < MAX_EQUAL_OFFSET_MS;
+  return isSame ? [{ ...newest, atMs: current.atMs }] : [newest, current];
+};
+
 /**
  * Compares the clocks. The monotonic clock does not count the time during which a VM is suspended, and the wall clock does.
  * All checks of the window are compared, not only the last: suspensions that are short each may add up.
@@ -42,7 +58,9 @@
     ({ offsetMs }) => Math.abs(offsetMs - current.offsetMs) > MAX_DRIFT_MS,
   );
   if (hasDrifted) return { offsets: [current], suspectedAtMs: monotonicMs };
-  // The newest check always remains: the time since it may be longer than the window.
-  const recent = state.offsets.filter(({ atMs }) => monotonicMs - atMs <= windowMs);
-  return { ...state, offsets: [...recent, current] };
+  const newest = state.offsets.at(-1);
+  const recent = state.offsets.filter(
+    (offset) => offset !== newest && monotonicMs - offset.atMs <= windowMs,
+  );
+  return { ...state, offsets: [...recent, ...mergeNewest(newest, current)] };
 };
