--- a/packages/duties/src/capacity/computeNeeds.ts
+++ b/packages/duties/src/capacity/computeNeeds.ts
@@ -75,7 +75,7 @@
 });
 
 /**
- * Computes how many workers a plan has to keep: enough for the worst second of the last wave within half of the target, for
+ * Computes how many workers a plan has to keep: enough for the worst second of the last wave within half of the target, for the shared prompt parts in use, for
  * a burst of 1.5 times that within the target, for the worst second after the loss of the largest spot group within the
  * target, and enough ordinary ones for the mean load within the target, since all spot workers may be lost one group after
  * the other.
@@ -91,6 +91,7 @@
   total: Math.max(
     computeNeededEngines(peak, engine, PLANNED),
     computeNeededEngines(applyFactor(peak, BURST_FACTOR), engine, EXCEPTIONAL),
+    engine.workingSetEngines ?? 0,
   ),
   afterLoss: computeNeededEngines(peak, engine, EXCEPTIONAL),
   ordinary: computeNeededEngines(mean, engine, EXCEPTIONAL),
--- a/packages/duties/src/capacity/types.ts
+++ b/packages/duties/src/capacity/types.ts
@@ -22,8 +22,13 @@
 export interface EngineProfile {
   readonly slots: number;
   readonly prefillTokensPerMs: number;
-  /** Tightest latency target for the first event among the routes of the service, in milliseconds. */
+  /** Longest latency target for the first event among the routes of the service, in milliseconds. */
   readonly targetMs: number;
+  /**
+   * Engines whose prefix caches together can hold the shared parts in use; 0 if unknown. With fewer, parts are evicted before
+   * they are used again, and reading them anew takes more engines than were saved.
+   */
+  readonly workingSetEngines?: number;
 }
 
 /** One service whose number of workers is decided here. */
