feat(routing): the pace of workers is learned from their answers and shared between VMs

Cause: each engine counted as equally fast, so slow engines missed the targets for gaps, and single VMs see too few answers of an engine to learn its speed. Change: samples of first events and gaps, as news in load messages; a decayed median by worker instance; a concurrency limit with additive increase and multiplicative decrease; trials for fresh and idle engines; loads of few plain workers are shared.

--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -138,6 +138,11 @@
     help: 'Time since the store last answered a list or watch, by kind of objects.',
     labels: ['kind'],
   },
+  [MetricName.WorkerSpeed]: {
+    kind: Gauge,
+    help: 'Learned speed of an upstream as a multiple of the mean of its service.',
+    labels: ['service', 'upstream'],
+  },
   [MetricName.LinksLost]: {
     kind: Gauge,
     help: 'Whether this daemon has lost its links to all upstreams (1) or not (0).',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -26,6 +26,7 @@
   Generation = 'sardinegrade_configuration_generation',
   ConfigurationAge = 'sardinegrade_configuration_age_seconds',
   StoreAnswerAge = 'sardinegrade_store_answer_age_seconds',
+  WorkerSpeed = 'sardinegrade_worker_speed_ratio',
   LinksLost = 'sardinegrade_links_lost',
   Tunnels = 'sardinegrade_tunnels_total',
   StoreEra = 'sardinegrade_store_era',
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -10,6 +10,7 @@
   SharedRetryBudget,
   StreamOrigins,
   StreamPace,
+  isPlainLoadShared,
 } from '@sardinegrade/routing';
 
 import { MAX_HELD_ANSWER_BYTES, MAX_HELD_BODY_BYTES, SPARED_BODY_BYTES } from './constants.js';
@@ -19,7 +20,7 @@
 import { WorkerNotices } from './notices/index.js';
 import { isPortClosed, PartQuarantine } from './quarantine/index.js';
 import { RequestQueue } from './waiting/index.js';
-import { toInstanceId, WorkerFleet } from './workers/index.js';
+import { toInstanceId, WorkerFleet, WorkerPaces } from './workers/index.js';
 
 import type {
   BuildName,
@@ -41,6 +42,7 @@
   Worker,
 } from '@sardinegrade/routing';
 import type { ForwardProtocol } from './types.js';
+import type { WorkerRecord } from './workers/index.js';
 
 /** Dependencies and settings of the forwarder. */
 export interface ForwarderOptions {
@@ -87,6 +89,8 @@
   readonly queue: RequestQueue;
   /** Estimates how long streams currently take. */
   readonly pace = new StreamPace();
+  /** Learned paces of the workers. */
+  readonly paces: WorkerPaces;
   readonly metrics = createMetrics();
   /** Unfinished answers of plain services, which are buffered. */
   readonly heldAnswers = new HeldBytes({
@@ -187,6 +191,8 @@
     });
     this.dialer = new WorkerDialer(this.links, this.tunnels);
     this.fleet = new WorkerFleet(this.dialer);
+    const listWorkers = (): readonly Worker[] => this.fleet.directory.listAll();
+    this.paces = new WorkerPaces({ logger, getNowMs, listWorkers });
     this.queue = new RequestQueue(getNowMs);
     this.workerLimits = new WorkerLimits({ logger, getNowMs, random, getPeerRuns });
     this.workerNotices = new WorkerNotices({ logger, getNowMs, fleet: this.fleet });
@@ -326,11 +332,22 @@
     );
   }
 
+  /** @returns whether other VMs need this VM's load on a worker: it is brittle, or one of few of a plain service */
+  isLoadNeeded(record: WorkerRecord): boolean {
+    if (this.workerLimits.brittle.has(record)) return true;
+    const { service } = record.worker;
+    if (this.#configuration?.services.get(service)?.engine !== undefined) return false;
+    const nowMs = this.options.getNowMs();
+    const { length } = this.fleet.directory.listUsable(service, nowMs);
+    return isPlainLoadShared(length, this.sharedLoad.countLive(nowMs) + 1);
+  }
+
   /** Removes what has expired; called every second. */
   sweep(): void {
     const nowMs = this.options.getNowMs();
     this.fleet.sweep(nowMs);
     this.streamOrigins.sweep(nowMs);
+    this.paces.update();
     this.#recordBuilds();
   }
 
@@ -397,6 +414,12 @@
     metrics.registerGauge(MetricName.LimitedWorkers, () => [
       { labels: {}, value: this.workerLimits.limitedCount },
     ]);
+    metrics.registerGauge(MetricName.WorkerSpeed, () =>
+      this.paces.listKnown().map(({ worker, pace }) => ({
+        labels: { service: worker.service, upstream: worker.id },
+        value: pace.speed,
+      })),
+    );
     metrics.registerGauge(MetricName.LinksLost, () => [
       { labels: {}, value: this.links.isLost ? 1 : 0 },
     ]);
--- a/packages/forwarder/src/exchange/Attempts.ts
+++ b/packages/forwarder/src/exchange/Attempts.ts
@@ -15,6 +15,8 @@
 export class Attempts {
   /** Whether the request may run more than once. */
   readonly isRepeatable: boolean;
+  /** Random number from 0 to 1 that decides whether the request is a trial of a worker. */
+  readonly trialDraw: number;
   readonly #tried = new Set<UpstreamId>();
   #runs = 0;
   #sends = 0;
@@ -32,6 +34,7 @@
     private readonly service: ServiceName | undefined,
     private readonly getRemainingMs: () => number,
   ) {
+    this.trialDraw = state.options.random();
     this.isRepeatable = route.kind === RouteKind.Safe || route.isResumable;
   }
 
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -29,6 +29,7 @@
 import { recordNotices } from './recordNotices.js';
 import { recordSendFailure } from './recordSendFailure.js';
 import { recordSlowHead } from './recordSlowHead.js';
+import { recordStreamEvents } from './recordStreamEvents.js';
 import { recordStreamOrigin } from './recordStreamOrigin.js';
 import { isServedElsewhere, selectForRequest } from './selectForRequest.js';
 import { sendToProcess } from './sendToProcess.js';
@@ -38,7 +39,7 @@
 import { finishUnansweredSend } from './unansweredSends.js';
 
 import type { BuildName, ServiceName } from '@sardinegrade/common';
-import type { RoutedService } from '@sardinegrade/routing';
+import type { EngineLoad, RoutedService } from '@sardinegrade/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { LocalReply } from '../front/sendLocalReply.js';
@@ -164,7 +165,7 @@
     }
     const { service, selection } = selected;
     if (selection.shouldWait) return false;
-    this.#sendTo(record, service, selection.backlogTokens);
+    this.#sendTo(record, service, selection.load);
     return true;
   }
 
@@ -219,12 +220,12 @@
     return this.#refuseFor(findLimitRefusal(this.state, limited, request));
   }
 
-  #sendTo(record: WorkerRecord, service: RoutedService, backlogTokens: number): void {
+  #sendTo(record: WorkerRecord, service: RoutedService, load: EngineLoad): void {
     const { caller } = this.admitted;
     const { isRepeatable } = this.#attempts;
-    const active = claimWorker(this.state, this.admitted, { record, service, isRepeatable });
+    const active = claimWorker(this.state, this.admitted, { record, service, isRepeatable, load });
     const uncachedTokens = active.run?.uncachedTokens ?? 0;
-    const placement = { queuedMs: this.#getAgeMs(), backlogTokens, uncachedTokens };
+    const placement = { ...load, queuedMs: this.#getAgeMs(), uncachedTokens };
     this.#report.recordSend(record.worker, placement);
     this.#activeSend = active;
     this.#attempts.recordSend(record.worker.id);
@@ -300,21 +301,19 @@
       return true;
     }
     if (events.length === 0) return true;
-    active.hasFirstEvent = true;
     this.#build ??= recordStreamOrigin(this.state, this.admitted, active.record);
-    if (active.unanswered !== undefined) this.state.partQuarantine.recordAnswer(active.unanswered);
     this.#report.recordEvents();
-    if (active.run?.hasFirstEvent === false) {
-      active.run.hasFirstEvent = true;
-      this.state.queue.retryAll();
-    }
+    recordStreamEvents(this.state, active);
     this.#watchSilence(active);
     const canWrite = this.#answer.writeEvents(events, () => {
       this.#watchSilence(active);
       resume();
     });
     // A worker that is not read because its caller reads slowly is not silent.
-    if (!canWrite) active.silenceTimer.stop();
+    if (!canWrite) {
+      active.silenceTimer.stop();
+      active.pace?.recordHeldUp();
+    }
     return canWrite;
   }
 
@@ -327,6 +326,7 @@
     else pool.abort(active.claimed.connection);
     if (this.#activeSend === active) this.#activeSend = undefined;
     if (this.#isFinished) return;
+    active.pace?.recordEnd(end);
     if (end.isComplete) this.#onAnswer(active, end);
     else this.#onFailure(active, end.failure, end.reason);
     this.state.queue.retryAll();
--- a/packages/forwarder/src/exchange/claimWorker.ts
+++ b/packages/forwarder/src/exchange/claimWorker.ts
@@ -1,9 +1,10 @@
 import { RouteKind } from '@sardinegrade/routing';
 
+import { SendPace } from './SendPace.js';
 import { SilenceTimer } from './SilenceTimer.js';
 import { addUnansweredSend } from './unansweredSends.js';
 
-import type { RoutedService } from '@sardinegrade/routing';
+import type { EngineLoad, RoutedService } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { WorkerRecord } from '../workers/index.js';
 import type { ActiveSend, AdmittedRequest } from './types.js';
@@ -14,6 +15,8 @@
   readonly service: RoutedService;
   /** Whether the request may run more than once. */
   readonly isRepeatable: boolean;
+  /** Prompt tokens that it has yet to prefill, and requests that it runs, of all VMs; 0 for plain services. */
+  readonly load: EngineLoad;
 }
 
 /**
@@ -27,7 +30,7 @@
 export const claimWorker = (
   state: ForwarderState,
   { caller, route }: AdmittedRequest,
-  { record, service, isRepeatable }: ChosenWorker,
+  { record, service, isRepeatable, load }: ChosenWorker,
 ): ActiveSend => {
   const nowMs = state.options.getNowMs();
   const claimed = record.pool.claim(nowMs, isRepeatable);
@@ -42,6 +45,9 @@
     record,
     claimed,
     run,
+    pace:
+      run &&
+      new SendPace(state.paces, record, { ...load, uncachedTokens: run.uncachedTokens }, nowMs),
     isStream: route.kind === RouteKind.Streaming,
     unanswered: addUnansweredSend(partQuarantine, record.worker, prompt, () => active.send),
     silenceTimer: new SilenceTimer(),
--- a/packages/forwarder/src/exchange/filterCandidates.ts
+++ b/packages/forwarder/src/exchange/filterCandidates.ts
@@ -13,6 +13,10 @@
   readonly prompt: PromptShape | undefined;
   /** Target of the route for the first event, in milliseconds. */
   readonly targetMs: number;
+  /** Target of the route for the gap between two events, in milliseconds; 0 if there is none. */
+  readonly eventGapMs: number;
+  /** Random number from 0 to 1 that decides whether the request is a trial of a worker; the same at each placement. */
+  readonly trialDraw: number;
   /** Workers to which this request has already been sent. */
   readonly tried: ReadonlySet<UpstreamId>;
   /** Build that began the stream which the request goes on with; undefined if any may serve it. */
--- a/packages/forwarder/src/exchange/selectForRequest.ts
+++ b/packages/forwarder/src/exchange/selectForRequest.ts
@@ -44,6 +44,8 @@
     service,
     prompt: caller.prompt,
     targetMs: route.targetMs,
+    eventGapMs: route.eventGapMs,
+    trialDraw: attempts.trialDraw,
     tried: attempts.tried,
     build,
     beginsStream: route.isResumable && build === undefined,
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -1,6 +1,8 @@
 import {
   chooseEngine,
+  chooseTrial,
   chooseWorker,
+  isPlainLoadShared,
   MAX_DIRECT_VMS,
   PromptLane,
   shouldWait,
@@ -8,7 +10,7 @@
 
 import { filterCandidates } from './filterCandidates.js';
 
-import type { EngineView, PromptShape } from '@sardinegrade/routing';
+import type { EngineLoad, EngineView, PromptShape } from '@sardinegrade/routing';
 import type { CandidateSet, WorkerRecord } from '../workers/index.js';
 import type { SelectionContext } from './filterCandidates.js';
 
@@ -29,8 +31,8 @@
 export interface WorkerSelection {
   /** Undefined if there is no usable worker. */
   readonly record: WorkerRecord | undefined;
-  /** Prompt tokens that the engine has yet to prefill; 0 for plain services. */
-  readonly backlogTokens: number;
+  /** Load of all VMs on the engine; none for plain services. */
+  readonly load: EngineLoad;
   /**
    * Whether the request waits in this VM's queue, because the engine has too large a backlog or no free slot, or no worker
    * accepts requests at present.
@@ -43,7 +45,7 @@
 const NO_WORKER: WorkerSelection = {
   record: undefined,
   shouldWait: false,
-  backlogTokens: 0,
+  load: { backlogTokens: 0, runs: 0 },
   limited: [],
 };
 
@@ -62,15 +64,16 @@
   context: SelectionContext,
   { records: candidates }: CandidateSet,
 ): WorkerSelection => {
-  const { state } = context;
+  const { state, nowMs } = context;
+  const isShared = isPlainLoadShared(candidates.length, state.sharedLoad.countLive(nowMs) + 1);
   const views = candidates.map((record) => ({
     id: record.worker.id,
-    runs: record.pool.busyCount,
+    runs: record.pool.busyCount + (isShared ? state.sharedLoad.getLoad(record.hash).runs : 0),
     isLocal: record.worker.dataCentre === state.options.dataCentre,
     isAvoided: isAvoided(context, record),
     failureShare: record.health.failureShare,
   }));
-  const chosen = chooseWorker(views, state.options.random);
+  const chosen = chooseWorker(views, state.options.random, isShared);
   return { ...NO_WORKER, record: candidates.find(({ worker }) => worker.id === chosen) };
 };
 
@@ -82,12 +85,14 @@
   const { worker, tracker } = record;
   const { state, nowMs } = context;
   const peerLoad = state.sharedLoad.getLoad(record.hash);
+  const pace = state.paces.get(record);
   return {
     id: worker.id,
-    backlogTokens: tracker.estimateBacklogTokens(nowMs) + peerLoad.backlogTokens,
+    backlogTokens: tracker.estimateBacklogTokens(nowMs, pace.speed) + peerLoad.backlogTokens,
     cachedTokens: tracker.prefixCache.countCachedTokens(prompt.parts),
     runs: tracker.runCount + peerLoad.runs,
     isAvoided: isAvoided(context, record),
+    pace,
   };
 };
 
@@ -96,24 +101,28 @@
   prompt: PromptShape,
   { records: candidates, ranking }: CandidateSet,
 ): WorkerSelection => {
-  const { state, service, targetMs, nowMs } = context;
+  const { state, service, targetMs, eventGapMs, trialDraw, nowMs } = context;
   const peerCount = state.sharedLoad.countLive(nowMs);
   const views = candidates.map((record) => buildEngineView(context, prompt, record));
   const lane = targetMs <= TIGHT_TARGET_MS ? PromptLane.Tight : PromptLane.Bulk;
-  const choice = chooseEngine(prompt, views, {
-    ranking,
-    lane,
-    hasPeerReports: peerCount > 0,
-    homeCount: peerCount + 1 <= MAX_DIRECT_VMS ? DIRECT_HOME_COUNT : RELAYED_HOME_COUNT,
-  });
+  const trial = chooseTrial(views, trialDraw);
+  const choice =
+    trial ??
+    chooseEngine(prompt, views, {
+      ranking,
+      lane,
+      eventGapMs,
+      hasPeerReports: peerCount > 0,
+      homeCount: peerCount + 1 <= MAX_DIRECT_VMS ? DIRECT_HOME_COUNT : RELAYED_HOME_COUNT,
+    });
   if (choice === undefined) return NO_WORKER;
   const view = views.find(({ id }) => id === choice.id);
-  const backlogTokens = view?.backlogTokens ?? 0;
-  const isFull = (view?.runs ?? 0) >= (service.engine?.slots ?? Infinity);
+  const { backlogTokens, runs } = view ?? NO_WORKER.load;
+  const isFull = runs >= (service.engine?.slots ?? Infinity);
   return {
     record: candidates.find(({ worker }) => worker.id === choice.id),
-    shouldWait: isFull || shouldWait(lane, backlogTokens),
-    backlogTokens,
+    shouldWait: isFull || shouldWait(lane, backlogTokens, view?.pace?.speed),
+    load: { backlogTokens, runs },
     limited: [],
   };
 };
--- a/packages/forwarder/src/exchange/types.ts
+++ b/packages/forwarder/src/exchange/types.ts
@@ -4,6 +4,7 @@
 import type { UnansweredSend } from '../quarantine/index.js';
 import type { CallerRequest } from '../types.js';
 import type { WorkerRecord } from '../workers/index.js';
+import type { SendPace } from './SendPace.js';
 import type { Send } from './sendToWorker.js';
 import type { SilenceTimer } from './SilenceTimer.js';
 
@@ -29,6 +30,8 @@
   readonly claimed: ClaimedConnection;
   /** Undefined for plain services. */
   readonly run: EngineRun | undefined;
+  /** Undefined for plain services. */
+  readonly pace: SendPace | undefined;
   /** Whether the answer is a stream of events. */
   readonly isStream: boolean;
   /** Undefined for prompts without shared parts. */
--- a/packages/forwarder/src/peers/LoadReporter.test.ts
+++ b/packages/forwarder/src/peers/LoadReporter.test.ts
@@ -25,6 +25,7 @@
   engines: new Map(),
   placements: [],
   crashes: [],
+  paceSamples: [],
   dataCentreAges: new Map(),
   storeVersions: {
     era: 0,
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -14,6 +14,7 @@
   MAX_STARTUP_PARTS,
   ORIGINS_PER_DATAGRAM,
   OUTDATED_INTERVAL_MS,
+  PACE_SAMPLES_PER_DATAGRAM,
   PARTS_PER_DATAGRAM,
   PARTS_WITH_EVIDENCE_PER_DATAGRAM,
   PLACEMENTS_PER_DATAGRAM,
@@ -25,6 +26,7 @@
   toLoadShare,
   toWirePlacement,
 } from './loadMessages.js';
+import { fromWirePaceSamples, toWirePaceSamples } from './paceMessages.js';
 
 import type { SocketAddress, UpstreamId, VmId } from '@sardinegrade/common';
 import type {
@@ -47,6 +49,7 @@
   engines: new Map(),
   crashes: [],
   placements: [],
+  paceSamples: [],
   dataCentreAges: new Map(),
 };
 
@@ -97,6 +100,7 @@
     );
     state.getPeerRole = () => this.#gossip.role;
     state.onCrashes = (crashes) => this.#gossip.addNews({ crashes });
+    state.paces.onSample = (sample) => this.#gossip.addNews({ paceSamples: [sample] });
     state.onPlacement = (upstream, parts) => this.#recordPlacement(upstream, parts);
   }
 
@@ -169,8 +173,12 @@
   }
 
   #listOwnLoads(nowMs: number): EngineLoads {
-    const { fleet, workerLimits } = this.options.state;
-    const loads = fleet.listLoads(nowMs, (record) => workerLimits.brittle.has(record));
+    const { state } = this.options;
+    const loads = state.fleet.listLoads(
+      nowMs,
+      (record) => state.isLoadNeeded(record),
+      (record) => state.paces.get(record).speed,
+    );
     return new Map(loads.map(({ id, load }) => [hashText(id), load]));
   }
 
@@ -192,6 +200,7 @@
       if (message !== last) {
         encoded = [
           ...this.#encodeLoad(message),
+          ...this.#encodePaceSamples(message),
           ...this.#encodeEvidence(message, evidence),
           ...this.#encodeNotices(message, notices),
           ...this.#encodeOutdated(message, outdatedWorkers),
@@ -208,7 +217,11 @@
   #encodeLoad(message: LoadMessage): readonly Uint8Array[] {
     const { placements } = message;
     const datagrams: Uint8Array[] = [];
-    let part = { ...message, placements: placements.slice(0, PLACEMENTS_PER_DATAGRAM) };
+    let part = {
+      ...message,
+      paceSamples: [],
+      placements: placements.slice(0, PLACEMENTS_PER_DATAGRAM),
+    };
     for (let next = PLACEMENTS_PER_DATAGRAM; ; next += PLACEMENTS_PER_DATAGRAM) {
       datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
       if (next >= placements.length) return datagrams;
@@ -217,11 +230,23 @@
         scope: LoadScope.News,
         engines: new Map(),
         crashes: [],
+        paceSamples: [],
         placements: placements.slice(next, next + PLACEMENTS_PER_DATAGRAM),
       };
     }
   }
 
+  #encodePaceSamples(message: LoadMessage): readonly Uint8Array[] {
+    const datagrams: Uint8Array[] = [];
+    const samples = message.paceSamples;
+    for (let first = 0; first < samples.length; first += PACE_SAMPLES_PER_DATAGRAM) {
+      const paceSamples = samples.slice(first, first + PACE_SAMPLES_PER_DATAGRAM);
+      const part: LoadMessage = { ...message, ...NO_LOAD, paceSamples };
+      datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
+    }
+    return datagrams;
+  }
+
   #encodeEvidence(message: LoadMessage, evidence: readonly PartEvidence[]): readonly Uint8Array[] {
     const datagrams: Uint8Array[] = [];
     const size = PARTS_WITH_EVIDENCE_PER_DATAGRAM;
@@ -311,12 +336,21 @@
       for (let first = 0; first < parts.length; first += PARTS_PER_DATAGRAM) {
         const chunk = parts.slice(first, first + PARTS_PER_DATAGRAM);
         const placements = [toWirePlacement({ engine: hashText(id), parts: chunk })];
-        const bytes = encodePeerMessage({ memory: { placements } });
+        const bytes = encodePeerMessage({ memory: { placements, paceSamples: undefined } });
         this.#socket.send(bytes, receiver.port, receiver.host);
       }
     }
   }
 
+  #sendPaces(receiver: SocketAddress): void {
+    // Each datagram holds all samples of an instance: the receiver keeps the longer of two lists.
+    for (const samples of this.options.state.paces.list()) {
+      const paceSamples = toWirePaceSamples(samples);
+      const bytes = encodePeerMessage({ memory: { placements: [], paceSamples } });
+      this.#socket.send(bytes, receiver.port, receiver.host);
+    }
+  }
+
   #sendEvidence(receiver: SocketAddress): void {
     const evidence = this.options.state.partQuarantine.listEvidence().slice(0, MAX_STARTUP_PARTS);
     for (const bytes of this.#encodeEvidence(this.#gossip.buildEmptyMessage(), evidence)) {
@@ -352,11 +386,14 @@
       if (message.load !== undefined) this.#applyLoad(fromLoadShare(message.load), sender);
       if (message.asksMemory) {
         this.#sendCachedParts(sender);
+        this.#sendPaces(sender);
         this.#sendEvidence(sender);
         this.#sendOrigins(sender);
         this.#sendOutdated(sender);
       }
       if (message.memory === undefined) return;
+      this.options.state.paces.restore(fromWirePaceSamples(message.memory.paceSamples));
+      if (message.memory.placements.length === 0) return;
       this.#hasCachedParts = true;
       this.#applyPlacements(message.memory.placements.map(fromWirePlacement));
     } catch (error) {
@@ -378,6 +415,7 @@
     state.onPeerVersions(message.storeVersions, sender);
     if (!this.#gossip.receive(message, sender, nowMs)) return;
     this.#applyPlacements(message.placements);
+    state.paces.applyReports(message.paceSamples);
     for (const crash of message.crashes) state.crashes.addCrash(crash, nowMs);
     state.partQuarantine.addEvidence(message.partEvidence);
     state.workerLimits.applyReports(message.workerLimits);
--- a/packages/forwarder/src/peers/constants.ts
+++ b/packages/forwarder/src/peers/constants.ts
@@ -7,6 +7,9 @@
 /** Maximum number of cached parts in a datagram, some 20 bytes each. */
 export const PARTS_PER_DATAGRAM = 50;
 
+/** Maximum number of samples of workers' paces in a datagram, 6 to 8 bytes each. */
+export const PACE_SAMPLES_PER_DATAGRAM = 150;
+
 /** Interval at which a starting VM requests the engines' cached parts until a peer replies, in milliseconds. */
 export const CACHE_REQUEST_INTERVAL_MS = 300;
 
--- a/packages/forwarder/src/peers/loadMessages.test.ts
+++ b/packages/forwarder/src/peers/loadMessages.test.ts
@@ -8,11 +8,13 @@
   LoadScope,
   MAX_CRASHES_PER_PART,
   MAX_SENT_ENTRIES,
+  SampleKind,
 } from '@sardinegrade/routing';
 
 import {
   MAX_OUTDATED_WORKERS,
   ORIGINS_PER_DATAGRAM,
+  PACE_SAMPLES_PER_DATAGRAM,
   PARTS_WITH_EVIDENCE_PER_DATAGRAM,
   PLACEMENTS_PER_DATAGRAM,
 } from './constants.js';
@@ -59,6 +61,11 @@
     parts: PARTS,
   })),
   crashes: [],
+  paceSamples: [
+    { instance: 7, kind: SampleKind.OnTime, speed: 2 ** -0.5, gapMs: undefined },
+    { instance: 8, kind: SampleKind.Bad, speed: undefined, gapMs: undefined },
+    { instance: 9, kind: SampleKind.StreamEnd, speed: undefined, gapMs: 188 },
+  ],
   streamOrigins: [
     {
       service: toBranded('bead-oracle'),
@@ -106,10 +113,30 @@
     ...buildMessage(LoadScope.Digest),
     partEvidence: [],
     workerLimits: [],
+    paceSamples: [],
+    leavingWorkers: [],
+    outdatedWorkers: [],
+    brittleWorkers: [],
+    streamOrigins: [],
+  };
+  const bytes = encodePeerMessage({ load: toLoadShare(message) });
+  assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
+});
+
+test('the maximum number of pace samples fits into a datagram', () => {
+  const sample = { instance: 0xff_00_00_01, kind: SampleKind.Bad, speed: 4, gapMs: 1_000 };
+  const message = {
+    ...buildMessage(LoadScope.News),
+    engines: new Map(),
+    placements: [],
+    dataCentreAges: new Map(),
+    partEvidence: [],
+    workerLimits: [],
     leavingWorkers: [],
     outdatedWorkers: [],
     brittleWorkers: [],
     streamOrigins: [],
+    paceSamples: Array.from({ length: PACE_SAMPLES_PER_DATAGRAM }, () => sample),
   };
   const bytes = encodePeerMessage({ load: toLoadShare(message) });
   assert.ok(bytes.length <= DATAGRAM_LIMIT_BYTES, `${bytes.length} bytes`);
@@ -130,6 +157,7 @@
     placements: [],
     dataCentreAges: new Map(),
     workerLimits: [],
+    paceSamples: [],
     leavingWorkers: [],
     outdatedWorkers: [],
     brittleWorkers: [],
@@ -159,6 +187,7 @@
     workerLimits: [],
     partEvidence: [],
     streamOrigins: [],
+    paceSamples: [],
     leavingWorkers: [],
     outdatedWorkers: [],
     brittleWorkers: Array.from({ length: 2 * MAX_SENT_ENTRIES }, () => worker),
@@ -176,6 +205,7 @@
     placements: [],
     dataCentreAges: new Map(),
     workerLimits: [],
+    paceSamples: [],
     leavingWorkers: [],
     outdatedWorkers: [],
     brittleWorkers: [],
@@ -200,6 +230,7 @@
     streamOrigins: [],
     brittleWorkers: [],
     workerLimits: sent.map((instance) => ({ instance, perSecond: 0.1, ageMs: 600_000 })),
+    paceSamples: [],
     leavingWorkers: sent,
     outdatedWorkers: [],
   };
@@ -218,6 +249,7 @@
     streamOrigins: [],
     brittleWorkers: [],
     workerLimits: [],
+    paceSamples: [],
     leavingWorkers: [],
     outdatedWorkers: Array.from({ length: MAX_OUTDATED_WORKERS }, () => outdated),
   };
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -8,6 +8,8 @@
 import { LoadProtocol } from '@sardinegrade/peer';
 import { LoadScope } from '@sardinegrade/routing';
 
+import { fromWirePaceSamples, toWirePaceSamples } from './paceMessages.js';
+
 import type {
   BuildName,
   DataCentreName,
@@ -154,6 +156,7 @@
       rejectionAgeMs: toOptionalUint32(worker.rejectionAgeMs),
     })),
     streamOrigins: toWireOrigins(message.streamOrigins),
+    paceSamples: toWirePaceSamples(message.paceSamples),
     partEvidence: message.partEvidence.map(({ crashes, depth, ...evidence }) => ({
       ...evidence,
       depth: toUint32(depth),
@@ -244,6 +247,7 @@
     .filter(isLimit)
     .map((worker) => ({ ...worker, rejectionAgeMs: worker.rejectionAgeMs })),
   streamOrigins: load.streamOrigins.flatMap(fromWireOrigins),
+  paceSamples: fromWirePaceSamples(load.paceSamples),
   partEvidence: load.partEvidence.map((evidence) => ({
     ...evidence,
     part: toBranded<PartId>(evidence.part),
--- a/packages/forwarder/src/workers/WorkerFleet.ts
+++ b/packages/forwarder/src/workers/WorkerFleet.ts
@@ -168,16 +168,22 @@
    *
    * @param nowMs - current time, in milliseconds
    * @param isNeeded - returns whether other VMs need the load of a worker of a plain service
+   * @param getSpeed - returns the learned speed of an engine
    * @returns the workers with this VM's load
    */
-  listLoads(nowMs: number, isNeeded: (record: WorkerRecord) => boolean): readonly NamedLoad[] {
+  listLoads(
+    nowMs: number,
+    isNeeded: (record: WorkerRecord) => boolean,
+    getSpeed: (record: WorkerRecord) => number,
+  ): readonly NamedLoad[] {
     const loads: NamedLoad[] = [];
     for (const [id, record] of this.#records) {
       const { tracker, pool } = record;
       const plainRuns = pool.busyCount > 0 && isNeeded(record) ? pool.busyCount : 0;
       const runs = tracker.runCount > 0 ? tracker.runCount : plainRuns;
       if (runs === 0) continue;
-      loads.push({ id, load: { backlogTokens: tracker.estimateBacklogTokens(nowMs), runs } });
+      const backlogTokens = tracker.estimateBacklogTokens(nowMs, getSpeed(record));
+      loads.push({ id, load: { backlogTokens, runs } });
     }
     return loads;
   }
--- a/packages/forwarder/src/workers/index.ts
+++ b/packages/forwarder/src/workers/index.ts
@@ -1,4 +1,5 @@
 /** State that this VM keeps of the workers. */
 export * from './InvalidHeaderLog.js';
 export * from './WorkerFleet.js';
+export * from './WorkerPaces.js';
 export * from './toInstanceId.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,6 +6,7 @@
 export * from './limits/index.js';
 export * from './load/index.js';
 export * from './notices/index.js';
+export * from './pace/index.js';
 export * from './placement/index.js';
 export * from './quarantine/index.js';
 export * from './refusal/index.js';
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -20,9 +20,15 @@
 /** Time without a report after which a subscriber is removed and receives no more digests, in milliseconds. */
 const SUBSCRIBER_TIMEOUT_MS = 1_000;
 
-/** Maximum number of pending messages with news, and of placements and crashes in a report; the oldest are dropped. */
+/** Maximum number of placements and crashes in a report; the oldest are dropped. */
 const MAX_PENDING_NEWS = 64;
 
+/** Maximum number of pending messages with news: a relay of 195 VMs gets some 60 in an interval, two from a sender. */
+const MAX_PENDING_MESSAGES = 128;
+
+/** Maximum number of pace samples in a report: a fleet has some hundred in an interval, and a burst twice as many. */
+const MAX_PENDING_SAMPLES = 256;
+
 /** Dependencies of `LoadGossip`. */
 export interface LoadGossipOptions {
   readonly identity: VmIdentity;
@@ -45,11 +51,12 @@
   readonly news: News;
 }
 
-const NO_NEWS: News = { placements: [], crashes: [] };
+const NO_NEWS: News = { placements: [], crashes: [], paceSamples: [] };
 
 const mergeNews = (received: readonly ReceivedNews[]): News => ({
   placements: received.flatMap(({ news }) => news.placements).slice(-MAX_PENDING_NEWS),
   crashes: received.flatMap(({ news }) => news.crashes).slice(-MAX_PENDING_NEWS),
+  paceSamples: received.flatMap(({ news }) => news.paceSamples).slice(-MAX_PENDING_SAMPLES),
 });
 
 /**
@@ -176,10 +183,10 @@
   }
 
   #pushNews(received: ReceivedNews): void {
-    const { placements, crashes } = received.news;
-    if (placements.length === 0 && crashes.length === 0) return;
+    const { placements, crashes, paceSamples } = received.news;
+    if (placements.length + crashes.length + paceSamples.length === 0) return;
     this.#pendingNews.push(received);
-    if (this.#pendingNews.length > MAX_PENDING_NEWS) this.#pendingNews.shift();
+    if (this.#pendingNews.length > MAX_PENDING_MESSAGES) this.#pendingNews.shift();
   }
 
   /** Keeps the news of a message for forwarding. A sender that is no subscriber has sent them to all relays itself. */
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -1,5 +1,6 @@
 import type { DataCentreName, SocketAddress, VmId } from '@sardinegrade/common';
 import type { BrittleReport, LimitReport } from '../limits/index.js';
+import type { PaceSample } from '../pace/index.js';
 import type { PromptPart } from '../placement/index.js';
 import type { Crash, PartEvidence } from '../quarantine/index.js';
 import type { StreamOriginReport } from '../streams/index.js';
@@ -40,6 +41,8 @@
 export interface News {
   readonly placements: readonly Placement[];
   readonly crashes: readonly Crash[];
+  /** What answers of workers tell about their pace. */
+  readonly paceSamples: readonly PaceSample[];
 }
 
 /** State of the workers at a VM that watches them in the platform's store for others. */
--- /dev/null
+++ b/packages/routing/src/pace/index.ts
@@ -0,0 +1,6 @@
+/** Learns the pace of workers from their answers. */
+export * from './chooseTrial.js';
+export * from './enums.js';
+export * from './measureAnswer.js';
+export * from './PaceTable.js';
+export * from './types.js';
--- a/packages/routing/src/placement/EngineTracker.ts
+++ b/packages/routing/src/placement/EngineTracker.ts
@@ -1,14 +1,9 @@
+import { PREFILL_TOKENS_PER_MS } from './constants.js';
 import { countSharedTokens } from './countSharedTokens.js';
 import { PrefixCacheModel } from './PrefixCacheModel.js';
 
 import type { PromptShape } from './types.js';
 
-/**
- * Prefill rate of an engine, in prompt tokens per millisecond: the value in the specifications of the two smaller sites.
- * A site is an installation of the router.
- */
-export const PREFILL_TOKENS_PER_MS = 56.6;
-
 /**
  * Share of an engine's prefill rate that this VM's prompts are assumed to get, since other VMs may have prompts on
  * the same engine.
@@ -82,9 +77,10 @@
    * request was sent.
    *
    * @param nowMs - current time, in milliseconds
+   * @param speed - learned prefill rate, as a multiple of the nominal one
    * @returns the number of tokens
    */
-  estimateBacklogTokens(nowMs: number): number {
+  estimateBacklogTokens(nowMs: number, speed = 1): number {
     let unfinishedTokens = 0;
     let oldestSentAtMs = nowMs;
     for (const run of this.#runs) {
@@ -92,7 +88,8 @@
       unfinishedTokens += run.uncachedTokens;
       oldestSentAtMs = Math.min(oldestSentAtMs, run.sentAtMs);
     }
-    const prefilledTokens = (nowMs - oldestSentAtMs) * PREFILL_TOKENS_PER_MS * OWN_PREFILL_SHARE;
+    const prefilledTokens =
+      (nowMs - oldestSentAtMs) * PREFILL_TOKENS_PER_MS * speed * OWN_PREFILL_SHARE;
     return Math.max(unfinishedTokens * MIN_BACKLOG_SHARE, unfinishedTokens - prefilledTokens);
   }
 }
--- a/packages/routing/src/placement/shouldWait.ts
+++ b/packages/routing/src/placement/shouldWait.ts
@@ -1,4 +1,4 @@
-import { PREFILL_TOKENS_PER_MS } from './EngineTracker.js';
+import { PREFILL_TOKENS_PER_MS } from './constants.js';
 
 /** Latency class of prompts. Some engines are reserved for the Tight lane (see `EngineRanking`). */
 export enum PromptLane {
@@ -23,7 +23,8 @@
  *
  * @param lane - lane of the request
  * @param backlogTokens - prompt tokens that its engine has yet to prefill
+ * @param speed - learned prefill rate of its engine, as a multiple of the nominal one
  * @returns whether the request waits
  */
-export const shouldWait = (lane: PromptLane, backlogTokens: number): boolean =>
-  lane === PromptLane.Bulk && backlogTokens > MAX_BULK_BACKLOG_MS * PREFILL_TOKENS_PER_MS;
+export const shouldWait = (lane: PromptLane, backlogTokens: number, speed = 1): boolean =>
+  lane === PromptLane.Bulk && backlogTokens > MAX_BULK_BACKLOG_MS * PREFILL_TOKENS_PER_MS * speed;
