--- a/packages/routing/src/pace/PaceTable.ts
+++ b/packages/routing/src/pace/PaceTable.ts
@@ -41,7 +41,7 @@
       const own = this.#windows.get(instance)?.list() ?? [];
       if (countAnswers(own) >= countAnswers(group)) continue;
       this.#windows.delete(instance);
-      this.apply(group, nowMs);
+      this.#getWindow(instance, nowMs).restore(group, nowMs);
     }
   }
 
--- a/packages/routing/src/pace/PaceWindow.ts
+++ b/packages/routing/src/pace/PaceWindow.ts
@@ -11,7 +11,13 @@
 const MAX_SAMPLES = 64;
 
 /** Time in which a sample loses half of its weight, in milliseconds: a worker that gets no requests becomes unknown. */
-const AGE_HALF_LIFE_MS = 20_000;
+const AGE_HALF_LIFE_MS = 12_000;
+
+/**
+ * Minimum time between two samples that count, in milliseconds. A slow phase of an engine takes 600 ms: in a busy one a dozen
+ * answers tell of the same phase, and were enough to turn the median.
+ */
+const MIN_SAMPLE_INTERVAL_MS = 250;
 
 /** Newer samples after which a sample has half of its weight: a change of speed shows after as many. */
 const RANK_HALF_LIFE = 16;
@@ -83,6 +89,16 @@
     this.#limit = reduceLimit(this.#limit, sample.kind === SampleKind.Bad, nowMs);
   }
 
+  /** Adds samples of another VM, which does not tell their times: they count as taken one after another until now. */
+  restore(samples: readonly PaceSample[], nowMs: number): void {
+    const addAll = (list: readonly PaceSample[]): void => {
+      for (const [index, sample] of list.entries())
+        this.add(sample, nowMs - (list.length - 1 - index) * MIN_SAMPLE_INTERVAL_MS);
+    };
+    addAll(samples.filter(({ kind }) => kind !== SampleKind.StreamEnd));
+    addAll(samples.filter(({ kind }) => kind === SampleKind.StreamEnd));
+  }
+
   /** Lowers the limit to that of an instance that has just started and has given these answers. */
   startSmall(): void {
     let state: LimitState = { limit: INITIAL_LIMIT, cutAtMs: Number.NEGATIVE_INFINITY };
@@ -118,10 +134,12 @@
   ): PaceEstimate {
     let evidence = 0;
     let rank = 0;
+    let lastAtMs = Infinity;
     const values: WeightedValue[] = [];
     for (const { sample, atMs } of [...samples].reverse()) {
       const value = read(sample);
-      if (value === undefined) continue;
+      if (value === undefined || lastAtMs - atMs < MIN_SAMPLE_INTERVAL_MS) continue;
+      lastAtMs = atMs;
       const ageWeight = computeAgeWeight(nowMs - atMs);
       evidence += ageWeight;
       values.push({ value, weight: ageWeight * 2 ** (-rank / RANK_HALF_LIFE) });
--- a/packages/routing/src/pace/estimatePaces.ts
+++ b/packages/routing/src/pace/estimatePaces.ts
@@ -4,10 +4,13 @@
 import type { WorkerPace } from './types.js';
 
 /** Evidence from which on an estimate counts in full; below, it is pulled to the mean of the service's workers. */
-const FULL_EVIDENCE = 24;
+const FULL_SPEED_EVIDENCE = 24;
+
+/** The same for gaps, which vary less: they hold no estimate of a backlog. */
+const FULL_GAP_EVIDENCE = 12;
 
 /** Answers, weighted by age, below which a worker gets trials if most others have more. */
-const MIN_ANSWERS = 2;
+const MIN_ANSWERS = 4;
 
 /** Limit below which a worker counts as fresh or recovering. A few late answers of an established one do not lead there. */
 const TRIAL_LIMIT = 16;
@@ -24,35 +27,62 @@
  */
 const EQUAL_BAND = 0.15;
 
+/** Variance of the logarithm of a median of 24 samples of one of several even, noisy engines. */
+const NOISE_VARIANCE = 0.016;
+
+/** Logarithm of the ratio to the mean from which on a difference is no noise, whatever the other workers are like. */
+const CERTAIN_DIFFERENCE = 0.5;
+
 interface WorkerEstimate {
   readonly instance: number;
   readonly window: PaceWindow | undefined;
   readonly answers: number;
-  readonly speed: PaceEstimate;
-  readonly gap: PaceEstimate;
+  readonly speed: WeightedEstimate;
+  readonly gap: WeightedEstimate;
 }
 
 const NO_ESTIMATE: PaceEstimate = { median: 1, evidence: 0 };
 
-const computeWeight = ({ evidence }: PaceEstimate): number => Math.min(1, evidence / FULL_EVIDENCE);
+/** An estimate and the share of it that counts. */
+interface WeightedEstimate extends PaceEstimate {
+  readonly weight: number;
+}
 
-/** Mean of the logarithms of the estimates, by their evidence; undefined without any. */
-const computeMeanLog = (estimates: readonly PaceEstimate[], bound: number): number | undefined => {
-  let [sum, weights] = [0, 0];
-  for (const estimate of estimates) {
-    const weight = computeWeight(estimate);
-    sum += weight * Math.max(-bound, Math.min(bound, Math.log(estimate.median)));
-    weights += weight;
-  }
-  return weights === 0 ? undefined : sum / weights;
+const withWeight = (estimate: PaceEstimate, fullEvidence: number): WeightedEstimate => ({
+  ...estimate,
+  weight: Math.min(1, estimate.evidence / fullEvidence),
+});
+
+/** Distribution of the logarithms of the estimates for the workers of a service. */
+interface Spread {
+  readonly meanLog: number;
+  /** Share of their variance that is not noise: 0 for even workers. */
+  readonly share: number;
+}
+
+/** Computes the distribution of the estimates, by their evidence; undefined without any. */
+const computeSpread = (
+  estimates: readonly WeightedEstimate[],
+  bound: number,
+): Spread | undefined => {
+  const entries = estimates.map(({ median, weight }) => ({
+    weight,
+    log: Math.max(-bound, Math.min(bound, Math.log(median))),
+  }));
+  const weights = entries.reduce((sum, { weight }) => sum + weight, 0);
+  if (weights === 0) return undefined;
+  const meanLog = entries.reduce((sum, { weight, log }) => sum + weight * log, 0) / weights;
+  const squares = entries.reduce((sum, { weight, log }) => sum + weight * (log - meanLog) ** 2, 0);
+  const variance = squares / weights;
+  return { meanLog, share: Math.max(0, 1 - NOISE_VARIANCE / Math.max(variance, NOISE_VARIANCE)) };
 };
 
 /** Ratio of an estimate to the mean, pulled to 1 without evidence, and 1 if the difference is no more than noise. */
-const computeRatio = (estimate: PaceEstimate, meanLog: number): number => {
-  const weight = computeWeight(estimate);
+const computeRatio = ({ median, weight }: WeightedEstimate, { meanLog, share }: Spread): number => {
   if (weight === 0) return 1;
   const bound = Math.log(MAX_RATIO);
-  const difference = (Math.log(estimate.median) - meanLog) * weight;
+  const measured = (Math.log(median) - meanLog) * weight;
+  const difference = Math.abs(measured) < CERTAIN_DIFFERENCE ? measured * share : measured;
   return Math.abs(difference) <= EQUAL_BAND
     ? 1
     : Math.exp(Math.max(-bound, Math.min(bound, difference)));
@@ -66,8 +96,8 @@
   instance,
   window,
   answers: window?.countAnswers(nowMs) ?? 0,
-  speed: window?.estimateSpeed(nowMs) ?? NO_ESTIMATE,
-  gap: window?.estimateGap(nowMs) ?? NO_ESTIMATE,
+  speed: withWeight(window?.estimateSpeed(nowMs) ?? NO_ESTIMATE, FULL_SPEED_EVIDENCE),
+  gap: withWeight(window?.estimateGap(nowMs) ?? NO_ESTIMATE, FULL_GAP_EVIDENCE),
 });
 
 /** Gives instances that appear while the others have been answering a small limit. */
@@ -96,11 +126,11 @@
   const estimates = instances.map((instance) => toEstimate(instance, windows.get(instance), nowMs));
   const known = estimates.filter(({ answers }) => answers >= MIN_ANSWERS).length;
   const isMostlyKnown = known * 2 > instances.length;
-  const meanSpeed = computeMeanLog(
+  const speeds = computeSpread(
     estimates.map(({ speed }) => speed),
     Math.log(MAX_RATIO),
   );
-  const meanGap = computeMeanLog(
+  const gaps = computeSpread(
     estimates.map(({ gap }) => gap),
     Infinity,
   );
@@ -110,8 +140,8 @@
     classifyNew(estimate, isMostlyKnown);
     const limit = window?.limit ?? PRIOR_PACE.limit;
     paces.set(instance, {
-      speed: meanSpeed === undefined ? 1 : computeRatio(speed, meanSpeed),
-      gapMs: meanGap === undefined ? undefined : Math.exp(meanGap) * computeRatio(gap, meanGap),
+      speed: speeds === undefined ? 1 : computeRatio(speed, speeds),
+      gapMs: gaps === undefined ? undefined : Math.exp(gaps.meanLog) * computeRatio(gap, gaps),
       limit,
       needsTrials: isMostlyKnown && (answers < MIN_ANSWERS || limit < TRIAL_LIMIT),
       evidence: speed.evidence,
