--- a/packages/routing/src/pace/estimatePaces.ts
+++ b/packages/routing/src/pace/estimatePaces.ts
@@ -3,7 +3,7 @@
 import type { PaceEstimate, PaceWindow } from './PaceWindow.js';
 import type { WorkerPace } from './types.js';
 
-/** Evidence from which on an estimate counts in full; below, it is pulled to the mean of the service's workers. */
+/** Evidence from which on an estimate counts in full; below, it is pulled to the median of the service's workers. */
 const FULL_SPEED_EVIDENCE = 24;
 
 /** The same for gaps, which vary less: they hold no estimate of a backlog. */
@@ -18,11 +18,11 @@
 /** Answers, weighted by age, from which on a worker does not count as just started. */
 const ESTABLISHED_ANSWERS = 12;
 
-/** Limits of one estimate as a multiple of the nominal value: a single broken worker must not move the mean. */
+/** Limits of a ratio to the median. */
 const MAX_RATIO = 4;
 
 /**
- * Logarithm of the ratio to the mean below which a worker counts as equal to the others: the error of a median of 24
+ * Logarithm of the ratio to the median below which a worker counts as equal to the others: the error of a median of 24
  * samples. Without it even workers would be placed on by noise.
  */
 const EQUAL_BAND = 0.15;
@@ -30,7 +30,7 @@
 /** Variance of the logarithm of a median of 24 samples of one of several even, noisy engines. */
 const NOISE_VARIANCE = 0.016;
 
-/** Logarithm of the ratio to the mean from which on a difference is no noise, whatever the other workers are like. */
+/** Logarithm of the ratio to the median from which on a difference is no noise, whatever the other workers are like. */
 const CERTAIN_DIFFERENCE = 0.5;
 
 interface WorkerEstimate {
@@ -55,33 +55,47 @@
 
 /** Distribution of the logarithms of the estimates for the workers of a service. */
 interface Spread {
-  readonly meanLog: number;
+  /** Their median. */
+  readonly centreLog: number;
   /** Share of their variance that is not noise: 0 for even workers. */
   readonly share: number;
 }
 
-/** Computes the distribution of the estimates, by their evidence; undefined without any. */
-const computeSpread = (
-  estimates: readonly WeightedEstimate[],
-  bound: number,
-): Spread | undefined => {
-  const entries = estimates.map(({ median, weight }) => ({
-    weight,
-    log: Math.max(-bound, Math.min(bound, Math.log(median))),
-  }));
+/** Mean of weighted values; undefined if all weights are 0. */
+const computeMean = (
+  entries: readonly { readonly weight: number; readonly value: number }[],
+): number | undefined => {
   const weights = entries.reduce((sum, { weight }) => sum + weight, 0);
   if (weights === 0) return undefined;
-  const meanLog = entries.reduce((sum, { weight, log }) => sum + weight * log, 0) / weights;
-  const squares = entries.reduce((sum, { weight, log }) => sum + weight * (log - meanLog) ** 2, 0);
-  const variance = squares / weights;
-  return { meanLog, share: Math.max(0, 1 - NOISE_VARIANCE / Math.max(variance, NOISE_VARIANCE)) };
+  return entries.reduce((sum, { weight, value }) => sum + weight * value, 0) / weights;
 };
 
-/** Ratio of an estimate to the mean, pulled to 1 without evidence, and 1 if the difference is no more than noise. */
-const computeRatio = ({ median, weight }: WeightedEstimate, { meanLog, share }: Spread): number => {
+/**
+ * Computes the distribution of the estimates, by their evidence; undefined without any. Workers that differ with
+ * certainty do not make the noise of the others count.
+ */
+const computeSpread = (estimates: readonly WeightedEstimate[]): Spread | undefined => {
+  const entries = estimates
+    .filter(({ weight }) => weight > 0)
+    .map(({ median, weight }) => ({ weight, value: Math.log(median) }))
+    .sort((left, right) => left.value - right.value);
+  const centreLog = entries[Math.floor(entries.length / 2)]?.value;
+  if (centreLog === undefined) return undefined;
+  const squares = entries
+    .map(({ weight, value }) => ({ weight, value: (value - centreLog) ** 2 }))
+    .filter(({ value }) => value < CERTAIN_DIFFERENCE ** 2);
+  const variance = Math.max(NOISE_VARIANCE, computeMean(squares) ?? 0);
+  return { centreLog, share: 1 - NOISE_VARIANCE / variance };
+};
+
+/** Ratio of an estimate to the median, pulled to 1 without evidence, and 1 if the difference is no more than noise. */
+const computeRatio = (
+  { median, weight }: WeightedEstimate,
+  { centreLog, share }: Spread,
+): number => {
   if (weight === 0) return 1;
   const bound = Math.log(MAX_RATIO);
-  const measured = (Math.log(median) - meanLog) * weight;
+  const measured = (Math.log(median) - centreLog) * weight;
   const difference = Math.abs(measured) < CERTAIN_DIFFERENCE ? measured * share : measured;
   return Math.abs(difference) <= EQUAL_BAND
     ? 1
@@ -110,7 +124,7 @@
 /**
  * Estimates the paces of the workers of one service.
  *
- * Load pattern: engines of unequal speed, of which each VM sees few answers. Speeds are relative to the mean of the
+ * Load pattern: engines of unequal speed, of which each VM sees few answers. Speeds are relative to the median of the
  * service's workers: what delays all answers alike, such as links, or estimates of backlogs that are too low, cancels out.
  *
  * @param instances - hashes of the ids of the worker instances of the service
@@ -126,14 +140,8 @@
   const estimates = instances.map((instance) => toEstimate(instance, windows.get(instance), nowMs));
   const known = estimates.filter(({ answers }) => answers >= MIN_ANSWERS).length;
   const isMostlyKnown = known * 2 > instances.length;
-  const speeds = computeSpread(
-    estimates.map(({ speed }) => speed),
-    Math.log(MAX_RATIO),
-  );
-  const gaps = computeSpread(
-    estimates.map(({ gap }) => gap),
-    Infinity,
-  );
+  const speeds = computeSpread(estimates.map(({ speed }) => speed));
+  const gaps = computeSpread(estimates.map(({ gap }) => gap));
   const paces = new Map<number, WorkerPace>();
   for (const estimate of estimates) {
     const { instance, window, answers, speed, gap } = estimate;
@@ -141,7 +149,7 @@
     const limit = window?.limit ?? PRIOR_PACE.limit;
     paces.set(instance, {
       speed: speeds === undefined ? 1 : computeRatio(speed, speeds),
-      gapMs: gaps === undefined ? undefined : Math.exp(gaps.meanLog) * computeRatio(gap, gaps),
+      gapMs: gaps === undefined ? undefined : Math.exp(gaps.centreLog) * computeRatio(gap, gaps),
       limit,
       needsTrials: isMostlyKnown && (answers < MIN_ANSWERS || limit < TRIAL_LIMIT),
       evidence: speed.evidence,
--- a/packages/routing/src/placement/chooseEngine.ts
+++ b/packages/routing/src/placement/chooseEngine.ts
@@ -168,12 +168,11 @@
     );
     const speed = engine.pace?.speed ?? 1;
     const missesGap = (engine.pace?.gapMs ?? 0) > maxGapMs;
-    const homes = cachedTokens > 0 ? Infinity : homeCount;
     const expectedMs =
       (engine.backlogTokens + (prompt.promptTokens - cachedTokens) * PREFILL_WEIGHT) /
         (PREFILL_TOKENS_PER_MS * speed) +
       (engine.runs * DELAY_PER_RUN_MS) / speed +
-      computeRankPenaltyMs(rank, missesGap ? 0 : homes) +
+      computeRankPenaltyMs(rank, cachedTokens > 0 ? Infinity : homeCount) +
       (reserved.size > 0 ? computeLanePenaltyMs(context, reserved.has(engine.id)) : 0) +
       computePacePenaltyMs(engine, eventGapMs, missesGap) +
       (engine.isAvoided ? AVOIDED_PENALTY_MS : 0);
--- a/packages/routing/src/placement/chooseWorker.ts
+++ b/packages/routing/src/placement/chooseWorker.ts
@@ -23,11 +23,15 @@
 /** Cost of a worker that is avoided. It exceeds any number of running requests. */
 const AVOIDED_COST = 1_000;
 
+/** Smallest range of the random cost if the loads are those of all VMs. */
+const MIN_SHARED_SPREAD_COST = 2;
+
 /**
- * Difference of the requests of all VMs below which workers count as equal. All VMs know of the same loads, which are up to
- * 0.3 s old: if each chose the smallest one, all would choose the same worker until the next report.
+ * Range of the random cost if the loads are those of all VMs, as a multiple of the mean load. The loads are up to 0.3 s old,
+ * in which most requests of a plain service end. If each VM chose the smallest one, all would choose the same worker until
+ * the next report: in the test, with one or twice the mean, the loads differ about as much as without sharing.
  */
-const SHARED_SPREAD_COST = 2;
+const SHARED_SPREAD_FACTOR = 3;
 
 /** VMs share the loads of a plain service if it has fewer workers than one for this number of VMs. */
 const VMS_PER_WORKER = 4;
@@ -43,6 +47,12 @@
 export const isPlainLoadShared = (workerCount: number, vmCount: number): boolean =>
   workerCount * VMS_PER_WORKER < vmCount;
 
+const computeSharedSpreadCost = (workers: readonly WorkerView[]): number =>
+  Math.max(
+    MIN_SHARED_SPREAD_COST,
+    (SHARED_SPREAD_FACTOR * workers.reduce((sum, { runs }) => sum + runs, 0)) / workers.length,
+  );
+
 /**
  * Chooses the worker with the fewest requests; among equal ones a local worker with few failures.
  *
@@ -59,7 +69,7 @@
   random: RandomSource,
   isShared = false,
 ): UpstreamId | undefined => {
-  const spreadCost = isShared ? SHARED_SPREAD_COST : REMOTE_COST;
+  const spreadCost = isShared ? computeSharedSpreadCost(workers) : REMOTE_COST;
   let best: { readonly id: UpstreamId; readonly cost: number } | undefined;
   for (const worker of workers) {
     const cost =
