--- a/packages/routing/src/load/LoadGossip.test.ts
+++ b/packages/routing/src/load/LoadGossip.test.ts
@@ -3,6 +3,7 @@
 
 import { hashText, toBranded } from '@sardinegrade/common';
 
+import { SampleKind } from '../pace/index.js';
 import { computeReportInterval } from './computeReportInterval.js';
 import { DataCentreMonitor } from './DataCentreMonitor.js';
 import { LoadGossip } from './LoadGossip.js';
@@ -195,6 +196,26 @@
   }
 });
 
+// Guards against VMs that form different estimates of a worker, or count one answer of it twice.
+test('a sample of a pace reaches every other VM exactly once', () => {
+  for (const count of [7, 76, 195]) {
+    const fleet = new Fleet(count, 3);
+    fleet.run(4);
+    for (const vm of fleet.vms) vm.appliedMessages.length = 0;
+    const sample = { kind: SampleKind.OnTime, speed: 1.7, gapMs: undefined };
+    for (const [instance, { gossip }] of fleet.vms.entries())
+      gossip.addNews({ paceSamples: [{ ...sample, instance }] });
+    fleet.run(4);
+    for (const [index, vm] of fleet.vms.entries()) {
+      const instances = vm.appliedMessages.flatMap(({ paceSamples }) =>
+        paceSamples.map(({ instance }) => instance),
+      );
+      assert.equal(instances.length, count - 1, `${vm.peer.vm} of ${count}`);
+      assert.ok(new Set(instances).size === count - 1 && !instances.includes(index));
+    }
+  }
+});
+
 test('a placement reaches every other VM exactly once', () => {
   for (const count of [7, 76]) {
     const fleet = new Fleet(count, 4);
