--- a/packages/routing/src/pace/PaceWindow.ts
+++ b/packages/routing/src/pace/PaceWindow.ts
@@ -77,6 +77,11 @@
     return this.#limit.limit >= MAX_LIMIT ? Infinity : this.#limit.limit;
   }
 
+  /** When an answer was last known, in milliseconds; undefined before the first. */
+  get answeredAtMs(): number | undefined {
+    return this.#answers.at(-1)?.atMs;
+  }
+
   /** Adds a sample that became known at a time. */
   add(sample: PaceSample, nowMs: number): void {
     this.changedAtMs = nowMs;
--- a/packages/routing/src/pace/chooseTrial.ts
+++ b/packages/routing/src/pace/chooseTrial.ts
@@ -3,6 +3,9 @@
 /** Share of the requests that go to a worker for trial, as a multiple of its part of all workers. */
 const TRIAL_SHARE = 0.5;
 
+/** Largest share of the requests that are trials: each may read a prompt again that another engine has cached. */
+const MAX_TRIAL_SHARE = 0.05;
+
 /** Requests of all VMs at a worker above which it gets no trial. */
 const MAX_TRIAL_RUNS = 2;
 
@@ -25,5 +28,6 @@
 ): EngineView | undefined => {
   const candidates = engines.filter(canTry);
   if (candidates.length === 0 || candidates.length === engines.length) return undefined;
-  return candidates[Math.floor((draw * engines.length) / TRIAL_SHARE)];
+  const share = Math.min(TRIAL_SHARE / engines.length, MAX_TRIAL_SHARE / candidates.length);
+  return candidates[Math.floor(draw / share)];
 };
--- a/packages/routing/src/pace/estimatePaces.ts
+++ b/packages/routing/src/pace/estimatePaces.ts
@@ -9,15 +9,24 @@
 /** The same for gaps, which vary less: they hold no estimate of a backlog. */
 const FULL_GAP_EVIDENCE = 12;
 
-/** Answers, weighted by age, below which a worker gets trials if most others have more. */
+/** Answers, weighted by age, from which on a worker counts as known: trials are for fleets that mostly are. */
 const MIN_ANSWERS = 4;
 
+/** Time without an answer after which a worker gets trials, in milliseconds: it may have recovered unnoticed. */
+const IDLE_MS = 5_000;
+
 /** Limit below which a worker counts as fresh or recovering. A few late answers of an established one do not lead there. */
 const TRIAL_LIMIT = 16;
 
 /** Answers, weighted by age, from which on a worker does not count as just started. */
 const ESTABLISHED_ANSWERS = 12;
 
+/**
+ * Weight below which the gap of a worker counts as unknown. Pulled to the median of slow workers, a fast one with few samples
+ * would miss the target for gaps, get no requests, and so never show that it is fast.
+ */
+const MIN_GAP_WEIGHT = 0.75;
+
 /** Limits of a ratio to the median. */
 const MAX_RATIO = 4;
 
@@ -37,6 +46,7 @@
   readonly instance: number;
   readonly window: PaceWindow | undefined;
   readonly answers: number;
+  readonly isIdle: boolean;
   readonly speed: WeightedEstimate;
   readonly gap: WeightedEstimate;
 }
@@ -110,6 +120,7 @@
   instance,
   window,
   answers: window?.countAnswers(nowMs) ?? 0,
+  isIdle: nowMs - (window?.answeredAtMs ?? Number.NEGATIVE_INFINITY) > IDLE_MS,
   speed: withWeight(window?.estimateSpeed(nowMs) ?? NO_ESTIMATE, FULL_SPEED_EVIDENCE),
   gap: withWeight(window?.estimateGap(nowMs) ?? NO_ESTIMATE, FULL_GAP_EVIDENCE),
 });
@@ -144,14 +155,17 @@
   const gaps = computeSpread(estimates.map(({ gap }) => gap));
   const paces = new Map<number, WorkerPace>();
   for (const estimate of estimates) {
-    const { instance, window, answers, speed, gap } = estimate;
+    const { instance, window, isIdle, speed, gap } = estimate;
     classifyNew(estimate, isMostlyKnown);
     const limit = window?.limit ?? PRIOR_PACE.limit;
     paces.set(instance, {
       speed: speeds === undefined ? 1 : computeRatio(speed, speeds),
-      gapMs: gaps === undefined ? undefined : Math.exp(gaps.centreLog) * computeRatio(gap, gaps),
+      gapMs:
+        gaps === undefined || gap.weight < MIN_GAP_WEIGHT
+          ? undefined
+          : Math.exp(gaps.centreLog) * computeRatio(gap, gaps),
       limit,
-      needsTrials: isMostlyKnown && (answers < MIN_ANSWERS || limit < TRIAL_LIMIT),
+      needsTrials: isMostlyKnown && (isIdle || limit < TRIAL_LIMIT),
       evidence: speed.evidence,
     });
   }
--- a/packages/routing/src/pace/replay.test.ts
+++ b/packages/routing/src/pace/replay.test.ts
@@ -41,7 +41,7 @@
   },
 ];
 const CLASSES_ENGINES = 13;
-const SEEDS = [1, 2, 3];
+const SEEDS = [1, 2, 3, 4, 5, 6];
 const SECONDS = 30;
 
 /** Second half, in which the paces are known, in milliseconds. */
