--- a/packages/routing/src/pace/estimatePaces.ts
+++ b/packages/routing/src/pace/estimatePaces.ts
@@ -36,8 +36,8 @@
  */
 const EQUAL_BAND = 0.15;
 
-/** Variance of the logarithm of a median of 24 samples of one of several even, noisy engines. */
-const NOISE_VARIANCE = 0.016;
+/** Variance of the logarithms below which the medians of a fleet count as noise: differences of some 20 %. */
+const NOISE_VARIANCE = 0.04;
 
 /** Logarithm of the ratio to the median from which on a difference is no noise, whatever the other workers are like. */
 const CERTAIN_DIFFERENCE = 0.5;
