--- a/soak/src/SoakVm.ts
+++ b/soak/src/SoakVm.ts
@@ -6,7 +6,7 @@
 
 import { VmLinkFault } from './VmLinks.js';
 
-import type { VmPorts } from '@sardinegrade/users-platform/testing';
+import type { SiteLimits, VmPorts } from '@sardinegrade/users-platform/testing';
 import type { ChildProcess } from 'node:child_process';
 import type { VmLinkMessage } from './VmLinks.js';
 
@@ -25,6 +25,8 @@
    * upgrades and downgrades. Undefined if all VMs run the same program.
    */
   readonly olderProgramPath?: string | undefined;
+  /** Limits of the VM that its settings name. */
+  readonly limits?: SiteLimits | undefined;
   /** Number of the VM, which decides whether it begins with the older program. */
   readonly index?: number;
 }
--- a/soak/src/startSoakVm.ts
+++ b/soak/src/startSoakVm.ts
@@ -17,7 +17,7 @@
  */
 export const startSoakVm = (
   context: TestContext,
-  options: Pick<SoakVmOptions, 'name' | 'ip' | 'ports' | 'storePort'>,
+  options: Pick<SoakVmOptions, 'name' | 'ip' | 'ports' | 'storePort' | 'limits'>,
 ): SoakVm => {
   const folder = mkdtempSync(join(tmpdir(), 'sardinegrade-vm-'));
   const vm = new SoakVm({ ...options, folder, programPath: BUNDLE_PATH });
