--- a/packages/common/src/http/CallerConnections.ts
+++ b/packages/common/src/http/CallerConnections.ts
@@ -3,6 +3,16 @@
 
 import type { Server, ServerResponse } from 'node:http';
 
+/** Limits of connections; each is unlimited if it is missing. */
+export interface CallerConnectionLimits {
+  /** Maximum number of connections. A new one replaces that which has waited longest for a request or its head. */
+  readonly maxConnections?: number;
+  /** Maximum number of answers that are owed on a connection; it closes after them. */
+  readonly maxPipelined?: number;
+  /** Time without progress after which a connection with an unread answer is closed, in milliseconds. */
+  readonly unreadTimeoutMs?: number;
+}
+
 /** What is known of one connection of a caller. */
 interface CallerConnection {
   /** Answers that are not sent completely, in the order of their requests. */
@@ -35,6 +45,16 @@
 /** Connections of callers, and the answers that are owed on them. */
 export class CallerConnections {
   readonly #connections = new Map<Socket, CallerConnection>();
+  /** Connections on which no answer is owed; those that wait longest for a request come first. */
+  readonly #waiting = new Set<Socket>();
+
+  /** @param limits - limits of the connections */
+  constructor(private readonly limits: CallerConnectionLimits = {}) {}
+
+  /** Number of open connections. */
+  get count(): number {
+    return this.#connections.size;
+  }
 
   /**
    * Tracks the connections of a server. Node would close a connection as idle as soon as its answer has ended, although
@@ -64,10 +84,16 @@
     if (connection === undefined) return true;
     const { owed, isClosing } = connection;
     if (isClosing) return false;
+    if (owed.size >= (this.limits.maxPipelined ?? Infinity)) {
+      closeAfterOwed(socket, connection);
+      return false;
+    }
     owed.add(response);
+    this.#waiting.delete(socket);
     response.once('close', () => {
       owed.delete(response);
       connection.idleAtBytes = socket.bytesRead;
+      if (owed.size === 0) this.#finishOwed(socket, connection);
       finishRefused(socket, connection);
     });
     return true;
@@ -85,12 +111,51 @@
     response.shouldKeepAlive = false;
   }
 
+  /** Limits the time in which callers read answers that have ended; called every second. */
+  sweep(): void {
+    const { unreadTimeoutMs } = this.limits;
+    if (unreadTimeoutMs === undefined) return;
+    for (const [socket, { owed }] of this.#connections) {
+      const [first] = owed;
+      // A socket's timeout begins again whenever the system takes bytes; Node replaces it when the answer is sent.
+      if (first?.writableEnded === true && socket.timeout !== unreadTimeoutMs)
+        socket.setTimeout(unreadTimeoutMs);
+    }
+  }
+
+  /** Makes room for a new connection. Returns whether there is any. */
+  #makeRoom(): boolean {
+    if (this.#connections.size < (this.limits.maxConnections ?? Infinity)) return true;
+    const [longest] = this.#waiting;
+    if (longest === undefined) return false;
+    this.#remove(longest);
+    longest.destroy();
+    return true;
+  }
+
+  #finishOwed(socket: Socket, connection: CallerConnection): void {
+    if (socket.destroyed) return;
+    this.#waiting.add(socket);
+    // The head of the last answer may have been built before it was known that the connection closes after it.
+    if (connection.isClosing && connection.refusal === undefined) socket.destroySoon();
+  }
+
+  #remove(socket: Socket): void {
+    this.#waiting.delete(socket);
+    this.#connections.delete(socket);
+  }
+
   #add(socket: Socket): void {
+    if (!this.#makeRoom()) {
+      socket.destroy();
+      return;
+    }
     const owed = new Set<ServerResponse>();
     const connection = { owed, isClosing: false, refusal: undefined, idleAtBytes: undefined };
     this.#connections.set(socket, connection);
+    this.#waiting.add(socket);
     socket.once('close', () => {
-      this.#connections.delete(socket);
+      this.#remove(socket);
       closeQueued(owed);
     });
   }
@@ -116,6 +181,14 @@
   }
 }
 
+/** Closes a connection after the answers that are owed on it; nothing more is read. */
+const closeAfterOwed = (socket: Socket, connection: CallerConnection): void => {
+  connection.isClosing = true;
+  const last = [...connection.owed].at(-1);
+  if (last !== undefined) last.shouldKeepAlive = false;
+  socket.pause();
+};
+
 /** Whether an answer is owed to a request that was read whole; a refusal is the answer to one whose body is malformed. */
 const hasWholeRequest = ({ owed }: CallerConnection): boolean =>
   [...owed].some(({ req }) => req.complete);
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -12,8 +12,8 @@
   StreamPace,
 } from '@sardinegrade/routing';
 
-import { MAX_HELD_ANSWER_BYTES, MAX_HELD_BODY_BYTES, SPARED_BODY_BYTES } from './constants.js';
-import { CancelOrder, HeldBytes } from './relay/index.js';
+import { MAX_PIPELINED_REQUESTS, SPARED_BODY_BYTES, UNREAD_TIMEOUT_MS } from './constants.js';
+import { CancelOrder, deriveClientLimits, HeldBytes, TurnQueue } from './relay/index.js';
 import { WorkerLimits } from './limits/index.js';
 import { LinkMonitor, LinkSign, TunnelClient, WorkerDialer } from './links/index.js';
 import { WorkerNotices } from './notices/index.js';
@@ -40,6 +40,7 @@
   StoreVersions,
   Worker,
 } from '@sardinegrade/routing';
+import type { ClientLimits, ProcessLimits } from './relay/index.js';
 import type { ForwardProtocol } from './types.js';
 
 /** Dependencies and settings of the forwarder. */
@@ -52,6 +53,8 @@
   readonly random: RandomSource;
   /** Reads a monotonic clock, in milliseconds. */
   readonly getNowMs: () => number;
+  /** Memory and descriptors of this process, as far as they are known. */
+  readonly processLimits?: ProcessLimits;
 }
 
 /** Kinds of objects that are synchronized with the platform's store. */
@@ -88,20 +91,18 @@
   /** Estimates how long streams currently take. */
   readonly pace = new StreamPace();
   readonly metrics = createMetrics();
+  /** Limits of what clients make this VM hold. */
+  readonly clientLimits: ClientLimits;
   /** Unfinished answers of plain services, which are buffered. */
-  readonly heldAnswers = new HeldBytes({
-    maxBytes: MAX_HELD_ANSWER_BYTES,
-    sparedBytes: 0,
-    cancelOrder: CancelOrder.Largest,
-  });
+  readonly heldAnswers: HeldBytes;
+  /** Answers that callers have not read so far. */
+  readonly unreadAnswers: HeldBytes;
   /** Bodies of requests, which are read before they are sent. */
-  readonly heldBodies = new HeldBytes({
-    maxBytes: MAX_HELD_BODY_BYTES,
-    sparedBytes: SPARED_BODY_BYTES,
-    cancelOrder: CancelOrder.Newest,
-  });
+  readonly heldBodies: HeldBytes;
+  /** Lets bodies of many small chunks take turns. */
+  readonly bodyTurns = new TurnQueue();
   /** Connections of callers, and the answers that are owed on them. */
-  readonly callerConnections = new CallerConnections();
+  readonly callerConnections: CallerConnections;
   /** Detects requests that crash workers. */
   readonly crashes = new CrashTracker();
   /** Refuses requests with prompt parts that crash workers. */
@@ -174,6 +175,29 @@
   /** @param options - dependencies and settings */
   constructor(readonly options: ForwarderOptions) {
     const { logger, getNowMs, random } = options;
+    const limits = deriveClientLimits(options.processLimits ?? {});
+    this.clientLimits = limits;
+    this.heldAnswers = new HeldBytes({
+      maxBytes: limits.answerBytes,
+      sparedBytes: 0,
+      cancelOrder: CancelOrder.Largest,
+    });
+    this.unreadAnswers = new HeldBytes({
+      maxBytes: limits.unreadBytes,
+      sparedBytes: 0,
+      cancelOrder: CancelOrder.Oldest,
+    });
+    this.heldBodies = new HeldBytes({
+      maxBytes: limits.bodyBytes,
+      sparedBytes: SPARED_BODY_BYTES,
+      cancelOrder: CancelOrder.Newest,
+      maxOpen: limits.openBodies,
+    });
+    this.callerConnections = new CallerConnections({
+      maxConnections: limits.connections,
+      maxPipelined: MAX_PIPELINED_REQUESTS,
+      unreadTimeoutMs: UNREAD_TIMEOUT_MS,
+    });
     const getPeerRuns = (hash: number): number => this.sharedLoad.getLoad(hash).runs;
     this.tunnels = new TunnelClient({
       ...options,
@@ -330,6 +354,7 @@
   sweep(): void {
     const nowMs = this.options.getNowMs();
     this.fleet.sweep(nowMs);
+    this.callerConnections.sweep();
     this.streamOrigins.sweep(nowMs);
     this.#recordBuilds();
   }
--- a/packages/forwarder/src/constants.ts
+++ b/packages/forwarder/src/constants.ts
@@ -10,9 +10,24 @@
 /** Maximum number of bytes of requests' bodies that a VM holds, from their arrival until their answers have ended. */
 export const MAX_HELD_BODY_BYTES = 40 * 1_024 * 1_024;
 
+/** Maximum number of bytes of whole answers that a VM holds because their callers have not read them. */
+export const MAX_UNREAD_ANSWER_BYTES = 24 * 1_024 * 1_024;
+
+/** Time without progress after which the connection of a caller that does not read its answer is closed, in milliseconds. */
+export const UNREAD_TIMEOUT_MS = 10_000;
+
+/**
+ * Maximum number of requests of one connection without a whole answer. Callers rarely send a request before the last answer;
+ * the connection of one that sends more closes after the answers to these.
+ */
+export const MAX_PIPELINED_REQUESTS = 32;
+
 /** Size up to which a request's body is read even if the others have used up the memory for them, in bytes. */
 export const SPARED_BODY_BYTES = 64 * 1_024;
 
+/** Time after which callers may retry a request that was refused because of too many others, in milliseconds. */
+export const CROWDED_RETRY_MS = 1_000;
+
 /** Maximum size of one event of a stream, in bytes. Events are relayed once they are complete. */
 export const MAX_EVENT_BYTES = 256 * 1_024;
 
--- a/packages/forwarder/src/exchange/CallerAnswer.ts
+++ b/packages/forwarder/src/exchange/CallerAnswer.ts
@@ -5,6 +5,12 @@
 import type { LocalReply } from '../front/sendLocalReply.js';
 import type { AnswerHead, SendEnd } from './sendToWorker.js';
 
+/** Memory that an unread answer needs beside its bytes, in bytes. */
+const UNREAD_COST_BYTES = 8 * 1_024;
+
+/** Memory that a stream needs at its worker's connection while its caller does not read, in bytes: two reads and an event. */
+const UNREAD_STREAM_COST_BYTES = 192 * 1_024;
+
 /** The answer to one request of a caller. It is final once: whole, a reply of this VM, or cut after its beginning. */
 export class CallerAnswer {
   #streamHead: AnswerHead | undefined;
@@ -12,7 +18,21 @@
   constructor(
     private readonly state: ForwarderState,
     private readonly response: ServerResponse,
-  ) {}
+  ) {
+    response.once('close', () => state.unreadAnswers.remove(this.#cutUnread));
+  }
+
+  /** Closes the connection of a caller whose unread answer, together with others, needs too much memory. */
+  readonly #cutUnread = (): void => {
+    this.state.options.logger.warn(
+      'answer cut: the answers that callers do not read exceed the memory for them',
+      {
+        inputs: { unread_bytes: this.state.unreadAnswers.totalBytes },
+      },
+    );
+    // An answer behind another one has no connection of its own.
+    this.response.req.socket.destroy();
+  };
 
   /** Whether the caller has received the beginning of an answer. */
   get hasBegun(): boolean {
@@ -39,7 +59,12 @@
   writeEvents(events: Buffer, resume: () => void): boolean {
     this.#writeStreamHead();
     if (this.response.write(events)) return true;
-    this.response.once('drain', resume);
+    const { unreadAnswers } = this.state;
+    unreadAnswers.add(this.#cutUnread, UNREAD_STREAM_COST_BYTES + this.response.writableLength);
+    this.response.once('drain', () => {
+      unreadAnswers.remove(this.#cutUnread);
+      resume();
+    });
     return false;
   }
 
@@ -55,6 +80,9 @@
     this.#closeAfterIfDraining();
     this.response.writeHead(head.status, [...headers, 'content-length', String(body.length)]);
     this.response.end(body);
+    // The system has taken most answers at once.
+    if (this.response.writableLength > 0)
+      this.state.unreadAnswers.add(this.#cutUnread, UNREAD_COST_BYTES + body.length);
   }
 
   /** Sends a reply of this VM. */
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -60,6 +60,10 @@
     code: ResultCode.BodyTooLarge,
     message: `The body exceeds ${configuration?.limits.bodyBytes ?? 0} bytes.`,
   }),
+  [BodyEnd.TooSlow]: () => ({
+    code: ResultCode.DeadlineBeforeStart,
+    message: 'The body was not whole at the deadline of the request.',
+  }),
   [BodyEnd.NoMemory]: ({ options }, deadlineAtMs) => ({
     code: ResultCode.Overloaded,
     message: 'The bodies of all requests exceed the memory for them.',
@@ -67,6 +71,19 @@
   }),
 };
 
+/** Ends of bodies after which the connection closes, because the rest of the body is not read. */
+const CLOSING_ENDS: ReadonlySet<BodyEnd> = new Set([BodyEnd.TooLarge, BodyEnd.TooSlow]);
+
+/** Finds the time within which a body has to be whole: that of its request. */
+const findBodyTimeoutMs = (
+  { routes }: ForwarderState,
+  { headers, url }: IncomingMessage,
+  { deadlineMs = DEFAULT_TIMEOUT_MS }: CallerRequest,
+): number => {
+  const route = routes.find(headers.host ?? '', url ?? '/');
+  return Math.min(deadlineMs, route?.timeoutMs ?? DEFAULT_TIMEOUT_MS);
+};
+
 const isReply = (result: object | undefined): result is LocalReply =>
   result !== undefined && 'code' in result;
 
@@ -144,10 +161,14 @@
     refuse(state, response, caller, NOT_READY);
     return undefined;
   }
-  const limitBytes = configuration.limits.bodyBytes;
-  const read = await readBody(request, response, { limitBytes, held: state.heldBodies });
+  const read = await readBody(request, response, {
+    limitBytes: configuration.limits.bodyBytes,
+    limitMs: findBodyTimeoutMs(state, request, caller),
+    held: state.heldBodies,
+    turns: state.bodyTurns,
+  });
   if (read.end !== BodyEnd.Whole) {
-    if (read.end === BodyEnd.TooLarge) response.shouldKeepAlive = false;
+    if (CLOSING_ENDS.has(read.end)) response.shouldKeepAlive = false;
     const deadlineAtMs = arrivedAtMs + (caller.deadlineMs ?? DEFAULT_TIMEOUT_MS);
     const reply = BODY_REPLIES[read.end](state, deadlineAtMs);
     if (reply !== undefined) refuse(state, response, caller, reply);
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -1,6 +1,7 @@
 import { SendFailure } from '@sardinegrade/routing';
 
 import { MAX_ANSWER_BYTES } from '../constants.js';
+import { ByteCollector } from '../relay/index.js';
 
 import type { RequestId } from '@sardinegrade/common';
 import type { Dispatcher } from 'undici';
@@ -120,8 +121,7 @@
   #head: AnswerHead | undefined;
   #isRelayed = false;
   #isEnded = false;
-  #chunks: Buffer[] = [];
-  #bytes = 0;
+  readonly #body = new ByteCollector();
 
   constructor(
     private readonly request: WorkerRequest,
@@ -171,13 +171,11 @@
         connection.pauseBody();
         return;
       }
-      this.#bytes += chunk.length;
-      if (this.#bytes > MAX_ANSWER_BYTES) {
+      if (this.#body.bytes + chunk.length > MAX_ANSWER_BYTES) {
         this.cancel(SendFailure.Broken, 'the answer is too large to be held');
         return;
       }
-      this.#chunks.push(chunk);
-      this.held.add(this.#cancelHeld, chunk.length);
+      this.held.add(this.#cancelHeld, this.#body.add(chunk));
     },
     onResponseEnd: () => {
       const head = this.#head;
@@ -186,7 +184,7 @@
         this.#fail(SendFailure.Broken, 'the answer was cut by a reset');
       } else if (head.metadata.isNotRun || NOT_RUN_STATUSES.has(head.status)) {
         this.#fail(SendFailure.Rejected, `rejected with ${head.status}`);
-      } else this.#end({ isComplete: true, head, body: Buffer.concat(this.#chunks) });
+      } else this.#end({ isComplete: true, head, body: this.#body.join() });
     },
     onResponseError: (_controller, error) => {
       const wasSent = this.#controller !== undefined;
@@ -231,7 +229,7 @@
   #end(end: SendEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    this.#chunks = [];
+    this.#body.clear();
     this.held.remove(this.#cancelHeld);
     this.claimed.connection.finishAnswer();
     this.observer.onEnd(end);
--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -2,8 +2,9 @@
 
 import { ResultCode, toSardinegradeError } from '@sardinegrade/common';
 
-import { IDLE_SWEEP_INTERVAL_MS } from '../constants.js';
+import { CROWDED_RETRY_MS, IDLE_SWEEP_INTERVAL_MS } from '../constants.js';
 import { admitRequest, CallerAnswer, Exchange } from '../exchange/index.js';
+import { sendLocalReply } from './sendLocalReply.js';
 
 import type { SocketAddress } from '@sardinegrade/common';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -12,10 +13,10 @@
 import type { LocalReply } from './sendLocalReply.js';
 
 /**
- * Maximum size of a request head, in bytes. `CallerLimits.headerBytes` is decoded but not enforced: callers are expected
- * to keep to it.
+ * Maximum size of a request head, in bytes: twice what callers are expected to keep to (`CallerLimits.headerBytes`, which is
+ * not enforced). Each connection may hold that much.
  */
-const HEAD_LIMIT_BYTES = 64 * 1_024;
+const HEAD_LIMIT_BYTES = 32 * 1_024;
 
 /** Interval at which Node checks for callers that send their request head too slowly, in milliseconds. */
 const HEAD_CHECK_INTERVAL_MS = 1_000;
@@ -27,6 +28,13 @@
   retryAfterMs: 200,
 };
 
+/** Reply to a request beyond the number that this VM serves at the same time. */
+const CROWDED: LocalReply = {
+  code: ResultCode.Overloaded,
+  message: 'This VM serves as many requests as its descriptors allow.',
+  retryAfterMs: CROWDED_RETRY_MS,
+};
+
 /** HTTP server for callers. */
 export class FrontServer {
   readonly #server: Server;
@@ -93,6 +101,12 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.state.callerConnections.addAnswer(response)) return;
+    if (this.#openExchanges >= this.state.clientLimits.requests) {
+      // The rest of its body is not read.
+      if (!request.complete) response.shouldKeepAlive = false;
+      sendLocalReply(response, CROWDED);
+      return;
+    }
     this.#openExchanges += 1;
     response.once('close', () => {
       this.#openExchanges -= 1;
--- a/packages/forwarder/src/front/readBody.ts
+++ b/packages/forwarder/src/front/readBody.ts
@@ -1,5 +1,7 @@
+import { ByteCollector } from '../relay/index.js';
+
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { HeldBytes } from '../relay/index.js';
+import type { HeldBytes, TurnQueue } from '../relay/index.js';
 
 /** Outcome of reading a body. */
 export enum BodyEnd {
@@ -7,6 +9,8 @@
   TooLarge = 'too_large',
   /** The bodies of all requests together exceed the memory for them. What follows of this one is dropped. */
   NoMemory = 'no_memory',
+  /** The body was not whole at the request's deadline. */
+  TooSlow = 'too_slow',
   /** The caller closed the connection, or the body was malformed. */
   Broken = 'broken',
 }
@@ -20,12 +24,54 @@
 export interface BodyLimits {
   /** Maximum size of the body, in bytes. */
   readonly limitBytes: number;
+  /** Time within which the body has to be whole, in milliseconds. */
+  readonly limitMs: number;
   /** Limits the bodies of all requests together. */
   readonly held: HeldBytes;
+  /** Lets bodies of many small chunks take turns. */
+  readonly turns: TurnQueue;
+}
+
+/** Memory that a request with an open body needs beside the body, in bytes: its connection, its objects and its timer. */
+const OPEN_BODY_COST_BYTES = 8 * 1_024;
+
+/** Number of chunks in one read of a connection from which bodies take turns: such a read needs milliseconds. */
+const COSTLY_READ_CHUNKS = 256;
+
+/** Counts the chunks of each read. After a costly one, the connection is read again when it is its turn. */
+class ReadPacer {
+  #chunks = 0;
+  #isPaused = false;
+
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly turns: TurnQueue,
+  ) {}
+
+  recordChunk(): void {
+    this.#chunks += 1;
+    if (this.#chunks !== 1) return;
+    // Runs when all chunks of this read have been passed on, before the connection is read again.
+    queueMicrotask(() => {
+      const isCostly = this.#chunks >= COSTLY_READ_CHUNKS;
+      this.#chunks = 0;
+      if (!isCostly || this.request.complete) return;
+      this.#isPaused = true;
+      this.request.socket.pause();
+      this.turns.add(this.resume);
+    });
+  }
+
+  readonly resume = (): void => {
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    this.turns.remove(this.resume);
+    this.request.socket.resume();
+  };
 }
 
 /**
- * Reads the complete body of a request. Its bytes count as held until the response has ended.
+ * Reads the complete body of a request. The memory that it needs counts as held until the response has ended.
  *
  * @param request - the caller's request
  * @param response - the response to it
@@ -35,38 +81,61 @@
 export const readBody = (
   request: IncomingMessage,
   response: ServerResponse,
-  { limitBytes, held }: BodyLimits,
+  { limitBytes, limitMs, held, turns }: BodyLimits,
 ): Promise<BodyRead> => {
   const hasBody =
     request.headers['content-length'] !== undefined ||
     request.headers['transfer-encoding'] !== undefined;
   if (!hasBody) return Promise.resolve({ end: BodyEnd.Whole, body: undefined });
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const collector = new ByteCollector();
+    const pacer = new ReadPacer(request, turns);
     let bytes = 0;
     let isDropped = false;
-    const cancel = (): void => {
+    const refuse = (end: Exclude<BodyEnd, BodyEnd.Whole>): void => {
+      if (isDropped) return;
       isDropped = true;
-      chunks.length = 0;
-      resolve({ end: BodyEnd.NoMemory });
+      collector.clear();
+      held.remove(cancel);
+      resolve({ end });
+    };
+    const cancel = (): void => refuse(BodyEnd.NoMemory);
+    // A caller may read its refusal only after it has written its body, so the rest is read and dropped until the deadline.
+    const timer = setTimeout(() => {
+      if (isDropped) request.socket.destroy();
+      else refuse(BodyEnd.TooSlow);
+    }, limitMs);
+    const stopReading = (): void => {
+      clearTimeout(timer);
+      turns.remove(pacer.resume);
     };
     response.once('close', () => held.remove(cancel));
+    held.add(cancel, OPEN_BODY_COST_BYTES);
     request.on('data', (chunk: Buffer) => {
-      if (isDropped) return;
       bytes += chunk.length;
+      pacer.recordChunk();
       if (bytes > limitBytes) {
-        request.pause();
-        resolve({ end: BodyEnd.TooLarge });
+        // No caller within the limits sends more.
+        if (isDropped) request.socket.destroy();
+        else request.pause();
+        refuse(BodyEnd.TooLarge);
         return;
       }
-      chunks.push(chunk);
-      held.add(cancel, chunk.length);
+      if (!isDropped) held.add(cancel, collector.add(chunk));
     });
     request.on('end', () => {
+      stopReading();
+      pacer.resume();
+      if (isDropped) return;
       held.keep(cancel);
-      resolve({ end: BodyEnd.Whole, body: Buffer.concat(chunks) });
+      const body = collector.join();
+      collector.clear();
+      resolve({ end: BodyEnd.Whole, body });
+    });
+    request.on('error', () => refuse(BodyEnd.Broken));
+    request.on('close', () => {
+      stopReading();
+      refuse(BodyEnd.Broken);
     });
-    request.on('error', () => resolve({ end: BodyEnd.Broken }));
-    request.on('close', () => resolve({ end: BodyEnd.Broken }));
   });
 };
--- a/packages/forwarder/src/front/sendLocalReply.ts
+++ b/packages/forwarder/src/front/sendLocalReply.ts
@@ -12,7 +12,14 @@
   readonly retryAfterMs?: number | undefined;
 }
 
-const SERVICE_UNAVAILABLE = 503;
+/**
+ * Statuses of replies that differ from those of the codes. A request that crashes workers may be well-formed, so it is refused
+ * as not run instead of reported as invalid. A body that came too slowly was never run, which 504 does not tell.
+ */
+const OWN_STATUSES: Readonly<Partial<Record<ResultCode, number>>> = {
+  [ResultCode.Quarantined]: 503,
+  [ResultCode.DeadlineBeforeStart]: 408,
+};
 
 /** Codes of requests that may have run; all others have not. */
 const RUN_STATES: Readonly<Partial<Record<ResultCode, RunState>>> = {
@@ -30,9 +37,7 @@
 export const sendLocalReply = (response: ServerResponse, reply: LocalReply): void => {
   const run = RUN_STATES[reply.code] ?? RunState.NotRun;
   const body = JSON.stringify({ error: { code: reply.code, message: reply.message, run } });
-  // A request that crashes workers may be well-formed, so it is refused as not run instead of reported as invalid.
-  const status =
-    reply.code === ResultCode.Quarantined ? SERVICE_UNAVAILABLE : HTTP_STATUS[reply.code];
+  const status = OWN_STATUSES[reply.code] ?? HTTP_STATUS[reply.code];
   response.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
--- /dev/null
+++ b/packages/forwarder/src/relay/TurnQueue.ts
@@ -0,0 +1,36 @@
+/**
+ * Lets costly work take turns: one piece of it in each iteration of the event loop, so that timers and other connections are
+ * served between them.
+ */
+export class TurnQueue {
+  readonly #waiting = new Set<() => void>();
+  #isScheduled = false;
+
+  /**
+   * Adds a piece of work, once until it has run.
+   *
+   * @param run - called when it is its turn
+   */
+  add(run: () => void): void {
+    this.#waiting.add(run);
+    this.#schedule();
+  }
+
+  /** Removes a piece of work that is no longer needed. */
+  remove(run: () => void): void {
+    this.#waiting.delete(run);
+  }
+
+  #schedule(): void {
+    if (this.#isScheduled || this.#waiting.size === 0) return;
+    this.#isScheduled = true;
+    setImmediate(() => {
+      this.#isScheduled = false;
+      const [run] = this.#waiting;
+      if (run === undefined) return;
+      this.#waiting.delete(run);
+      this.#schedule();
+      run();
+    });
+  }
+}
