fix: bodies of many small chunks take turns

Cause: a read of 64 KiB holds 11,000 one-byte chunks, 15 ms of work, and libuv reads a connection up to 32 times in a row, so 100 such clients blocked the process for minutes. Change: after 256 chunks of a body in one iteration its connection is paused and read again when it is its turn, one read in an iteration. A whole body is no longer taken for one that was broken off.

--- a/packages/forwarder/src/front/readBody.ts
+++ b/packages/forwarder/src/front/readBody.ts
@@ -35,12 +35,13 @@
 /** Memory that a request with an open body needs beside the body, in bytes: its connection, its objects and its timer. */
 const OPEN_BODY_COST_BYTES = 8 * 1_024;
 
-/** Number of chunks in one read of a connection from which bodies take turns: such a read needs milliseconds. */
+/** Number of chunks of a body in one iteration of the event loop from which its next read waits for its turn. */
 const COSTLY_READ_CHUNKS = 256;
 
-/** Counts the chunks of each read. After a costly one, the connection is read again when it is its turn. */
+/** Counts the chunks of a body in each iteration. After a costly one, its connection is read again when it is its turn. */
 class ReadPacer {
   #chunks = 0;
+  #iteration = -1;
   #isPaused = false;
 
   constructor(
@@ -49,23 +50,27 @@
   ) {}
 
   recordChunk(): void {
+    const { iteration } = this.turns;
+    if (iteration !== this.#iteration) this.#chunks = 0;
+    this.#iteration = iteration;
     this.#chunks += 1;
-    if (this.#chunks !== 1) return;
-    // Runs when all chunks of this read have been passed on, before the connection is read again.
-    queueMicrotask(() => {
-      const isCostly = this.#chunks >= COSTLY_READ_CHUNKS;
-      this.#chunks = 0;
-      if (!isCostly || this.request.complete) return;
-      this.#isPaused = true;
-      this.request.socket.pause();
-      this.turns.add(this.resume);
-    });
+    if (this.#chunks >= COSTLY_READ_CHUNKS && !this.#isPaused) this.#pause();
+  }
+
+  #pause(): void {
+    this.#isPaused = true;
+    const { request } = this;
+    // Node reads the connection again after each chunk, through this method of the request.
+    request._read = () => undefined;
+    request.socket.pause();
+    this.turns.add(this.resume);
   }
 
   readonly resume = (): void => {
     if (!this.#isPaused) return;
     this.#isPaused = false;
     this.turns.remove(this.resume);
+    Reflect.deleteProperty(this.request, '_read');
     this.request.socket.resume();
   };
 }
@@ -92,8 +97,9 @@
     const pacer = new ReadPacer(request, turns);
     let bytes = 0;
     let isDropped = false;
+    let isWhole = false;
     const refuse = (end: Exclude<BodyEnd, BodyEnd.Whole>): void => {
-      if (isDropped) return;
+      if (isDropped || isWhole) return;
       isDropped = true;
       collector.clear();
       held.remove(cancel);
@@ -127,6 +133,7 @@
       stopReading();
       pacer.resume();
       if (isDropped) return;
+      isWhole = true;
       held.keep(cancel);
       const body = collector.join();
       collector.clear();
--- a/packages/forwarder/src/relay/TurnQueue.ts
+++ b/packages/forwarder/src/relay/TurnQueue.ts
@@ -5,6 +5,13 @@
 export class TurnQueue {
   readonly #waiting = new Set<() => void>();
   #isScheduled = false;
+  #iteration = 0;
+
+  /** Number of the current iteration of the event loop, as far as this queue has counted them. */
+  get iteration(): number {
+    this.#schedule();
+    return this.#iteration;
+  }
 
   /**
    * Adds a piece of work, once until it has run.
@@ -22,14 +29,15 @@
   }
 
   #schedule(): void {
-    if (this.#isScheduled || this.#waiting.size === 0) return;
+    if (this.#isScheduled) return;
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
+      this.#iteration += 1;
       const [run] = this.#waiting;
       if (run === undefined) return;
       this.#waiting.delete(run);
-      this.#schedule();
+      if (this.#waiting.size > 0) this.#schedule();
       run();
     });
   }
