fix: a connection that asks for more than 64 answers at a time is closed

Cause: pipelined requests were all run or kept, and Node goes on reading such a connection though it is paused.

--- a/packages/common/src/http/CallerConnections.ts
+++ b/packages/common/src/http/CallerConnections.ts
@@ -7,7 +7,7 @@
 export interface CallerConnectionLimits {
   /** Maximum number of connections. A new one replaces that which has waited longest for a request or its head. */
   readonly maxConnections?: number;
-  /** Maximum number of answers that are owed on a connection; it closes after them. */
+  /** Maximum number of answers that are owed on a connection; one that asks for more is closed. */
   readonly maxPipelined?: number;
   /** Time without progress after which a connection with an unread answer is closed, in milliseconds. */
   readonly unreadTimeoutMs?: number;
@@ -85,7 +85,9 @@
     const { owed, isClosing } = connection;
     if (isClosing) return false;
     if (owed.size >= (this.limits.maxPipelined ?? Infinity)) {
-      closeAfterOwed(socket, connection);
+      // Node would go on reading requests for which there is no answer.
+      connection.isClosing = true;
+      socket.destroy();
       return false;
     }
     owed.add(response);
@@ -93,7 +95,7 @@
     response.once('close', () => {
       owed.delete(response);
       connection.idleAtBytes = socket.bytesRead;
-      if (owed.size === 0) this.#finishOwed(socket, connection);
+      if (owed.size === 0 && !socket.destroyed) this.#waiting.add(socket);
       finishRefused(socket, connection);
     });
     return true;
@@ -133,13 +135,6 @@
     return true;
   }
 
-  #finishOwed(socket: Socket, connection: CallerConnection): void {
-    if (socket.destroyed) return;
-    this.#waiting.add(socket);
-    // The head of the last answer may have been built before it was known that the connection closes after it.
-    if (connection.isClosing && connection.refusal === undefined) socket.destroySoon();
-  }
-
   #remove(socket: Socket): void {
     this.#waiting.delete(socket);
     this.#connections.delete(socket);
@@ -181,14 +176,6 @@
   }
 }
 
-/** Closes a connection after the answers that are owed on it; nothing more is read. */
-const closeAfterOwed = (socket: Socket, connection: CallerConnection): void => {
-  connection.isClosing = true;
-  const last = [...connection.owed].at(-1);
-  if (last !== undefined) last.shouldKeepAlive = false;
-  socket.pause();
-};
-
 /** Whether an answer is owed to a request that was read whole; a refusal is the answer to one whose body is malformed. */
 const hasWholeRequest = ({ owed }: CallerConnection): boolean =>
   [...owed].some(({ req }) => req.complete);
--- a/packages/forwarder/src/constants.ts
+++ b/packages/forwarder/src/constants.ts
@@ -18,9 +18,9 @@
 
 /**
  * Maximum number of requests of one connection without a whole answer. Callers rarely send a request before the last answer;
- * the connection of one that sends more closes after the answers to these.
+ * the connection of one that sends more is closed.
  */
-export const MAX_PIPELINED_REQUESTS = 32;
+export const MAX_PIPELINED_REQUESTS = 64;
 
 /** Size up to which a request's body is read even if the others have used up the memory for them, in bytes. */
 export const SPARED_BODY_BYTES = 64 * 1_024;
