--- a/packages/forwarder/src/exchange/CallerAnswer.ts
+++ b/packages/forwarder/src/exchange/CallerAnswer.ts
@@ -75,14 +75,17 @@
   }
 
   /** Relays a whole plain answer. */
-  relay({ head, body }: Extract<SendEnd, { isComplete: true }>): void {
+  relay({ head, pieces }: Extract<SendEnd, { isComplete: true }>): void {
     const headers = this.state.options.protocol.encodeAnswer(head.headers);
+    const length = pieces.reduce((bytes, piece) => bytes + piece.length, 0);
     this.#closeAfterIfDraining();
-    this.response.writeHead(head.status, [...headers, 'content-length', String(body.length)]);
-    this.response.end(body);
+    this.response.writeHead(head.status, [...headers, 'content-length', String(length)]);
+    // Written piece by piece: a copy of large answers would need as much memory again.
+    for (const piece of pieces.slice(0, -1)) this.response.write(piece);
+    this.response.end(pieces.at(-1));
     // The system has taken most answers at once.
     if (this.response.writableLength > 0)
-      this.state.unreadAnswers.add(this.#cutUnread, UNREAD_COST_BYTES + body.length);
+      this.state.unreadAnswers.add(this.#cutUnread, UNREAD_COST_BYTES + length);
   }
 
   /** Sends a reply of this VM. */
--- a/packages/forwarder/src/exchange/sendToProcess.ts
+++ b/packages/forwarder/src/exchange/sendToProcess.ts
@@ -29,7 +29,7 @@
 /** Reads when the process started; undefined if the answer does not tell it. */
 const readStartedAtMs = ({ options }: ForwarderState, end: SendEnd): number | undefined =>
   end.isComplete
-    ? options.protocol.processReport.decodeStartedAtMs(end.body.toString())
+    ? options.protocol.processReport.decodeStartedAtMs(Buffer.concat(end.pieces).toString())
     : undefined;
 
 /** A send that waits for the engine to report which process it is. */
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -37,7 +37,7 @@
 
 /** How a send ended. */
 export type SendEnd =
-  | { readonly isComplete: true; readonly head: AnswerHead; readonly body: Buffer }
+  | { readonly isComplete: true; readonly head: AnswerHead; readonly pieces: readonly Buffer[] }
   | {
       readonly isComplete: false;
       readonly failure: SendFailure;
@@ -184,7 +184,7 @@
         this.#fail(SendFailure.Broken, 'the answer was cut by a reset');
       } else if (head.metadata.isNotRun || NOT_RUN_STATUSES.has(head.status)) {
         this.#fail(SendFailure.Rejected, `rejected with ${head.status}`);
-      } else this.#end({ isComplete: true, head, body: this.#body.join() });
+      } else this.#end({ isComplete: true, head, pieces: this.#body.takePieces() });
     },
     onResponseError: (_controller, error) => {
       const wasSent = this.#controller !== undefined;
--- a/packages/forwarder/src/front/readBody.ts
+++ b/packages/forwarder/src/front/readBody.ts
@@ -135,8 +135,8 @@
       if (isDropped) return;
       isWhole = true;
       held.keep(cancel);
-      const body = collector.join();
-      collector.clear();
+      const pieces = collector.takePieces();
+      const body = pieces.length === 1 ? pieces[0] : Buffer.concat(pieces);
       resolve({ end: BodyEnd.Whole, body });
     });
     request.on('error', () => refuse(BodyEnd.Broken));
--- a/packages/forwarder/src/relay/ByteCollector.ts
+++ b/packages/forwarder/src/relay/ByteCollector.ts
@@ -55,11 +55,12 @@
     this.#heldBytes = 0;
   }
 
-  /** @returns the message, which shares memory with the collected chunks if it is only one */
-  join(): Buffer {
+  /** @returns the message in pieces, which share memory with the collected chunks; nothing is held afterwards */
+  takePieces(): readonly Buffer[] {
     this.#closeBlock();
-    const [first] = this.#pieces;
-    return this.#pieces.length === 1 && first !== undefined ? first : Buffer.concat(this.#pieces);
+    const pieces = [...this.#pieces];
+    this.clear();
+    return pieces;
   }
 
   #keep(chunk: Buffer): void {
