fix: an answer with a status of 600 or more is a failure of its worker

Cause: the parser accepts any three digits as a status, and answers of 600 and above were passed on as error answers of the worker; below 100 they ended as broken already, but as informational answers. Change: a status below 100 or above 599 ends the send as broken.

--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -72,6 +72,10 @@
 const SUCCESS_FIRST = 200;
 const SUCCESS_LAST = 299;
 
+/** First and last status of an answer, informational ones included; the parser accepts any three digits. */
+const STATUS_FIRST = 100;
+const STATUS_LAST = 599;
+
 /** @returns whether a status code reports success */
 export const isSuccess = (status: number): boolean =>
   status >= SUCCESS_FIRST && status <= SUCCESS_LAST;
@@ -141,6 +145,10 @@
     },
     onResponseStart: (controller, status) => {
       if (this.#isEnded) return;
+      if (status < STATUS_FIRST || status > STATUS_LAST) {
+        this.cancel(SendFailure.Broken, `the answer's status ${status} is not valid`);
+        return;
+      }
       if (status < SUCCESS_FIRST) {
         this.claimed.connection.resetHeadTimeout();
         return;
--- a/packages/forwarder/src/testing/TestWorker.ts
+++ b/packages/forwarder/src/testing/TestWorker.ts
@@ -22,6 +22,8 @@
   closed = 0;
   /** Whether the script answers requests for reports, too; otherwise there are none. */
   hasScriptedReports = false;
+  /** Called with each new connection instead of reading requests from it, if set. */
+  rawScript: ((socket: Socket) => void) | undefined;
 
   /** @param script - called for each request */
   constructor(public script: WorkerScript) {
@@ -33,7 +35,8 @@
         this.#sockets.delete(socket);
       });
       socket.on('error', () => socket.destroy());
-      this.#readHeads(socket);
+      if (this.rawScript === undefined) this.#readHeads(socket);
+      else this.rawScript(socket);
     });
   }
 
