fix: garbage of large messages is collected after 24 MiB of it

Cause: V8 collects the memory of buffers only after 64 MB more of it, and one iteration may receive more than a VM has.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -13,7 +13,13 @@
 } from '@sardinegrade/routing';
 
 import { MAX_PIPELINED_REQUESTS, SPARED_BODY_BYTES, UNREAD_TIMEOUT_MS } from './constants.js';
-import { CancelOrder, deriveClientLimits, HeldBytes, TurnQueue } from './relay/index.js';
+import {
+  CancelOrder,
+  deriveClientLimits,
+  GarbageCollector,
+  HeldBytes,
+  TurnQueue,
+} from './relay/index.js';
 import { WorkerLimits } from './limits/index.js';
 import { LinkMonitor, LinkSign, TunnelClient, WorkerDialer } from './links/index.js';
 import { WorkerNotices } from './notices/index.js';
@@ -177,21 +183,25 @@
     const { logger, getNowMs, random } = options;
     const limits = deriveClientLimits(options.processLimits ?? {});
     this.clientLimits = limits;
+    const onRemoved = new GarbageCollector(limits.releasedBytes).recordReleased;
     this.heldAnswers = new HeldBytes({
       maxBytes: limits.answerBytes,
       sparedBytes: 0,
+      onRemoved,
       cancelOrder: CancelOrder.Largest,
     });
     this.unreadAnswers = new HeldBytes({
       maxBytes: limits.unreadBytes,
       sparedBytes: 0,
       cancelOrder: CancelOrder.Oldest,
+      onRemoved,
     });
     this.heldBodies = new HeldBytes({
       maxBytes: limits.bodyBytes,
       sparedBytes: SPARED_BODY_BYTES,
       cancelOrder: CancelOrder.Newest,
       maxOpen: limits.openBodies,
+      onRemoved,
     });
     this.callerConnections = new CallerConnections({
       maxConnections: limits.connections,
--- a/packages/forwarder/src/constants.ts
+++ b/packages/forwarder/src/constants.ts
@@ -13,6 +13,9 @@
 /** Maximum number of bytes of whole answers that a VM holds because their callers have not read them. */
 export const MAX_UNREAD_ANSWER_BYTES = 24 * 1_024 * 1_024;
 
+/** Number of bytes of released messages after which a VM collects garbage; a collection takes some 10 ms. */
+export const MAX_RELEASED_BYTES = 24 * 1_024 * 1_024;
+
 /** Time without progress after which the connection of a caller that does not read its answer is closed, in milliseconds. */
 export const UNREAD_TIMEOUT_MS = 10_000;
 
--- a/packages/forwarder/src/relay/HeldBytes.ts
+++ b/packages/forwarder/src/relay/HeldBytes.ts
@@ -20,6 +20,8 @@
   readonly cancelOrder: CancelOrder;
   /** Maximum number of messages that are not whole; those that came first are cancelled. Unlimited by default. */
   readonly maxOpen?: number;
+  /** Called with the number of bytes of a message that is removed, however it ended. */
+  readonly onRemoved?: (bytes: number) => void;
 }
 
 /** Cancels a message, and identifies it: always the same function for one message. */
@@ -115,9 +117,12 @@
 
   /** Removes a message that was finished or cancelled. */
   remove(cancel: Cancel): void {
-    this.#totalBytes -= this.#open.get(cancel) ?? this.#whole.get(cancel) ?? 0;
+    const bytes = this.#open.get(cancel) ?? this.#whole.get(cancel);
+    if (bytes === undefined) return;
+    this.#totalBytes -= bytes;
     this.#open.delete(cancel);
     this.#whole.delete(cancel);
+    this.limits.onRemoved?.(bytes);
   }
 
   /** Selects the message to cancel; undefined if there are not too many. */
--- a/packages/forwarder/src/relay/deriveClientLimits.ts
+++ b/packages/forwarder/src/relay/deriveClientLimits.ts
@@ -1,6 +1,7 @@
 import {
   MAX_HELD_ANSWER_BYTES,
   MAX_HELD_BODY_BYTES,
+  MAX_RELEASED_BYTES,
   MAX_UNREAD_ANSWER_BYTES,
 } from '../constants.js';
 
@@ -17,6 +18,8 @@
   readonly bodyBytes: number;
   readonly answerBytes: number;
   readonly unreadBytes: number;
+  /** Released memory of messages after which garbage is collected, in bytes. */
+  readonly releasedBytes: number;
   /** Maximum number of connections of callers. */
   readonly connections: number;
   /** Maximum number of requests without a whole answer. */
@@ -69,6 +72,7 @@
     bodyBytes: Math.floor(MAX_HELD_BODY_BYTES * memoryShare),
     answerBytes: Math.floor(MAX_HELD_ANSWER_BYTES * memoryShare * (1 + PIECE_SHARE)),
     unreadBytes: Math.floor(MAX_UNREAD_ANSWER_BYTES * memoryShare),
+    releasedBytes: Math.floor(MAX_RELEASED_BYTES * memoryShare),
     connections: Math.max(MIN_CONNECTIONS, Math.floor(usable * CONNECTION_SHARE)),
     requests,
     openBodies: Math.ceil(requests * OPEN_BODY_SHARE),
