--- a/packages/forwarder/src/relay/HeldBytes.test.ts
+++ b/packages/forwarder/src/relay/HeldBytes.test.ts
@@ -106,3 +106,26 @@
   held.add(first, 20);
   assert.deepEqual([held.totalBytes, cancelled], [80, ['second']]);
 });
+
+// Guards against small messages that are never cancelled, however many there are.
+test('small messages are cancelled, the first ones first, beyond a quarter more or beyond their number', () => {
+  const cancelled: number[] = [];
+  const addAll = (maxOpen: number): HeldBytes => {
+    cancelled.length = 0;
+    const limits = { maxBytes: 100, sparedBytes: 10, cancelOrder: CancelOrder.Newest, maxOpen };
+    const held = new HeldBytes(limits);
+    for (let index = 0; index < 15; index += 1) held.add(() => cancelled.push(index), 10);
+    return held;
+  };
+  assert.equal(addAll(Infinity).totalBytes, 120);
+  assert.deepEqual(cancelled, [0, 1, 2]);
+  assert.equal(addAll(10).openCount, 10);
+  assert.deepEqual(cancelled, [0, 1, 2, 3, 4]);
+});
+
+test('the oldest message is cancelled where it has made no progress for the longest time', () => {
+  const held = new HeldBytes({ maxBytes: 100, sparedBytes: 0, cancelOrder: CancelOrder.Oldest });
+  const cancelled: string[] = [];
+  for (const name of ['first', 'second', 'third']) held.add(() => cancelled.push(name), 40);
+  assert.deepEqual([held.totalBytes, cancelled], [80, ['first']]);
+});
