fix: after a connection that asks for too many answers, connections are read four in an iteration

Cause: what one read brings is held until the end of the iteration, also if its connection is closed, and one iteration may read all connections.

--- a/packages/common/src/http/CallerConnections.ts
+++ b/packages/common/src/http/CallerConnections.ts
@@ -34,6 +34,9 @@
 
 const BAD_REQUEST = 400;
 
+/** Number of connections that are read again in one iteration after all have been paused. */
+const RESUMED_CONNECTIONS = 4;
+
 /** The parser reports the end of the caller's stream in the middle of a request by this code. */
 const CALLER_ENDED = 'HPE_INVALID_EOF_STATE';
 
@@ -48,6 +51,9 @@
   /** Connections on which no answer is owed; those that wait longest for a request come first. */
   readonly #waiting = new Set<Socket>();
 
+  /** Connections that are read again in one of the next iterations of the event loop. */
+  readonly #paused = new Set<Socket>();
+
   /** @param limits - limits of the connections */
   constructor(private readonly limits: CallerConnectionLimits = {}) {}
 
@@ -88,6 +94,7 @@
       // Node would go on reading requests for which there is no answer.
       connection.isClosing = true;
       socket.destroy();
+      this.#pauseAll();
       return false;
     }
     owed.add(response);
@@ -125,6 +132,32 @@
     }
   }
 
+  /**
+   * Pauses all connections, of which some are then read in each iteration of the event loop. What one read of a connection
+   * brings is held until the end of the iteration, also if the connection is closed.
+   */
+  #pauseAll(): void {
+    const isScheduled = this.#paused.size > 0;
+    for (const socket of this.#connections.keys()) {
+      if (socket.destroyed || socket.isPaused()) continue;
+      socket.pause();
+      this.#paused.add(socket);
+    }
+    if (!isScheduled && this.#paused.size > 0) setImmediate(() => this.#resumeSome());
+  }
+
+  #resumeSome(): void {
+    let resumed = 0;
+    for (const socket of this.#paused) {
+      this.#paused.delete(socket);
+      if (socket.destroyed) continue;
+      socket.resume();
+      resumed += 1;
+      if (resumed >= RESUMED_CONNECTIONS) break;
+    }
+    if (this.#paused.size > 0) setImmediate(() => this.#resumeSome());
+  }
+
   /** Makes room for a new connection. Returns whether there is any. */
   #makeRoom(): boolean {
     if (this.#connections.size < (this.limits.maxConnections ?? Infinity)) return true;
