--- a/packages/common/src/http/CallerConnections.ts
+++ b/packages/common/src/http/CallerConnections.ts
@@ -3,6 +3,16 @@
 
 import type { Server, ServerResponse } from 'node:http';
 
+/** Limits of connections; each is unlimited if it is missing. */
+export interface CallerConnectionLimits {
+  /** Maximum number of connections. A new one replaces that which has waited longest for a request or its head. */
+  readonly maxConnections?: number;
+  /** Maximum number of answers that are owed on a connection; one that asks for more is closed. */
+  readonly maxPipelined?: number;
+  /** Time without progress after which a connection with an unread answer is closed, in milliseconds. */
+  readonly unreadTimeoutMs?: number;
+}
+
 /** What is known of one connection of a caller. */
 interface CallerConnection {
   /** Answers that are not sent completely, in the order of their requests. */
@@ -24,6 +34,9 @@
 
 const BAD_REQUEST = 400;
 
+/** Number of connections that are read again in one iteration after all have been paused. */
+const RESUMED_CONNECTIONS = 4;
+
 /** The parser reports the end of the caller's stream in the middle of a request by this code. */
 const CALLER_ENDED = 'HPE_INVALID_EOF_STATE';
 
@@ -35,6 +48,19 @@
 /** Connections of callers, and the answers that are owed on them. */
 export class CallerConnections {
   readonly #connections = new Map<Socket, CallerConnection>();
+  /** Connections on which no answer is owed; those that wait longest for a request come first. */
+  readonly #waiting = new Set<Socket>();
+
+  /** Connections that are read again in one of the next iterations of the event loop. */
+  readonly #paused = new Set<Socket>();
+
+  /** @param limits - limits of the connections */
+  constructor(private readonly limits: CallerConnectionLimits = {}) {}
+
+  /** Number of open connections. */
+  get count(): number {
+    return this.#connections.size;
+  }
 
   /**
    * Tracks the connections of a server. Node would close a connection as idle as soon as its answer has ended, although
@@ -64,10 +90,19 @@
     if (connection === undefined) return true;
     const { owed, isClosing } = connection;
     if (isClosing) return false;
+    if (owed.size >= (this.limits.maxPipelined ?? Infinity)) {
+      // Node would go on reading requests for which there is no answer.
+      connection.isClosing = true;
+      socket.destroy();
+      this.#pauseAll();
+      return false;
+    }
     owed.add(response);
+    this.#waiting.delete(socket);
     response.once('close', () => {
       owed.delete(response);
       connection.idleAtBytes = socket.bytesRead;
+      if (owed.size === 0 && !socket.destroyed) this.#waiting.add(socket);
       finishRefused(socket, connection);
     });
     return true;
@@ -85,12 +120,70 @@
     response.shouldKeepAlive = false;
   }
 
+  /** Limits the time in which callers read answers that have ended; called every second. */
+  sweep(): void {
+    const { unreadTimeoutMs } = this.limits;
+    if (unreadTimeoutMs === undefined) return;
+    for (const [socket, { owed }] of this.#connections) {
+      const [first] = owed;
+      // A socket's timeout begins again whenever the system takes bytes; Node replaces it when the answer is sent.
+      if (first?.writableEnded === true && socket.timeout !== unreadTimeoutMs)
+        socket.setTimeout(unreadTimeoutMs);
+    }
+  }
+
+  /**
+   * Pauses all connections, of which some are then read in each iteration of the event loop. What one read of a connection
+   * brings is held until the end of the iteration, also if the connection is closed.
+   */
+  #pauseAll(): void {
+    const isScheduled = this.#paused.size > 0;
+    for (const socket of this.#connections.keys()) {
+      if (socket.destroyed || socket.isPaused()) continue;
+      socket.pause();
+      this.#paused.add(socket);
+    }
+    if (!isScheduled && this.#paused.size > 0) setImmediate(() => this.#resumeSome());
+  }
+
+  #resumeSome(): void {
+    let resumed = 0;
+    for (const socket of this.#paused) {
+      this.#paused.delete(socket);
+      if (socket.destroyed) continue;
+      socket.resume();
+      resumed += 1;
+      if (resumed >= RESUMED_CONNECTIONS) break;
+    }
+    if (this.#paused.size > 0) setImmediate(() => this.#resumeSome());
+  }
+
+  /** Makes room for a new connection. Returns whether there is any. */
+  #makeRoom(): boolean {
+    if (this.#connections.size < (this.limits.maxConnections ?? Infinity)) return true;
+    const [longest] = this.#waiting;
+    if (longest === undefined) return false;
+    this.#remove(longest);
+    longest.destroy();
+    return true;
+  }
+
+  #remove(socket: Socket): void {
+    this.#waiting.delete(socket);
+    this.#connections.delete(socket);
+  }
+
   #add(socket: Socket): void {
+    if (!this.#makeRoom()) {
+      socket.destroy();
+      return;
+    }
     const owed = new Set<ServerResponse>();
     const connection = { owed, isClosing: false, refusal: undefined, idleAtBytes: undefined };
     this.#connections.set(socket, connection);
+    this.#waiting.add(socket);
     socket.once('close', () => {
-      this.#connections.delete(socket);
+      this.#remove(socket);
       closeQueued(owed);
     });
   }
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -1,6 +1,7 @@
 import { SendFailure } from '@sardinegrade/routing';
 
 import { MAX_ANSWER_BYTES } from '../constants.js';
+import { ByteCollector } from '../relay/index.js';
 
 import type { RequestId } from '@sardinegrade/common';
 import type { Dispatcher } from 'undici';
@@ -36,7 +37,7 @@
 
 /** How a send ended. */
 export type SendEnd =
-  | { readonly isComplete: true; readonly head: AnswerHead; readonly body: Buffer }
+  | { readonly isComplete: true; readonly head: AnswerHead; readonly pieces: readonly Buffer[] }
   | {
       readonly isComplete: false;
       readonly failure: SendFailure;
@@ -71,6 +72,10 @@
 const SUCCESS_FIRST = 200;
 const SUCCESS_LAST = 299;
 
+/** First and last status of an answer, informational ones included; the parser accepts any three digits. */
+const STATUS_FIRST = 100;
+const STATUS_LAST = 599;
+
 /** @returns whether a status code reports success */
 export const isSuccess = (status: number): boolean =>
   status >= SUCCESS_FIRST && status <= SUCCESS_LAST;
@@ -120,8 +125,7 @@
   #head: AnswerHead | undefined;
   #isRelayed = false;
   #isEnded = false;
-  #chunks: Buffer[] = [];
-  #bytes = 0;
+  readonly #body = new ByteCollector();
 
   constructor(
     private readonly request: WorkerRequest,
@@ -141,6 +145,10 @@
     },
     onResponseStart: (controller, status) => {
       if (this.#isEnded) return;
+      if (status < STATUS_FIRST || status > STATUS_LAST) {
+        this.cancel(SendFailure.Broken, `the answer's status ${status} is not valid`);
+        return;
+      }
       if (status < SUCCESS_FIRST) {
         this.claimed.connection.resetHeadTimeout();
         return;
@@ -171,13 +179,11 @@
         connection.pauseBody();
         return;
       }
-      this.#bytes += chunk.length;
-      if (this.#bytes > MAX_ANSWER_BYTES) {
+      if (this.#body.bytes + chunk.length > MAX_ANSWER_BYTES) {
         this.cancel(SendFailure.Broken, 'the answer is too large to be held');
         return;
       }
-      this.#chunks.push(chunk);
-      this.held.add(this.#cancelHeld, chunk.length);
+      this.held.add(this.#cancelHeld, this.#body.add(chunk));
     },
     onResponseEnd: () => {
       const head = this.#head;
@@ -186,7 +192,7 @@
         this.#fail(SendFailure.Broken, 'the answer was cut by a reset');
       } else if (head.metadata.isNotRun || NOT_RUN_STATUSES.has(head.status)) {
         this.#fail(SendFailure.Rejected, `rejected with ${head.status}`);
-      } else this.#end({ isComplete: true, head, body: Buffer.concat(this.#chunks) });
+      } else this.#end({ isComplete: true, head, pieces: this.#body.takePieces() });
     },
     onResponseError: (_controller, error) => {
       const wasSent = this.#controller !== undefined;
@@ -231,7 +237,7 @@
   #end(end: SendEnd): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    this.#chunks = [];
+    this.#body.clear();
     this.held.remove(this.#cancelHeld);
     this.claimed.connection.finishAnswer();
     this.observer.onEnd(end);
