--- a/packages/forwarder/src/exchange/SendPace.test.ts
+++ b/packages/forwarder/src/exchange/SendPace.test.ts
@@ -42,7 +42,7 @@
   const { samples, record, pace } = await startPace(context);
   for (const nowMs of [1_232, 1_300, 1_390, 1_450, 1_500]) pace.recordEvents(nowMs);
   const head = { status: 200, headers: [], metadata: undefined };
-  pace.recordEnd({ isComplete: true, head: head as never, body: Buffer.alloc(0) });
+  pace.recordEnd({ isComplete: true, head: head as never, pieces: [] });
   assert.deepEqual(samples, [
     // 5,660 tokens take 100 ms at the nominal rate, and the first event 16 ms more: half of the nominal speed.
     { instance: record.instance, kind: SampleKind.OnTime, speed: 0.5, gapMs: undefined },
@@ -56,7 +56,7 @@
   for (const nowMs of [1_232, 1_300, 3_000, 3_100, 3_200]) pace.recordEvents(nowMs);
   pace.recordHeldUp();
   const head = { status: 200, headers: [], metadata: undefined };
-  pace.recordEnd({ isComplete: true, head: head as never, body: Buffer.alloc(0) });
+  pace.recordEnd({ isComplete: true, head: head as never, pieces: [] });
   assert.equal(samples.length, 1);
   pace.recordEnd(FAILED);
   assert.deepEqual(samples.at(-1), {
