--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -148,6 +148,16 @@
     help: 'Attempts to open a connection to an upstream through another daemon, by outcome.',
     labels: ['outcome'],
   },
+  [MetricName.DutyHolder]: {
+    kind: Gauge,
+    help: "Whether this daemon makes the calls to the host platform's API for all (1) or not (0).",
+    labels: [],
+  },
+  [MetricName.DutyCalls]: {
+    kind: Counter,
+    help: "Calls to the host platform's API, by duty and outcome.",
+    labels: ['duty', 'outcome'],
+  },
   [MetricName.StoreEra]: {
     kind: Gauge,
     help: 'Number of times that the store has been restored from an older copy.',
@@ -163,6 +173,31 @@
     help: 'Upstreams by pool and health.',
     labels: ['pool', 'health'],
   },
+  [MetricName.UsageReports]: {
+    kind: Counter,
+    help: 'Usage reports sent to the host platform, by outcome.',
+    labels: ['outcome'],
+  },
+  [MetricName.UsageReportAge]: {
+    kind: Gauge,
+    help: 'Time since a usage report of the holder was last accepted; none at other daemons.',
+    labels: [],
+  },
+  [MetricName.OrderedWorkers]: {
+    kind: Gauge,
+    help: 'Workers last ordered by this daemon while it holds the duty, by data centre and kind.',
+    labels: ['service', 'data_centre', 'kind'],
+  },
+  [MetricName.WorkerOrders]: {
+    kind: Counter,
+    help: 'Orders of workers, by outcome.',
+    labels: ['outcome'],
+  },
+  [MetricName.DemandEngines]: {
+    kind: Gauge,
+    help: 'Demand in fully used engines, at the daemon that holds the duty.',
+    labels: ['service'],
+  },
   [MetricName.DroppedLabels]: {
     kind: Counter,
     help: 'Label sets counted under other because a metric had reached its bound.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -28,9 +28,16 @@
   StoreAnswerAge = 'sardinegrade_store_answer_age_seconds',
   LinksLost = 'sardinegrade_links_lost',
   Tunnels = 'sardinegrade_tunnels_total',
+  DutyHolder = 'sardinegrade_duty_holder',
+  DutyCalls = 'sardinegrade_duty_calls_total',
   StoreEra = 'sardinegrade_store_era',
   Members = 'sardinegrade_members',
   Upstreams = 'sardinegrade_upstreams',
+  UsageReports = 'sardinegrade_usage_reports_total',
+  UsageReportAge = 'sardinegrade_usage_report_age_seconds',
+  OrderedWorkers = 'sardinegrade_ordered_workers',
+  WorkerOrders = 'sardinegrade_worker_orders_total',
+  DemandEngines = 'sardinegrade_demand_engines',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
 }
 
