--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -140,7 +140,7 @@
   },
   [MetricName.WorkerSpeed]: {
     kind: Gauge,
-    help: 'Learned speed of an upstream as a multiple of the mean of its service.',
+    help: 'Learned speed of an upstream as a multiple of the median of its service.',
     labels: ['service', 'upstream'],
   },
   [MetricName.LinksLost]: {
--- a/packages/forwarder/src/workers/WorkerPaces.ts
+++ b/packages/forwarder/src/workers/WorkerPaces.ts
@@ -7,7 +7,7 @@
 import type { PaceSample, Worker, WorkerPace } from '@sardinegrade/routing';
 import type { WorkerRecord } from './WorkerFleet.js';
 
-/** Speeds, as multiples of the mean of the service's workers, outside of which a worker is logged. */
+/** Speeds, as multiples of the median of the service's workers, outside of which a worker is logged. */
 const MIN_USUAL_SPEED = 0.5;
 const MAX_USUAL_SPEED = 2;
 
@@ -97,7 +97,7 @@
       unusual.add(instance);
       if (this.#unusual.has(instance)) continue;
       this.options.logger.info(
-        'worker is less than half or more than twice as fast as the others',
+        'worker is less than half or more than twice as fast as the median',
         {
           upstream: worker.id,
           service: worker.service,
--- a/packages/routing/src/pace/types.ts
+++ b/packages/routing/src/pace/types.ts
@@ -13,7 +13,7 @@
 
 /** What is known of the pace of a worker instance. */
 export interface WorkerPace {
-  /** Prefill rate as a multiple of that of the service's other workers, 1 without evidence. */
+  /** Prefill rate as a multiple of the median of the service, 1 without evidence. */
   readonly speed: number;
   /** Longest gap between two events of a stream without other runs, in milliseconds; undefined if unknown. */
   readonly gapMs: number | undefined;
