--- a/packages/duties/src/capacity/ServiceScaler.ts
+++ b/packages/duties/src/capacity/ServiceScaler.ts
@@ -4,7 +4,7 @@
 import { countAllWorkers, NO_WORKERS, WORKER_KINDS } from './allocation.js';
 import { computeDemandEngines } from './computeNeeds.js';
 import { WorkerKind } from './enums.js';
-import { addDemandSample, estimateDemand, MIN_COVERED_MS } from './estimateDemand.js';
+import { estimateDemand, MIN_COVERED_MS } from './estimateDemand.js';
 import { findServiceFault } from './findViewFault.js';
 import {
   computeInForce,
@@ -25,7 +25,7 @@
   ServiceName,
 } from '@sardinegrade/common';
 import type { DutyClient } from '../types.js';
-import type { DemandSample } from './estimateDemand.js';
+import type { DemandHistory } from './DemandHistory.js';
 import type { OrderState } from './orderBook.js';
 import type { CapacityPlan, PlanInput, ServiceView, SiteState } from './types.js';
 
@@ -38,6 +38,7 @@
 /** Dependencies of `ServiceScaler`. */
 export interface ServiceScalerOptions {
   readonly service: ServiceName;
+  readonly history: DemandHistory;
   readonly client: DutyClient;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -60,7 +61,6 @@
 
 /** Decides the number of workers of one service and remembers what was ordered and answered. */
 export class ServiceScaler {
-  #samples: readonly DemandSample[] = [];
   #orders: ReadonlyMap<string, OrderState> = new Map();
   #ordered: ReadonlyMap<string, GaugeSample> = new Map();
   /** When more workers were last ordered, also if they were refused: what is given up then could not be had again. */
@@ -82,10 +82,8 @@
     return { labels: { service: this.options.service }, value: this.#demandEngines };
   }
 
-  /** Adds the present demand to that of the last seconds. */
+  /** Records the present demand for the metrics. */
   recordDemand({ demand, engine }: ServiceView): void {
-    const nowMs = this.options.getNowMs();
-    this.#samples = addDemandSample(this.#samples, { ...demand, atMs: nowMs });
     if (engine !== undefined) this.#demandEngines = computeDemandEngines(demand, engine);
   }
 
@@ -116,7 +114,7 @@
     { cut, mayReduce }: DecisionContext,
   ): PlanInput {
     const nowMs = this.options.getNowMs();
-    const demand = estimateDemand(this.#samples, nowMs);
+    const demand = estimateDemand(this.options.history.list(this.options.service), nowMs);
     const sites = [...bounds.prices.keys()].map((dataCentre): SiteState => {
       const readyHere = ready.get(dataCentre) ?? NO_WORKERS;
       const compute = (kind: WorkerKind): number =>
--- a/packages/duties/src/capacity/createScaler.test.ts
+++ b/packages/duties/src/capacity/createScaler.test.ts
@@ -5,6 +5,7 @@
 
 import { DutyOutcome } from '../enums.js';
 import { createScaler, SAMPLE_INTERVAL_MS } from './createScaler.js';
+import { WorkerKind } from './enums.js';
 import { buildClasses, buildLogger, BOUNDS, computeSteady, SETTINGS } from './testing/runReplay.js';
 import { WorkerModel } from './testing/WorkerModel.js';
 
@@ -115,3 +116,32 @@
     assert.equal(scaler.warnings.length, name.includes('routes') ? 0 : 1);
   });
 }
+
+const buildIdleFleet = (view: CapacityView | undefined): CapacityView | undefined =>
+  view && {
+    ...view,
+    services: view.services.map((service) => ({
+      ...service,
+      demand: { requests: 1, busyEngines: 1, pendingTokens: 0 },
+      ready: new Map(
+        [...BOUNDS.prices.keys()].map((dataCentre) => [
+          dataCentre,
+          { [WorkerKind.Ordinary]: 30, [WorkerKind.Spot]: 0 },
+        ]),
+      ),
+    })),
+  };
+
+// Guards against a change of the holder after which idle workers are paid for until a whole period of load has been seen again.
+test('a successor that has seen the demand on standby gives up workers as soon as it may, another one does not', async () => {
+  for (const standbyMs of [20_000, 0]) {
+    const scaler = createTestScaler({ ...BOUNDS, spotPrice: undefined });
+    scaler.view = buildIdleFleet(scaler.view);
+    scaler.isHolder = false;
+    await scaler.run(standbyMs);
+    scaler.isHolder = true;
+    await scaler.run(12_000);
+    const hasReduced = scaler.orders.some(({ count, isSpot }) => !isSpot && count < 30);
+    assert.equal(hasReduced, standbyMs > 0);
+  }
+});
--- a/packages/duties/src/capacity/createScaler.ts
+++ b/packages/duties/src/capacity/createScaler.ts
@@ -1,6 +1,7 @@
 import { MetricName } from '@sardinegrade/common';
 
 import { DutyKind } from '../enums.js';
+import { DemandHistory } from './DemandHistory.js';
 import { findViewFault } from './findViewFault.js';
 import { ServiceScaler } from './ServiceScaler.js';
 
@@ -38,7 +39,7 @@
   readonly settings: DutySettings;
   readonly holder: DutyHolder;
   readonly client: DutyClient;
-  /** Returns what this VM knows now; undefined if it does not know enough yet. */
+  /** Returns what this VM knows now; undefined if it does not know enough yet, or can not become the holder. */
   readonly getView: () => CapacityView | undefined;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -62,6 +63,7 @@
 
   constructor(
     private readonly options: ScalerOptions,
+    private readonly history: DemandHistory,
     private readonly sinceMs: number,
   ) {
     // One sample would be too few for a decision.
@@ -108,13 +110,15 @@
   #getScaler(service: ServiceName): ServiceScaler {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
-    const scaler = new ServiceScaler({ ...this.options, service });
+    const scaler = new ServiceScaler({ ...this.options, service, history: this.history });
     this.#services.set(service, scaler);
     return scaler;
   }
 }
 
 class RunningScaler implements Scaler {
+  readonly #history = new DemandHistory();
+  #standbySampledAtMs = Number.NEGATIVE_INFINITY;
   #tenure: Tenure | undefined;
   #loggedFault: string | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -134,12 +138,16 @@
     const { holder, getView, getNowMs } = this.options;
     if (!holder.isHolder()) {
       this.#tenure = undefined;
+      this.#sampleOnStandby();
       return;
     }
-    this.#tenure ??= new Tenure(this.options, getNowMs());
+    this.#tenure ??= new Tenure(this.options, this.#history, getNowMs());
     const view = getView();
     const fault = findViewFault(view);
-    if (view !== undefined && fault === undefined) this.#tenure.recordDemand(view);
+    if (view !== undefined && fault === undefined) {
+      this.#history.record(view, getNowMs());
+      this.#tenure.recordDemand(view);
+    }
     if (!this.#tenure.claimDecision()) return;
     this.#logFault(fault, view);
     if (view !== undefined && fault === undefined) this.#tenure.decide(view);
@@ -155,6 +163,16 @@
     this.#timer = undefined;
   };
 
+  /** Samples less often than the holder, whose processor time it saves. */
+  #sampleOnStandby(): void {
+    const { getView, getNowMs } = this.options;
+    const nowMs = getNowMs();
+    if (nowMs - this.#standbySampledAtMs < DECISION_INTERVAL_MS) return;
+    this.#standbySampledAtMs = nowMs;
+    const view = getView();
+    if (view !== undefined && findViewFault(view) === undefined) this.#history.record(view, nowMs);
+  }
+
   /** An unexpected error must not end the process: without orders, requests are still served. */
   #runTick(): void {
     try {
