--- a/packages/routing/src/placement/chooseEngine.ts
+++ b/packages/routing/src/placement/chooseEngine.ts
@@ -167,16 +167,14 @@
       Math.max(engine.cachedTokens, assumedTokens),
     );
     const speed = engine.pace?.speed ?? 1;
-    // Reserved engines prefill no long prompts, which stretch gaps; streams of the Tight lane leave them only for load.
-    const isReservedForLane = lane === PromptLane.Tight && reserved.has(engine.id);
-    const missesGap = !isReservedForLane && (engine.pace?.gapMs ?? 0) > maxGapMs;
+    const missesGap = (engine.pace?.gapMs ?? 0) > maxGapMs;
     const expectedMs =
       (engine.backlogTokens + (prompt.promptTokens - cachedTokens) * PREFILL_WEIGHT) /
         (PREFILL_TOKENS_PER_MS * speed) +
       (engine.runs * DELAY_PER_RUN_MS) / speed +
       computeRankPenaltyMs(rank, cachedTokens > 0 ? Infinity : homeCount) +
       (reserved.size > 0 ? computeLanePenaltyMs(context, reserved.has(engine.id)) : 0) +
-      computePacePenaltyMs(engine, isReservedForLane ? 0 : eventGapMs, missesGap) +
+      computePacePenaltyMs(engine, eventGapMs, missesGap) +
       (engine.isAvoided ? AVOIDED_PENALTY_MS : 0);
     if (best === undefined || expectedMs < best.expectedMs) best = { id: engine.id, expectedMs };
   }
