fix(duties): the lease is released only if silent calls to the API span 4 s themselves

Cause: the time was measured from the first unanswered call to the present. Several calls that failed together, such as orders in one blip or calls reset after a suspension, made the holder release the lease 4 s later though no call had been made since; and failures of an earlier tenure counted, so that one failure after it released the lease. Each such release pauses the duties for at least 3.3 s. Change: the span runs from the first to the last unanswered call, and starts anew when the lease is acquired. Test: silence.test; the old function answers true for the new case (run on a copy). The earlier assertions are kept with the fourth call at 5,000 ms in place of the clock. dutyHolder.test (2,000 histories) and all tests of the holder pass.

--- a/packages/duties/src/holder/createDutyHolder.ts
+++ b/packages/duties/src/holder/createDutyHolder.ts
@@ -157,7 +157,7 @@
     const nowMs = this.#getNowMs();
     if (!isCandidate) {
       this.#pause(nowMs, 'this VM is no longer a candidate');
-    } else if (shouldRelease(this.#silence, nowMs)) {
+    } else if (shouldRelease(this.#silence)) {
       this.#pause(nowMs + SILENCE_PAUSE_MS, 'the API has not responded to this VM');
       this.#silence = NO_SILENCE;
     } else if (this.#findRefusal(this.#lease.getFencing()) === PermitRefusal.Suspended) {
@@ -176,6 +176,8 @@
   #logPhase(phase: LeasePhase, previous: LeasePhase, cause: LeaseEventKind): void {
     const { logger } = this.#options;
     if (phase === LeasePhase.Settling) {
+      // Failures of an earlier time as the holder say nothing about the API's present state.
+      this.#silence = NO_SILENCE;
       logger.info('lease of the duties acquired');
     } else if (phase === LeasePhase.Holding) {
       logger.info('duties begin: no call of an earlier holder can be in progress', {
