fix(duties): after a suspension the fleet time counts as uncertain until the clocks have been read anew

Cause: a VM that had heard the fleet time, was suspended and then became the holder took its lagging time for exact. After a restore of the store it took windows for running that had ended and been reported by another VM, and could report them with other counts. A holder that could not read enough clocks after its suspension kept samples from before it and stated the lagging time to all VMs one round later. Change: samples are dropped when the own clocks have moved against each other; no time is stated until the time has been set since; latestTimeMs gives the upper bound by which ended windows are derived after a restore.

--- a/packages/duties/src/usage/FleetClock.test.ts
+++ b/packages/duties/src/usage/FleetClock.test.ts
@@ -65,6 +65,20 @@
   assert.equal(clock.statedTimeMs, EPOCH_MS + ROUND_MS + 3_001);
 });
 
+// Guards against a holder that cannot reach enough others after its suspension, and so keeps and states the time it had.
+test('after a suspension the samples from before it do not count, and the lost time is never stated', () => {
+  const { time, clock, addWalls, advance } = createClock(5);
+  addWalls(0, 0, 0, 0);
+  time.wallMs += 3_000;
+  advance(ROUND_MS + 1);
+  addWalls(3_000);
+  advance(ROUND_MS + 1);
+  assert.equal(clock.statedTimeMs, undefined);
+  assert.ok(clock.latestTimeMs >= time.wallMs);
+  addWalls(3_000, 3_000, 3_000, 3_000);
+  assert.equal(clock.statedTimeMs, time.wallMs);
+});
+
 test('the time that the holder states is taken over', () => {
   const { time, clock, advance } = createClock(5);
   clock.setTime(EPOCH_MS + 50);
--- a/packages/duties/src/usage/FleetClock.ts
+++ b/packages/duties/src/usage/FleetClock.ts
@@ -51,11 +51,14 @@
   readonly #samples = new Map<VmId, ClockSample>();
   #offsetMs: number | undefined;
   #ownOffsetMs: number;
+  /** Offset of this VM's wall clock when the fleet time was set last. */
+  #ownOffsetAtSetMs: number;
   #disturbedAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param options - clocks of this VM */
   constructor(private readonly options: FleetClockOptions) {
     this.#ownOffsetMs = this.#readOwnOffsetMs();
+    this.#ownOffsetAtSetMs = this.#ownOffsetMs;
   }
 
   /** Fleet time, in milliseconds since the start of 1970. */
@@ -70,18 +73,31 @@
 
   /**
    * Fleet time to state to others, in milliseconds; undefined if this VM has not heard of others, or if its clocks have just
-   * moved against each other: a suspension stops the monotonic clock, and until the clocks of the others have been read again
-   * this VM would pass the lost time on.
+   * moved against each other, or have done so since the time was set: a suspension stops the monotonic clock, and until enough
+   * clocks of the others have been read again this VM would pass the lost time on.
    */
   get statedTimeMs(): number | undefined {
     this.#checkOwnClocks();
     const isDisturbed = this.options.getNowMs() - this.#disturbedAtMs <= this.options.roundMs;
-    return this.#offsetMs === undefined || isDisturbed ? undefined : this.timeMs;
+    const hasMoved = Math.abs(this.#moveMs) > MAX_DRIFT_MS;
+    return this.#offsetMs === undefined || isDisturbed || hasMoved ? undefined : this.timeMs;
+  }
+
+  /**
+   * Latest time that it may be in truth, in milliseconds. If the clocks of this VM have moved against each other since the
+   * fleet time was set, the VM may have been suspended, and the fleet time is behind by as much.
+   */
+  get latestTimeMs(): number {
+    if (this.#offsetMs === undefined) return this.timeMs + OWN_CLOCK_ERROR_MS;
+    const moveMs = this.#moveMs;
+    if (Math.abs(moveMs) <= MAX_DRIFT_MS) return this.timeMs;
+    return this.timeMs + Math.max(0, moveMs + OWN_CLOCK_ERROR_MS);
   }
 
   /** Sets the fleet time that the holder has stated. */
   setTime(timeMs: number): void {
-    this.#offsetMs = timeMs - this.options.getNowMs();
+    this.#checkOwnClocks();
+    this.#setOffset(timeMs - this.options.getNowMs());
   }
 
   /**
@@ -101,7 +117,17 @@
     const offsetsMs = [...this.#samples.values()].map(({ offsetMs }) => offsetMs);
     const clockCount = offsetsMs.length + 1;
     if (clockCount < MIN_CLOCKS || clockCount < vmCount * MIN_CLOCK_SHARE) return;
-    this.#offsetMs = computeMedian([...offsetsMs, this.#ownOffsetMs]);
+    this.#setOffset(computeMedian([...offsetsMs, this.#ownOffsetMs]));
+  }
+
+  /** Difference by which the clocks of this VM have moved against each other since the fleet time was set, in milliseconds. */
+  get #moveMs(): number {
+    return this.#readOwnOffsetMs() - this.#ownOffsetAtSetMs;
+  }
+
+  #setOffset(offsetMs: number): void {
+    this.#offsetMs = offsetMs;
+    this.#ownOffsetAtSetMs = this.#ownOffsetMs;
   }
 
   #readOwnOffsetMs(): number {
@@ -110,8 +136,11 @@
 
   #checkOwnClocks(): void {
     const offsetMs = this.#readOwnOffsetMs();
-    if (Math.abs(offsetMs - this.#ownOffsetMs) > MAX_DRIFT_MS)
+    if (Math.abs(offsetMs - this.#ownOffsetMs) > MAX_DRIFT_MS) {
       this.#disturbedAtMs = this.options.getNowMs();
+      // They are relative to the monotonic clock, which a suspension has stopped since they were read.
+      this.#samples.clear();
+    }
     this.#ownOffsetMs = offsetMs;
   }
 }
--- a/packages/duties/src/usage/ReportRecorder.test.ts
+++ b/packages/duties/src/usage/ReportRecorder.test.ts
@@ -15,7 +15,7 @@
 
 /** A recorder at the beginning of window 100, with a store whose next write can be accompanied by a restore. */
 const createRecorder = (object?: DutyRecord) => {
-  const state = { object, era: 1, writtenInEra: 1, result: 8 as number | undefined };
+  const state = { object, era: 1, writtenInEra: 1, result: 8 as number | undefined, wallMs: 0 };
   const store: DutyStore = {
     getEra: () => state.era,
     read: () => Promise.resolve(state.object),
@@ -25,7 +25,8 @@
       return Promise.resolve(state.result);
     },
   };
-  const clock = new FleetClock({ getNowMs: () => 0, getWallMs: () => 0, roundMs: WINDOW_MS / 2 });
+  const getWallMs = (): number => state.wallMs;
+  const clock = new FleetClock({ getNowMs: () => 0, getWallMs, roundMs: WINDOW_MS / 2 });
   clock.setTime(100 * WINDOW_MS);
   const lines: string[] = [];
   const output = { write: (line: string) => lines.push(line) };
@@ -58,6 +59,13 @@
   assert.deepEqual([...recorder.listReports().keys()], [100]);
 });
 
+// Guards against a second content from a VM that was suspended before it became the holder: its fleet time is behind.
+test('after a restore, a VM that may have been suspended reports no window that may have ended', async () => {
+  const { recorder, state } = createRecorder({ value: buildValue(0, 97, 412), version: 7 });
+  state.wallMs += 8_000;
+  assert.equal((await recorder.read()).highestWindow, 102);
+});
+
 // Guards against a report whose record has replaced what another VM has recorded since the restore.
 test('a write that a restore has overtaken does not count as a record', async () => {
   const { recorder, state } = createRecorder({ value: buildValue(1, 98, 412), version: 7 });
--- a/packages/duties/src/usage/ReportRecorder.ts
+++ b/packages/duties/src/usage/ReportRecorder.ts
@@ -1,4 +1,3 @@
-import { OWN_CLOCK_ERROR_MS } from './FleetClock.js';
 import { isSameCounts } from './mergeCounts.js';
 import {
   addReports,
@@ -70,8 +69,7 @@
         inputs: { name: USAGE_OBJECT, version: object.version },
       });
     const era = store.getEra();
-    const readUntilMs = clock.timeMs + (clock.isSynced ? 0 : OWN_CLOCK_ERROR_MS);
-    const context = { era, readUntilMs, windowMs, own: this.#own };
+    const context = { era, readUntilMs: clock.latestTimeMs, windowMs, own: this.#own };
     const record = deriveRecord(stored, context);
     if (stored?.era !== era)
       logger.info('usage reports begin after the windows that have ended', {
