fix(duties): workers that are lost after their order was delivered are missing at once

Cause: an order counted until boot_s + 3 s had passed, also if all its workers had been ready before and some had been lost since; then, for another 10 s, the data centre counted as one that does not deliver, and nothing was ordered there. After a crash in all data centres soon after an increase, up to 10 s passed without any order though callers waited. An order that was repeated with the number of ready workers hid losses likewise. Change: the order book records that an order has been delivered; from then on the ready workers count.

--- a/packages/duties/src/capacity/ServiceScaler.ts
+++ b/packages/duties/src/capacity/ServiceScaler.ts
@@ -13,6 +13,7 @@
   NO_ORDER,
   recordOrder,
   recordOutcome,
+  recordReady,
   SETTLE_MS,
 } from './orderBook.js';
 import { planCapacity } from './planCapacity.js';
@@ -103,6 +104,7 @@
       this.options.logger.warn(`no workers are ordered: ${fault}`, { service: view.service });
     this.#loggedFault = fault;
     if (fault !== undefined || view.engine === undefined) return 0;
+    this.#recordReady(view);
     const input = this.#buildInput(view, view.engine, context);
     const plan = planCapacity(input);
     const changes = this.#listOrders(input, plan).slice(0, maxOrders);
@@ -110,6 +112,14 @@
     return changes.length;
   }
 
+  #recordReady({ bounds, ready }: ServiceView): void {
+    for (const dataCentre of bounds.prices.keys())
+      for (const kind of WORKER_KINDS) {
+        const { [kind]: count } = ready.get(dataCentre) ?? NO_WORKERS;
+        this.#setState(dataCentre, kind, recordReady(this.#getState(dataCentre, kind), count));
+      }
+  }
+
   #buildInput(
     { bounds, ready }: ServiceView,
     engine: PlanInput['engine'],
--- a/packages/duties/src/capacity/orderBook.ts
+++ b/packages/duties/src/capacity/orderBook.ts
@@ -5,6 +5,8 @@
   readonly count: number;
   readonly readyBefore: number;
   readonly atMs: number;
+  /** Whether all of them have been ready since, unless fewer were ordered: what is missing then has been lost again. */
+  readonly isDelivered: boolean;
 }
 
 /** What is known about the orders of one kind of worker of a service in one data centre. */
@@ -62,7 +64,21 @@
   count: number,
   readyBefore: number,
   nowMs: number,
-): OrderState => ({ ...state, pending: { count, readyBefore, atMs: nowMs } });
+): OrderState => ({ ...state, pending: { count, readyBefore, atMs: nowMs, isDelivered: false } });
+
+/**
+ * Records how many workers are ready.
+ *
+ * @param state - state before
+ * @param ready - number of workers that take requests
+ * @returns the new state, which tells whether the order in force has been delivered
+ */
+export const recordReady = (state: OrderState, ready: number): OrderState => {
+  const { inForce } = state;
+  if (inForce === undefined || inForce.isDelivered) return state;
+  const isDelivered = inForce.count >= inForce.readyBefore && ready >= inForce.count;
+  return isDelivered ? { ...state, inForce: { ...inForce, isDelivered } } : state;
+};
 
 /**
  * Records how the pending order ended.
@@ -88,8 +104,8 @@
 };
 
 /**
- * Computes how many workers serve or are about to: an order counts until its workers should have booted, then the
- * registered workers count. Workers that are lost meanwhile are deducted at once.
+ * Computes how many workers serve or are about to: an order counts until its workers are ready or should have booted, then
+ * the registered workers count. Workers that are lost meanwhile are deducted at once.
  *
  * Load pattern: workers crash or are reclaimed while others boot. If the order alone counted, they would be replaced only
  * once it has settled.
@@ -107,9 +123,10 @@
   nowMs: number,
 ): number => {
   const order = pending ?? inForce;
-  if (order === undefined || nowMs - order.atMs > bootMs + SETTLE_MS) return ready;
-  const isIncrease = order.count > order.readyBefore;
-  const lost = isIncrease ? Math.max(0, order.readyBefore - ready) : 0;
+  if (order === undefined || order.isDelivered) return ready;
+  if (nowMs - order.atMs > bootMs + SETTLE_MS) return ready;
+  const isReduction = order.count < order.readyBefore;
+  const lost = isReduction ? 0 : Math.max(0, order.readyBefore - ready);
   return Math.max(0, order.count - lost);
 };
 
@@ -134,7 +151,8 @@
   bootMs: number,
   nowMs: number,
 ): boolean => {
-  if (inForce === undefined || inForce.count <= inForce.readyBefore) return false;
+  if (inForce === undefined || inForce.isDelivered) return false;
+  if (inForce.count <= inForce.readyBefore) return false;
   const overdueMs = nowMs - inForce.atMs - bootMs - SETTLE_MS;
   return ready < inForce.count && overdueMs > 0 && overdueMs <= UNDELIVERED_MS;
 };
