fix(duties): a new holder decides on workers once it has a permit

Cause: a VM is the holder from the acquisition of the lease, 0.9 to 3.9 s before it has a permit. The scaler ordered at once; its own client refused the orders, a warning was logged for each, and each was blocked for 2 s, so the first real orders of a new holder were up to 2 s late. The same happened after a suspicion of a suspension. Change: without a permit no decision is claimed. The comment of computeNeeds is a list and names the right target. Test: createScaler.test, the new case failed before; all 31 tests of capacity pass.

--- a/packages/duties/src/capacity/computeNeeds.ts
+++ b/packages/duties/src/capacity/computeNeeds.ts
@@ -28,7 +28,7 @@
 const MIN_BUSY_SHARE = 0.5;
 const MAX_BUSY_SHARE = 0.8;
 
-/** Upper bound of any need: a load message with a wrong number cannot keep the event loop busy. */
+/** Upper bound of any need: a wrong number in a load message or in the configuration cannot keep the event loop busy. */
 const MAX_ENGINES = 2_000;
 
 /**
@@ -42,7 +42,7 @@
   Math.max(demand.requests / Math.max(1, engine.slots), demand.busyEngines);
 
 /**
- * Computes the number of engines at which the first event arrives within a share of the tightest target. A prompt waits for
+ * Computes the number of engines at which the first event arrives within a share of the target. A prompt waits for
  * the prefill of those ahead: with busy share b and mean prefill r the first event takes about r / (1 - b), so b may be at
  * most 1 - r / target. If more prompt tokens are pending than can be prefilled within the target, engines are added until
  * they can.
@@ -75,10 +75,12 @@
 });
 
 /**
- * Computes how many workers a plan has to keep: enough for the worst second of the last wave within half of the target, for the shared prompt parts in use, for
- * a burst of 1.5 times that within the target, for the worst second after the loss of the largest spot group within the
- * target, and enough ordinary ones for the mean load within the target, since all spot workers may be lost one group after
- * the other.
+ * Computes how many workers a plan has to keep:
+ *
+ * - in total, enough for the worst second within half of the target, for a burst of 1.5 times that within the target, and for
+ *   the shared prompt parts in use;
+ * - after the loss of the largest spot group, enough for the worst second within the target;
+ * - of ordinary workers, enough for the mean load within the target, since all spot groups may be lost one after the other.
  *
  * @param demand - demand of the last seconds
  * @param engine - what one engine can do, and what callers expect
--- a/packages/duties/src/capacity/createScaler.test.ts
+++ b/packages/duties/src/capacity/createScaler.test.ts
@@ -18,6 +18,7 @@
   readonly warnings: string[];
   readonly metrics: Metrics;
   isHolder: boolean;
+  hasPermit: boolean;
   outcome: DutyOutcome;
   view: CapacityView | undefined;
   readonly run: (durationMs: number) => Promise<void>;
@@ -30,7 +31,10 @@
   const metrics = createMetrics();
   const { tick } = createScaler({
     settings: SETTINGS,
-    holder: { isHolder: () => scaler.isHolder, claimPermit: () => ({ fence: 1 }) },
+    holder: {
+      isHolder: () => scaler.isHolder,
+      claimPermit: () => (scaler.hasPermit ? { fence: 1 } : undefined),
+    },
     client: {
       orderWorkers: (order) => {
         scaler.orders.push(order);
@@ -48,6 +52,7 @@
     warnings,
     metrics,
     isHolder: true,
+    hasPermit: true,
     outcome: DutyOutcome.Accepted,
     view: new WorkerModel(bounds, buildClasses(computeSteady), 1).buildView(),
     run: async (durationMs) => {
@@ -75,6 +80,17 @@
   assert.match(scaler.metrics.renderPrometheus(), /sardinegrade_ordered_workers\{.*kind="spot"/);
 });
 
+// Guards against a new holder whose first orders are refused by itself, and so blocked for 2 s when it may send them.
+test('a holder without a permit decides nothing, and decides at once when it has one', async () => {
+  const scaler = createTestScaler();
+  scaler.hasPermit = false;
+  await scaler.run(4_000);
+  assert.deepEqual(scaler.orders, []);
+  scaler.hasPermit = true;
+  await scaler.run(SAMPLE_INTERVAL_MS);
+  assert.equal(scaler.orders.length, BOUNDS.prices.size);
+});
+
 test('an order is not sent again unless its number changes, as long as it may be in force', async () => {
   const scaler = createTestScaler();
   await scaler.run(6_000);
--- a/packages/duties/src/capacity/createScaler.ts
+++ b/packages/duties/src/capacity/createScaler.ts
@@ -140,7 +140,8 @@
     const view = getView();
     const fault = findViewFault(view);
     if (view !== undefined && fault === undefined) this.#tenure.recordDemand(view);
-    if (!this.#tenure.claimDecision()) return;
+    // A new holder waits for its permit; its orders would be refused, and blocked for some time after it has one.
+    if (holder.claimPermit() === undefined || !this.#tenure.claimDecision()) return;
     this.#logFault(fault, view);
     if (view !== undefined && fault === undefined) this.#tenure.decide(view);
   };
