fix(duties): the need for the shared prompt parts is bounded like the other needs

Cause: MAX_ENGINES did not apply to it; a kv_capacity of nearly 0 in the configuration gave any number of engines. Test: planCapacity.test, the new case failed before and passes now.

--- a/packages/duties/src/capacity/computeNeeds.ts
+++ b/packages/duties/src/capacity/computeNeeds.ts
@@ -93,7 +93,7 @@
   total: Math.max(
     computeNeededEngines(peak, engine, PLANNED),
     computeNeededEngines(applyFactor(peak, BURST_FACTOR), engine, EXCEPTIONAL),
-    engine.workingSetEngines ?? 0,
+    Math.min(MAX_ENGINES, engine.workingSetEngines ?? 0),
   ),
   afterLoss: computeNeededEngines(peak, engine, EXCEPTIONAL),
   ordinary: computeNeededEngines(mean, engine, EXCEPTIONAL),
--- a/packages/duties/src/capacity/planCapacity.test.ts
+++ b/packages/duties/src/capacity/planCapacity.test.ts
@@ -119,3 +119,10 @@
     { seed: 6, numRuns: 300 },
   );
 });
+
+// Guards against an event loop that is kept busy by a cache capacity of nearly 0 in the configuration.
+test('a working set that would need any number of engines is bounded like other needs', () => {
+  const engine = { ...ENGINE, workingSetEngines: Number.POSITIVE_INFINITY };
+  const { needs } = planCapacity(buildInput(10, { engine }));
+  assert.ok(needs.total <= 2_000);
+});
