--- a/packages/duties/src/capacity/ServiceScaler.ts
+++ b/packages/duties/src/capacity/ServiceScaler.ts
@@ -47,8 +47,9 @@
 
 /** Circumstances of a decision that concern all services. */
 export interface DecisionContext {
+  /** Data centres that have been unreachable for some time. */
   readonly cut: ReadonlySet<DataCentreName>;
-  /** Whether this VM has held the duty for long enough to give up workers. */
+  /** Whether this VM has held the duty for long enough, and knows the load of enough VMs, to give up workers. */
   readonly mayReduce: boolean;
 }
 
--- a/packages/duties/src/capacity/createScaler.ts
+++ b/packages/duties/src/capacity/createScaler.ts
@@ -54,7 +54,7 @@
   readonly stop: () => void;
 }
 
-/** State of the time during which this VM holds the duties. */
+/** Scalers and timing from the time at which this VM became the holder; discarded when it is the holder no more. */
 class Tenure {
   readonly #services = new Map<ServiceName, ServiceScaler>();
   #unreachableSinceMs: ReadonlyMap<DataCentreName, number> = new Map();
--- a/packages/duties/src/capacity/findViewFault.ts
+++ b/packages/duties/src/capacity/findViewFault.ts
@@ -34,7 +34,7 @@
   if (!(bootMs >= 0 && bootMs < Number.POSITIVE_INFINITY)) return `the boot time is ${bootMs} ms`;
   if (prices.size === 0) return 'no data centre has a price';
   if (![...prices.values(), spotPrice ?? 0].every(isPrice))
-    return 'a price is not a number above 0';
+    return 'a price is not a number of at least 0';
   return undefined;
 };
 
--- a/packages/duties/src/capacity/types.ts
+++ b/packages/duties/src/capacity/types.ts
@@ -46,11 +46,12 @@
 
 /** What this VM knows when it decides. */
 export interface CapacityView {
-  /** Time since the last sign that the view is up to date, in milliseconds. */
+  /** Age of the list of workers, in milliseconds; 0 while the watch of the workers works. */
   readonly ageMs: number;
   /** VMs whose load this VM knows, and all listed VMs, this one included in both. */
   readonly heardVmCount: number;
   readonly listedVmCount: number;
+  /** Data centres that this VM cannot reach at present. */
   readonly unreachable: ReadonlySet<DataCentreName>;
   readonly services: readonly ServiceView[];
 }
@@ -82,7 +83,7 @@
   readonly inForce: WorkerCounts;
   /** Whether more workers can be ordered; false for some time after the host platform had none. */
   readonly canOrder: Readonly<Record<WorkerKind, boolean>>;
-  /** Whether the data centre is partitioned from this VM: its workers do not count and are left as they are. */
+  /** Whether the data centre is partitioned from this VM: its workers are not counted, and no order is sent for it. */
   readonly isCut: boolean;
 }
 
--- a/packages/duties/src/holder/silence.ts
+++ b/packages/duties/src/holder/silence.ts
@@ -3,7 +3,7 @@
 /** Calls to the API in series that got no response. */
 export interface SilenceState {
   readonly count: number;
-  /** When the first of them ended, in milliseconds; undefined if there is none. */
+  /** Monotonic time at which the first of them ended, in milliseconds; undefined if there is none. */
   readonly sinceMs: number | undefined;
   /** Time from the end of the first of them to the end of the last, in milliseconds. */
   readonly lengthMs: number;
--- a/packages/duties/src/types.ts
+++ b/packages/duties/src/types.ts
@@ -59,7 +59,7 @@
 /** Value and version of an object of the duties in the store. */
 export interface DutyRecord {
   readonly value: unknown;
-  /** Passed to the next conditional write; undefined if the object does not exist. */
+  /** Era and revision of the object; passed to the next conditional write. */
   readonly version: number;
 }
 
--- a/packages/lease/src/enums.ts
+++ b/packages/lease/src/enums.ts
@@ -28,11 +28,11 @@
   Read = 'read',
   Written = 'written',
   /** The platform holds another version than the one that the conditional write named. */
-  WriteConflict = 'refused',
+  WriteConflict = 'write_conflict',
   /** A call failed; if it was a write, it may still have taken effect. */
   CallFailed = 'call_failed',
   /** An engine has received an order with a higher fencing number. */
-  Fenced = 'outranked',
+  Fenced = 'fenced',
   /** The lease is to be renewed now. */
   Renew = 'renew',
   /** The lease is to be released, and not claimed again for some time. */
--- a/packages/lease/src/types.ts
+++ b/packages/lease/src/types.ts
@@ -7,7 +7,7 @@
   readonly renewIntervalMs: number;
   /** Interval at which a daemon on standby reads the lease. */
   readonly standbyIntervalMs: number;
-  /** Maximum time for an engine order to reach its engine and be executed. */
+  /** Maximum time for an engine order, or another call that the lease protects, to arrive and be executed. */
   readonly orderDeadlineMs: number;
   /** Safety margin for clocks that run at different rates and for delays within a machine. */
   readonly marginMs: number;
