--- a/packages/duties/src/capacity/ServiceScaler.ts
+++ b/packages/duties/src/capacity/ServiceScaler.ts
@@ -13,6 +13,7 @@
   NO_ORDER,
   recordOrder,
   recordOutcome,
+  recordReady,
   SETTLE_MS,
 } from './orderBook.js';
 import { planCapacity } from './planCapacity.js';
@@ -47,8 +48,9 @@
 
 /** Circumstances of a decision that concern all services. */
 export interface DecisionContext {
+  /** Data centres that have been unreachable for some time. */
   readonly cut: ReadonlySet<DataCentreName>;
-  /** Whether this VM has held the duty for long enough to give up workers. */
+  /** Whether this VM has held the duty for long enough, and knows the load of enough VMs, to give up workers. */
   readonly mayReduce: boolean;
 }
 
@@ -101,6 +103,7 @@
       this.options.logger.warn(`no workers are ordered: ${fault}`, { service: view.service });
     this.#loggedFault = fault;
     if (fault !== undefined || view.engine === undefined) return 0;
+    this.#recordReady(view);
     const input = this.#buildInput(view, view.engine, context);
     const plan = planCapacity(input);
     const changes = this.#listOrders(input, plan).slice(0, maxOrders);
@@ -108,6 +111,14 @@
     return changes.length;
   }
 
+  #recordReady({ bounds, ready }: ServiceView): void {
+    for (const dataCentre of bounds.prices.keys())
+      for (const kind of WORKER_KINDS) {
+        const { [kind]: count } = ready.get(dataCentre) ?? NO_WORKERS;
+        this.#setState(dataCentre, kind, recordReady(this.#getState(dataCentre, kind), count));
+      }
+  }
+
   #buildInput(
     { bounds, ready }: ServiceView,
     engine: PlanInput['engine'],
--- a/packages/duties/src/capacity/createScaler.ts
+++ b/packages/duties/src/capacity/createScaler.ts
@@ -55,7 +55,7 @@
   readonly stop: () => void;
 }
 
-/** State of the time during which this VM holds the duties. */
+/** Scalers and timing from the time at which this VM became the holder; discarded when it is the holder no more. */
 class Tenure {
   readonly #services = new Map<ServiceName, ServiceScaler>();
   #unreachableSinceMs: ReadonlyMap<DataCentreName, number> = new Map();
@@ -148,7 +148,8 @@
       this.#history.record(view, getNowMs());
       this.#tenure.recordDemand(view);
     }
-    if (!this.#tenure.claimDecision()) return;
+    // A new holder waits for its permit; its orders would be refused, and blocked for some time after it has one.
+    if (holder.claimPermit() === undefined || !this.#tenure.claimDecision()) return;
     this.#logFault(fault, view);
     if (view !== undefined && fault === undefined) this.#tenure.decide(view);
   };
