feat: requests of the most urgent rank are sent to engines without a free slot

Cause: a request waits at its VM while all slots of its engine are taken, and a free slot goes to the VM that asks first, so that urgent requests wait behind less urgent ones of other VMs.

RankTable tells that rank by routes and workspaces. Services whose requests all have one rank are served as before.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -5,6 +5,7 @@
   DataCentreMonitor,
   LaneTable,
   PeerRole,
+  RankTable,
   RouteHistory,
   RouteTable,
   SharedLoadView,
@@ -180,6 +181,7 @@
   readonly #storeAnsweredAtMs = new Map<SyncedKind, number>();
   #routes = new RouteTable([]);
   #lanes = new LaneTable([]);
+  #ranks = new RankTable([]);
   #exitAtMs = Number.POSITIVE_INFINITY;
   #drainingSinceMs: number | undefined;
   /** Number of VMs, this one included; undefined until the first list. */
@@ -239,6 +241,11 @@
     return this.#lanes;
   }
 
+  /** Most urgent ranks by the routes and workspaces of the active configuration. */
+  get ranks(): RankTable {
+    return this.#ranks;
+  }
+
   /** Whether the process is shutting down: it still serves requests, but asks callers to close their connections. */
   get isDraining(): boolean {
     return this.#drainingSinceMs !== undefined;
@@ -280,6 +287,7 @@
     this.#configurationAppliedAtMs = this.options.getNowMs();
     this.#routes = new RouteTable(configuration.routes);
     this.#lanes = new LaneTable(configuration.routes);
+    this.#ranks = new RankTable(configuration.routes, configuration.keyHolders);
     this.#routeHistory.replace(configuration.routes, this.options.getNowMs());
     return true;
   }
--- a/packages/forwarder/src/exchange/filterCandidates.ts
+++ b/packages/forwarder/src/exchange/filterCandidates.ts
@@ -17,6 +17,8 @@
   readonly eventGapMs: number;
   /** Random number from 0 to 1 that decides whether the request is a trial of a worker; the same at each placement. */
   readonly trialDraw: number;
+  /** Priority rank; 0 is the most urgent. */
+  readonly priority: number;
   /** Workers to which this request has already been sent. */
   readonly tried: ReadonlySet<UpstreamId>;
   /** Build that began the stream which the request goes on with; undefined if any may serve it. */
--- a/packages/forwarder/src/exchange/selectForRequest.ts
+++ b/packages/forwarder/src/exchange/selectForRequest.ts
@@ -1,3 +1,5 @@
+import { computePriorityRank } from '@sardinegrade/routing';
+
 import { findService } from './findService.js';
 import { selectWorker } from './selectWorker.js';
 
@@ -34,7 +36,7 @@
  */
 export const buildSelectionContext = (
   state: ForwarderState,
-  { caller, route }: AdmittedRequest,
+  { caller, route, holder }: AdmittedRequest,
   { service: name, attempts, build }: RequestProgress,
 ): SelectionContext | undefined => {
   const service = findService(state.configuration, name);
@@ -46,6 +48,7 @@
     targetMs: route.targetMs,
     eventGapMs: route.eventGapMs,
     trialDraw: attempts.trialDraw,
+    priority: computePriorityRank(holder?.priority, route.priority),
     tried: attempts.tried,
     build,
     beginsStream: route.isResumable && build === undefined,
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -2,6 +2,7 @@
   chooseEngine,
   chooseTrial,
   chooseWorker,
+  isEngineFull,
   isPlainLoadShared,
   MAX_DIRECT_VMS,
   shouldWait,
@@ -94,7 +95,7 @@
   prompt: PromptShape,
   { records: candidates, ranking }: CandidateSet,
 ): WorkerSelection => {
-  const { state, service, targetMs, eventGapMs, trialDraw, nowMs } = context;
+  const { state, service, targetMs, eventGapMs, trialDraw, priority, nowMs } = context;
   const peerCount = state.sharedLoad.countLive(nowMs);
   const views = candidates.map((record) => buildEngineView(context, prompt, record));
   const lane = state.lanes.getLane(service.name, targetMs);
@@ -111,7 +112,8 @@
   if (choice === undefined) return NO_WORKER;
   const view = views.find(({ id }) => id === choice.id);
   const { backlogTokens, runs } = view ?? NO_WORKER.load;
-  const isFull = runs >= (service.engine?.slots ?? Infinity);
+  const isMostUrgent = state.ranks.isMostUrgent(service.name, priority);
+  const isFull = isEngineFull(service.engine?.slots ?? Infinity, runs, isMostUrgent);
   return {
     record: candidates.find(({ worker }) => worker.id === choice.id),
     shouldWait: isFull || shouldWait(lane, backlogTokens, view?.pace?.speed),
