feat: queues and engines are shared fairly between workspaces by work

Cause: within a rank a queue serves by deadline alone, and a free slot goes to the VM that asks first, so that a workspace that sends several times its usual load delays all others.

Change: WorkspaceWork counts prompt and expected output tokens by workspace, forgotten over 4 s; load messages tell them (fields 36 and 37), summed through relays like the load of engines. rankWaiting serves the workspace with the least work first, counting what is served before. computeRoomShare: a workspace with over twice the mean work leaves an eighth of an engine's slots and backlog to others while requests wait at other VMs. All of it only where the configuration has keys of more than one workspace. Gauge sardinegrade_workspace_recent_tokens; engine_runs in log lines.

--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -21,7 +21,7 @@
 import { LinkMonitor, LinkSign, TunnelClient, WorkerDialer } from './links/index.js';
 import { WorkerNotices } from './notices/index.js';
 import { isPortClosed, PartQuarantine } from './quarantine/index.js';
-import { RequestQueue } from './waiting/index.js';
+import { RequestQueue, WorkspaceShares } from './waiting/index.js';
 import { toInstanceId, WorkerFleet, WorkerPaces } from './workers/index.js';
 
 import type {
@@ -98,6 +98,8 @@
   readonly dataCentres = new DataCentreMonitor();
   /** Requests that wait for engines. */
   readonly queue: RequestQueue;
+  /** Work that engines have lately done for workspaces that compete with each other. */
+  readonly workspaces: WorkspaceShares;
   /** Estimates how long streams currently take. */
   readonly pace = new StreamPace();
   /** Learned paces of the workers. */
@@ -208,7 +210,8 @@
     this.fleet = new WorkerFleet(this.dialer);
     const listWorkers = (): readonly Worker[] => this.fleet.directory.listAll();
     this.paces = new WorkerPaces({ logger, getNowMs, listWorkers });
-    this.queue = new RequestQueue(getNowMs);
+    this.workspaces = new WorkspaceShares(this.sharedLoad, getNowMs);
+    this.queue = new RequestQueue(getNowMs, (name) => this.workspaces.getWork(name));
     this.workerLimits = new WorkerLimits({ logger, getNowMs, random, getPeerRuns });
     this.workerNotices = new WorkerNotices({ logger, getNowMs, fleet: this.fleet });
     this.partQuarantine = new PartQuarantine({
@@ -288,6 +291,7 @@
     this.#routes = new RouteTable(configuration.routes);
     this.#lanes = new LaneTable(configuration.routes);
     this.#ranks = new RankTable(configuration.routes, configuration.keyHolders);
+    this.workspaces.setHolders(configuration.keyHolders);
     this.#routeHistory.replace(configuration.routes, this.options.getNowMs());
     return true;
   }
@@ -452,6 +456,11 @@
         value: pace.speed,
       })),
     );
+    metrics.registerGauge(MetricName.RecentWorkspaceTokens, () =>
+      this.workspaces
+        .list()
+        .map(({ workspace, tokens }) => ({ labels: { workspace }, value: tokens })),
+    );
     metrics.registerGauge(MetricName.LinksLost, () => [
       { labels: {}, value: this.links.isLost ? 1 : 0 },
     ]);
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -11,6 +11,7 @@
 
 import { ANSWER_GRACE_MS, DRAINING_RETRY_MS } from '../constants.js';
 import { LinkSign } from '../links/index.js';
+import { estimateWork } from '../waiting/index.js';
 import { Attempts } from './Attempts.js';
 import { buildUnexpectedReply } from './buildUnexpectedReply.js';
 import { buildWorkerRequest } from './buildWorkerRequest.js';
@@ -139,6 +140,7 @@
     if (this.#tryStart()) return;
     const { route, arrivedAtMs } = this.admitted;
     this.#queuedRequest = {
+      ...estimateWork(this.state, this.admitted),
       priority: this.#priorityRank,
       arrivedAtMs,
       dueAtMs: arrivedAtMs + route.targetMs,
@@ -214,9 +216,7 @@
   /** Refuses a request that arrives while all workers are limited if it would wait too long. */
   #refuseIfLimited(limited: readonly WorkerRecord[]): boolean {
     if (this.#queuedRequest !== undefined) return false;
-    const { route } = this.admitted;
-    const remainingMs = this.#getRemainingMs();
-    const request = { route, priority: this.#priorityRank, remainingMs };
+    const request = { ...this.#pending, priority: this.#priorityRank };
     return this.#refuseFor(findLimitRefusal(this.state, limited, request));
   }
 
--- a/packages/forwarder/src/exchange/claimWorker.ts
+++ b/packages/forwarder/src/exchange/claimWorker.ts
@@ -1,5 +1,6 @@
 import { RouteKind } from '@sardinegrade/routing';
 
+import { estimateWork } from '../waiting/index.js';
 import { SendPace } from './SendPace.js';
 import { SilenceTimer } from './SilenceTimer.js';
 import { addUnansweredSend } from './unansweredSends.js';
@@ -29,14 +30,17 @@
  */
 export const claimWorker = (
   state: ForwarderState,
-  { caller, route }: AdmittedRequest,
+  admitted: AdmittedRequest,
   { record, service, isRepeatable, load }: ChosenWorker,
 ): ActiveSend => {
+  const { caller, route } = admitted;
   const nowMs = state.options.getNowMs();
   const claimed = record.pool.claim(nowMs, isRepeatable);
   const prompt = service.engine === undefined ? undefined : caller.prompt;
   const run = prompt === undefined ? undefined : record.tracker.start(prompt, nowMs);
   state.workerLimits.recordSend(record);
+  const { workspace, workTokens } = estimateWork(state, admitted);
+  if (run !== undefined && workspace !== undefined) state.workspaces.record(workspace, workTokens);
   if (prompt !== undefined && run?.hasUncachedSharedParts === true) {
     state.onPlacement(record.worker.id, prompt.parts);
   }
--- a/packages/forwarder/src/exchange/filterCandidates.ts
+++ b/packages/forwarder/src/exchange/filterCandidates.ts
@@ -1,6 +1,6 @@
 import { toCandidateSet } from '../workers/index.js';
 
-import type { BuildName, RequestId, UpstreamId } from '@sardinegrade/common';
+import type { BuildName, RequestId, UpstreamId, WorkspaceName } from '@sardinegrade/common';
 import type { PromptShape, RoutedService } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { CandidateSet, WorkerRecord } from '../workers/index.js';
@@ -19,6 +19,8 @@
   readonly trialDraw: number;
   /** Priority rank; 0 is the most urgent. */
   readonly priority: number;
+  /** Workspace of the caller; undefined for requests without a known key. */
+  readonly workspace: WorkspaceName | undefined;
   /** Workers to which this request has already been sent. */
   readonly tried: ReadonlySet<UpstreamId>;
   /** Build that began the stream which the request goes on with; undefined if any may serve it. */
--- a/packages/forwarder/src/exchange/selectForRequest.ts
+++ b/packages/forwarder/src/exchange/selectForRequest.ts
@@ -49,6 +49,7 @@
     eventGapMs: route.eventGapMs,
     trialDraw: attempts.trialDraw,
     priority: computePriorityRank(holder?.priority, route.priority),
+    workspace: holder?.workspace,
     tried: attempts.tried,
     build,
     beginsStream: route.isResumable && build === undefined,
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -113,10 +113,12 @@
   const view = views.find(({ id }) => id === choice.id);
   const { backlogTokens, runs } = view ?? NO_WORKER.load;
   const isMostUrgent = state.ranks.isMostUrgent(service.name, priority);
-  const isFull = isEngineFull(service.engine?.slots ?? Infinity, runs, isMostUrgent);
+  const roomShare = state.workspaces.computeRoomShare(context.workspace);
+  const slots = (service.engine?.slots ?? Infinity) * roomShare;
+  const isFull = isEngineFull(slots, runs, isMostUrgent);
   return {
     record: candidates.find(({ worker }) => worker.id === choice.id),
-    shouldWait: isFull || shouldWait(lane, backlogTokens, view?.pace?.speed),
+    shouldWait: isFull || shouldWait(lane, backlogTokens / roomShare, view?.pace?.speed),
     load: { backlogTokens, runs },
     limited: [],
   };
--- a/packages/forwarder/src/waiting/RequestQueue.ts
+++ b/packages/forwarder/src/waiting/RequestQueue.ts
@@ -1,6 +1,6 @@
 import { PREFILL_TOKENS_PER_MS, rankWaiting, selectTries } from '@sardinegrade/routing';
 
-import type { WaitingLoad, WaitingRequest } from '@sardinegrade/routing';
+import type { GetWork, WaitingLoad, WaitingRequest } from '@sardinegrade/routing';
 
 /**
  * Minimum interval between two passes over the queue, in milliseconds, and the interval at which queued requests are
@@ -27,8 +27,14 @@
   #lastPassAtMs = Number.NEGATIVE_INFINITY;
   #offset = 0;
 
-  /** @param getNowMs - reads a monotonic clock, in milliseconds */
-  constructor(private readonly getNowMs: () => number) {}
+  /**
+   * @param getNowMs - reads a monotonic clock, in milliseconds
+   * @param getWork - work that engines have lately done for a workspace; without it all workspaces count alike
+   */
+  constructor(
+    private readonly getNowMs: () => number,
+    private readonly getWork?: GetWork,
+  ) {}
 
   /** Number of queued requests. */
   get size(): number {
@@ -83,7 +89,7 @@
     for (const request of [...this.#requests]) {
       if (request.refuseIfExpired()) this.#requests.delete(request);
     }
-    const ranked = rankWaiting([...this.#requests], this.#lastPassAtMs);
+    const ranked = rankWaiting([...this.#requests], this.#lastPassAtMs, this.getWork);
     const { requests, nextOffset } = selectTries(ranked, this.#offset);
     this.#offset = nextOffset;
     for (const request of requests) {
--- /dev/null
+++ b/packages/forwarder/src/waiting/estimateWork.ts
@@ -0,0 +1,38 @@
+import type { WorkspaceName } from '@sardinegrade/common';
+import type { KeyHolder, PromptShape, Route } from '@sardinegrade/routing';
+import type { ForwarderState } from '../ForwarderState.js';
+
+/** Workspace and size of a request, by which its place in the queue is decided. */
+export interface RequestWork {
+  /** Undefined if workspaces do not compete. */
+  readonly workspace: WorkspaceName | undefined;
+  /** Prompt and expected output tokens. */
+  readonly workTokens: number;
+}
+
+/** A request as far as its work is concerned. */
+export interface WorkingRequest {
+  readonly route: Route;
+  readonly holder: KeyHolder | undefined;
+  /** The prompt is undefined if the request is not for a model. */
+  readonly caller: { readonly prompt: PromptShape | undefined };
+}
+
+/**
+ * Estimates the work of a request.
+ *
+ * @param state - state of the forwarder
+ * @param request - the request
+ * @returns its workspace, if it competes with others, and its tokens
+ */
+export const estimateWork = (
+  { pace, workspaces }: ForwarderState,
+  { route, holder, caller: { prompt } }: WorkingRequest,
+): RequestWork => {
+  const workspace = workspaces.isCompeting ? holder?.workspace : undefined;
+  if (workspace === undefined || prompt === undefined) return { workspace, workTokens: 0 };
+  const { promptTokens, maxOutputTokens } = prompt;
+  const events = pace.estimateEvents(route.name);
+  const outputTokens = events === 0 ? maxOutputTokens : Math.min(maxOutputTokens, events);
+  return { workspace, workTokens: promptTokens + outputTokens };
+};
--- a/packages/routing/src/testing/RoomSimulation.ts
+++ b/packages/routing/src/testing/RoomSimulation.ts
@@ -1,11 +1,26 @@
+import { hashText, toBranded } from '@sardinegrade/common';
 import { createRandomSource } from '@sardinegrade/dispatch';
 
 import { PREFILL_TOKENS_PER_MS } from '../placement/index.js';
-import { isEngineFull, rankWaiting } from '../waiting/index.js';
+import { computeRoomShare, isEngineFull, rankWaiting, WorkspaceWork } from '../waiting/index.js';
 
+import type { WorkspaceName } from '@sardinegrade/common';
 import type { RandomSource } from '@sardinegrade/dispatch';
+import type { WorkLoads } from '../load/index.js';
 import type { WaitingRequest } from '../waiting/index.js';
 
+/** How the queues of the VMs treat workspaces. */
+export enum RoomFairness {
+  /** All requests of a rank count alike. */
+  None = 'none',
+  /** Each VM counts only the work that it has sent itself. */
+  Own = 'own',
+  /** Each VM also counts what the others have reported. */
+  Shared = 'shared',
+  /** In addition, workspaces with more than their share leave a part of the engine to others. */
+  Reserved = 'reserved',
+}
+
 /** Requests of one kind that arrive at random times and VMs. */
 export interface RoomTraffic {
   readonly name: string;
@@ -15,6 +30,8 @@
   /** Time from the first event to the end, in milliseconds. */
   readonly streamMs: number;
   readonly targetMs: number;
+  /** One workspace for all requests without it. */
+  readonly workspace?: string;
 }
 
 /** Size of a simulated deployment with one engine, and the rules that its VMs follow. */
@@ -25,6 +42,7 @@
   readonly slots: number;
   /** Whether requests of the most urgent rank are sent to a full engine. */
   readonly sendsUrgent: boolean;
+  readonly fairness?: RoomFairness;
 }
 
 /** Result counters of one kind of requests. */
@@ -45,6 +63,8 @@
   readonly traffic: RoomTraffic;
   readonly vm: number;
   firstEventAtMs: number;
+  readonly workspace: WorkspaceName;
+  readonly workTokens: number;
 }
 
 const STEP_MS = 5;
@@ -66,6 +86,9 @@
   /** Requests at the engine by VM, as the VM itself knows them, and as it last reported them. */
   readonly #runs: number[];
   readonly #reportedRuns: number[];
+  readonly #work: readonly WorkspaceWork[];
+  readonly #reportedWork: WorkLoads[];
+  readonly #reportedQueues: number[];
   #engineQueue: RoomRequest[] = [];
   #running: { readonly request: RoomRequest; readonly endAtMs: number }[] = [];
   #prefillFreeAtMs = 0;
@@ -83,6 +106,9 @@
     this.#queues = Array.from({ length: site.vms }, () => []);
     this.#runs = this.#queues.map(() => 0);
     this.#reportedRuns = this.#queues.map(() => 0);
+    this.#reportedQueues = this.#queues.map(() => 0);
+    this.#work = this.#queues.map(() => new WorkspaceWork());
+    this.#reportedWork = this.#queues.map(() => new Map());
   }
 
   /**
@@ -125,6 +151,8 @@
         dueAtMs: arrivedAtMs + traffic.targetMs,
         prefillMs: traffic.promptTokens / PREFILL_TOKENS_PER_MS,
         firstEventAtMs: Infinity,
+        workspace: toBranded<WorkspaceName>(traffic.workspace ?? ''),
+        workTokens: traffic.promptTokens,
       };
     });
   }
@@ -147,20 +175,61 @@
     const { reportIntervalMs, sendsUrgent, slots } = this.site;
     // Passes and reports of the VMs are spread over their intervals.
     const tick = Math.floor(nowMs / STEP_MS) + vm;
-    if (tick % Math.ceil(reportIntervalMs / STEP_MS) === 0)
+    if (tick % Math.ceil(reportIntervalMs / STEP_MS) === 0) {
       this.#reportedRuns[vm] = this.#runs[vm] ?? 0;
+      this.#reportedQueues[vm] = this.#queues[vm]?.length ?? 0;
+      this.#reportedWork[vm] = this.#work[vm]?.list(nowMs) ?? new Map();
+    }
     const queue = this.#queues[vm] ?? [];
     if (queue.length === 0 || tick % (PASS_INTERVAL_MS / STEP_MS) !== 0) return;
-    for (const request of rankWaiting(queue, nowMs)) {
+    for (const request of this.#rank(vm, queue, nowMs)) {
       const others = this.#reportedRuns.reduce((sum, runs) => sum + runs, 0);
       const runs = others - (this.#reportedRuns[vm] ?? 0) + (this.#runs[vm] ?? 0);
-      if (isEngineFull(slots, runs, sendsUrgent && request.priority === firstRank)) continue;
+      const room = slots * this.#computeRoomShare(vm, request, nowMs);
+      if (isEngineFull(room, runs, sendsUrgent && request.priority === firstRank)) continue;
       if (this.#engineQueue.length >= slots * QUEUE_SHARE) this.#rejected += 1;
       else {
         queue.splice(queue.indexOf(request), 1);
         this.#runs[vm] = (this.#runs[vm] ?? 0) + 1;
         this.#engineQueue.push(request);
+        this.#work[vm]?.record(request.workspace, request.workTokens, nowMs);
       }
     }
   }
+
+  #rank(vm: number, queue: readonly RoomRequest[], nowMs: number): readonly RoomRequest[] {
+    const { fairness = RoomFairness.None } = this.site;
+    if (fairness === RoomFairness.None) return rankWaiting(queue, nowMs);
+    return rankWaiting(queue, nowMs, (workspace) => this.#getWork(vm, workspace, nowMs));
+  }
+
+  #getWork(vm: number, workspace: WorkspaceName, nowMs: number): number {
+    const hash = hashText(workspace);
+    const own = this.#work[vm]?.get(hash, nowMs) ?? 0;
+    if (this.site.fairness === RoomFairness.Own) return own;
+    return this.#reportedWork.reduce(
+      (sum, work, index) => sum + (index === vm ? 0 : (work.get(hash) ?? 0)),
+      own,
+    );
+  }
+
+  #computeRoomShare(vm: number, { workspace }: RoomRequest, nowMs: number): number {
+    if (this.site.fairness !== RoomFairness.Reserved) return 1;
+    const waitingElsewhere = this.#reportedQueues.reduce(
+      (sum, length, index) => sum + (index === vm ? 0 : length),
+      0,
+    );
+    if (waitingElsewhere === 0) return 1;
+    const totals = new Map<number, number>();
+    for (const work of this.#reportedWork) {
+      for (const [hash, tokens] of work) totals.set(hash, (totals.get(hash) ?? 0) + tokens);
+    }
+    const sum = [...totals.values()].reduce((total, tokens) => total + tokens, 0);
+    const meanWork = sum / Math.max(1, totals.size);
+    return computeRoomShare({
+      work: this.#getWork(vm, workspace, nowMs),
+      meanWork,
+      waitingElsewhere,
+    });
+  }
 }
