--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -3,6 +3,7 @@
   BuildHistory,
   CrashTracker,
   DataCentreMonitor,
+  DrainRate,
   LaneTable,
   PeerRole,
   RankTable,
@@ -21,7 +22,7 @@
 import { LinkMonitor, LinkSign, TunnelClient, WorkerDialer } from './links/index.js';
 import { WorkerNotices } from './notices/index.js';
 import { isPortClosed, PartQuarantine } from './quarantine/index.js';
-import { RequestQueue, WorkspaceShares } from './waiting/index.js';
+import { RefusedRequests, RequestQueue, WorkspaceShares } from './waiting/index.js';
 import { toInstanceId, WorkerFleet, WorkerPaces } from './workers/index.js';
 
 import type {
@@ -100,6 +101,10 @@
   readonly queue: RequestQueue;
   /** Work that engines have lately done for workspaces that compete with each other. */
   readonly workspaces: WorkspaceShares;
+  /** Estimates how fast the engines read what waits. */
+  readonly drainRate = new DrainRate();
+  /** Requests that were refused for load and may come back. */
+  readonly refused = new RefusedRequests();
   /** Estimates how long streams currently take. */
   readonly pace = new StreamPace();
   /** Learned paces of the workers. */
--- a/packages/forwarder/src/exchange/claimWorker.ts
+++ b/packages/forwarder/src/exchange/claimWorker.ts
@@ -40,6 +40,7 @@
   const run = prompt === undefined ? undefined : record.tracker.start(prompt, nowMs);
   state.workerLimits.recordSend(record);
   const { workspace, workTokens } = estimateWork(state, admitted);
+  if (run !== undefined) state.drainRate.recordSend(prompt?.promptTokens ?? 0, run.uncachedTokens);
   if (run !== undefined && workspace !== undefined) state.workspaces.record(workspace, workTokens);
   if (prompt !== undefined && run?.hasUncachedSharedParts === true) {
     state.onPlacement(record.worker.id, prompt.parts);
--- a/packages/forwarder/src/waiting/RequestQueue.ts
+++ b/packages/forwarder/src/waiting/RequestQueue.ts
@@ -55,6 +55,17 @@
     return count;
   }
 
+  /** @returns part of the queued prompt tokens, from 0 to 1, that are at least as urgent as this priority rank */
+  computeShareAhead(priority: number): number {
+    let aheadMs = 0;
+    let totalMs = 0;
+    for (const request of this.#requests) {
+      totalMs += request.prefillMs;
+      if (request.priority <= priority) aheadMs += request.prefillMs;
+    }
+    return totalMs === 0 ? 0 : aheadMs / totalMs;
+  }
+
   /** Adds a request that could not be started immediately. */
   add(request: QueuedRequest): void {
     this.#requests.add(request);
--- a/packages/forwarder/src/waiting/estimateWork.ts
+++ b/packages/forwarder/src/waiting/estimateWork.ts
@@ -1,4 +1,4 @@
-import type { WorkspaceName } from '@sardinegrade/common';
+import type { Fingerprint, WorkspaceName } from '@sardinegrade/common';
 import type { KeyHolder, PromptShape, Route } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 
@@ -8,12 +8,15 @@
   readonly workspace: WorkspaceName | undefined;
   /** Prompt and expected output tokens. */
   readonly workTokens: number;
+  /** Whether it was refused before and has come back. */
+  readonly hasReturned: boolean;
 }
 
 /** A request as far as its work is concerned. */
 export interface WorkingRequest {
   readonly route: Route;
   readonly holder: KeyHolder | undefined;
+  readonly fingerprint: Fingerprint;
   /** The prompt is undefined if the request is not for a model. */
   readonly caller: { readonly prompt: PromptShape | undefined };
 }
@@ -23,16 +26,18 @@
  *
  * @param state - state of the forwarder
  * @param request - the request
- * @returns its workspace, if it competes with others, and its tokens
+ * @returns its workspace, if it competes with others, its tokens, and whether it has come back
  */
 export const estimateWork = (
-  { pace, workspaces }: ForwarderState,
-  { route, holder, caller: { prompt } }: WorkingRequest,
+  { pace, workspaces, refused, options }: ForwarderState,
+  { route, holder, fingerprint, caller: { prompt } }: WorkingRequest,
 ): RequestWork => {
+  const hasReturned = refused.has(fingerprint, options.getNowMs());
   const workspace = workspaces.isCompeting ? holder?.workspace : undefined;
-  if (workspace === undefined || prompt === undefined) return { workspace, workTokens: 0 };
+  if (workspace === undefined || prompt === undefined)
+    return { workspace, workTokens: 0, hasReturned };
   const { promptTokens, maxOutputTokens } = prompt;
   const events = pace.estimateEvents(route.name);
   const outputTokens = events === 0 ? maxOutputTokens : Math.min(maxOutputTokens, events);
-  return { workspace, workTokens: promptTokens + outputTokens };
+  return { workspace, workTokens: promptTokens + outputTokens, hasReturned };
 };
--- a/packages/routing/src/refusal/computePatience.ts
+++ b/packages/routing/src/refusal/computePatience.ts
@@ -53,3 +53,27 @@
 export const shouldRefuse = (route: Route, times: WaitingTimes): boolean =>
   times.waitedMs > computeLongestWaitMs(route) ||
   times.remainingMs < times.prefillMs + times.streamMs;
+
+/** Factor by which the expected wait has to exceed the permitted one: the estimate knows no slots and few cached prompts. */
+const REFUSAL_MARGIN = 1.5;
+
+/**
+ * Decides whether to refuse a request that arrives while others wait, because its turn would come too late.
+ *
+ * Load pattern: a queue that takes longer to drain than callers wait. A request that is refused at once has most of its time
+ * left to return; one that is refused after its wait has little.
+ *
+ * @param route - the route
+ * @param expectedWaitMs - expected time until the requests before it have been read, in milliseconds
+ * @param times - times of the request
+ * @returns whether it is refused now, as not run
+ */
+export const shouldRefuseOnArrival = (
+  route: Route,
+  expectedWaitMs: number,
+  { waitedMs, remainingMs, prefillMs, streamMs }: WaitingTimes,
+): boolean => {
+  const latestStartMs = remainingMs - prefillMs - streamMs;
+  const longestWaitMs = Math.min(computeLongestWaitMs(route) - waitedMs, latestStartMs);
+  return expectedWaitMs > Math.max(0, longestWaitMs) * REFUSAL_MARGIN;
+};
--- a/packages/routing/src/refusal/index.ts
+++ b/packages/routing/src/refusal/index.ts
@@ -1,4 +1,5 @@
 /** When queued requests are refused, and after what time their callers should retry. */
 export * from './computePatience.js';
 export * from './computeRetryAfter.js';
+export * from './DrainRate.js';
 export * from './StreamPace.js';
--- a/packages/routing/src/testing/index.ts
+++ b/packages/routing/src/testing/index.ts
@@ -2,3 +2,4 @@
 export * from './PlacementSimulation.js';
 export * from './PartCrashSimulation.js';
 export * from './RoomSimulation.js';
+export * from './RefusalSimulation.js';
--- a/packages/routing/src/waiting/rankWaiting.ts
+++ b/packages/routing/src/waiting/rankWaiting.ts
@@ -11,6 +11,8 @@
   readonly prefillMs: number;
   /** Workspace that competes with others for the engines; undefined if all requests count alike. */
   readonly workspace?: WorkspaceName | undefined;
+  /** Whether it was refused before and has come back. */
+  readonly hasReturned?: boolean;
   /** Prompt and expected output tokens. */
   readonly workTokens?: number;
 }
@@ -33,6 +35,7 @@
   right: RankedRequest<Request>,
 ): number =>
   left.request.priority - right.request.priority ||
+  Number(right.request.hasReturned ?? false) - Number(left.request.hasReturned ?? false) ||
   Number(right.isOnTime) - Number(left.isOnTime) ||
   left.key - right.key;
 
@@ -55,7 +58,8 @@
 
 /**
  * Orders queued requests by priority. Within a priority, the workspace for which engines have worked least lately comes first,
- * counting what is served before. Within a workspace, requests that can still be on time come first, ordered by the latest
+ * counting what is served before. Within a workspace, requests that have
+ * come back after a refusal come first, then those that can still be on time, ordered by the latest
  * time at which they must start; late requests follow, ordered by age.
  *
  * Load pattern: more long prompts than the engines can prefill, for some seconds. First come, first served would make
