--- a/packages/forwarder/src/exchange/filterCandidates.ts
+++ b/packages/forwarder/src/exchange/filterCandidates.ts
@@ -31,6 +31,9 @@
   readonly requestId: RequestId | undefined;
   /** Whether the request may be sent again, and therefore may probe an unreachable data centre. */
   readonly isRepeatable: boolean;
+  readonly arrivedAtMs: number;
+  /** Time from the arrival to the deadline, in milliseconds. */
+  readonly timeoutMs: number;
   readonly nowMs: number;
 }
 
--- a/packages/forwarder/src/exchange/selectForRequest.ts
+++ b/packages/forwarder/src/exchange/selectForRequest.ts
@@ -36,7 +36,7 @@
  */
 export const buildSelectionContext = (
   state: ForwarderState,
-  { caller, route, holder }: AdmittedRequest,
+  { caller, route, holder, arrivedAtMs, timeoutMs }: AdmittedRequest,
   { service: name, attempts, build }: RequestProgress,
 ): SelectionContext | undefined => {
   const service = findService(state.configuration, name);
@@ -55,6 +55,8 @@
     beginsStream: route.isResumable && build === undefined,
     requestId: caller.requestId,
     isRepeatable: attempts.isRepeatable,
+    arrivedAtMs,
+    timeoutMs,
     nowMs: state.options.getNowMs(),
   };
 };
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -6,6 +6,7 @@
   isPlainLoadShared,
   MAX_DIRECT_VMS,
   shouldWait,
+  shouldWaitForPlace,
 } from '@sardinegrade/routing';
 
 import { filterCandidates } from './filterCandidates.js';
@@ -64,11 +65,23 @@
     id: record.worker.id,
     runs: record.pool.busyCount + (isShared ? state.sharedLoad.getLoad(record.hash).runs : 0),
     isLocal: record.worker.dataCentre === state.options.dataCentre,
+    // Requests to a brittle worker wait by a rule of their own, which sends it none that has to wait there.
+    slots: state.workerLimits.brittle.has(record) ? 0 : record.worker.slots,
     isAvoided: isAvoided(context, record),
     failureShare: record.health.failureShare,
   }));
   const chosen = chooseWorker(views, state.options.random, isShared);
-  return { ...NO_WORKER, record: candidates.find(({ worker }) => worker.id === chosen) };
+  const seeker = {
+    waitedMs: nowMs - context.arrivedAtMs,
+    timeoutMs: context.timeoutMs,
+    waitingRequests: state.queue.size + state.sharedLoad.waiting.requests,
+    draw: state.options.random(),
+  };
+  return {
+    ...NO_WORKER,
+    record: candidates.find(({ worker }) => worker.id === chosen),
+    shouldWait: isShared && shouldWaitForPlace(views, context, seeker),
+  };
 };
 
 const buildEngineView = (
--- a/packages/forwarder/src/waiting/estimateWork.ts
+++ b/packages/forwarder/src/waiting/estimateWork.ts
@@ -4,7 +4,7 @@
 
 /** Workspace and size of a request, by which its place in the queue is decided. */
 export interface RequestWork {
-  /** Undefined if workspaces do not compete. */
+  /** Undefined if workspaces do not compete, and for requests that are not for a model: these are served by rank and due time. */
   readonly workspace: WorkspaceName | undefined;
   /** Prompt and expected output tokens. */
   readonly workTokens: number;
@@ -33,7 +33,8 @@
   { route, holder, fingerprint, caller: { prompt } }: WorkingRequest,
 ): RequestWork => {
   const hasReturned = refused.has(fingerprint, options.getNowMs());
-  const workspace = workspaces.isCompeting ? holder?.workspace : undefined;
+  const isCompeting = workspaces.isCompeting && prompt !== undefined;
+  const workspace = isCompeting ? holder?.workspace : undefined;
   if (workspace === undefined || prompt === undefined)
     return { workspace, workTokens: 0, hasReturned };
   const { promptTokens, maxOutputTokens } = prompt;
--- a/packages/routing/src/placement/index.ts
+++ b/packages/routing/src/placement/index.ts
@@ -7,4 +7,5 @@
 export * from './LaneTable.js';
 export * from './PrefixCacheModel.js';
 export * from './shouldWait.js';
+export * from './shouldWaitForPlace.js';
 export type * from './types.js';
--- a/packages/routing/src/refusal/computePatience.ts
+++ b/packages/routing/src/refusal/computePatience.ts
@@ -11,13 +11,16 @@
 /** Share of the caller's patience that a request may spend in the queue; the rest is left for prefill. */
 const MAX_WAIT_SHARE = 0.6;
 
+/** Targets of a route by which callers decide how long they wait. */
+export type RouteTargets = Pick<Route, 'targetMs' | 'eventGapMs'>;
+
 /**
  * Computes the caller's patience: the time that it waits for the first event of a stream.
  *
  * @param route - route of the request
  * @returns the patience, in milliseconds
  */
-export const computePatienceMs = (route: Route): number =>
+export const computePatienceMs = (route: RouteTargets): number =>
   Math.max(MIN_PATIENCE_MS, route.targetMs * PATIENCE_TARGETS, route.eventGapMs * PATIENCE_GAPS);
 
 /**
@@ -26,7 +29,7 @@
  * @param route - route of the request
  * @returns the time, in milliseconds
  */
-export const computeLongestWaitMs = (route: Route): number =>
+export const computeLongestWaitMs = (route: RouteTargets): number =>
   computePatienceMs(route) * MAX_WAIT_SHARE;
 
 /** Elapsed, remaining and expected times of a queued request, in milliseconds. */
