--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -138,11 +138,6 @@
     help: 'Time since the store last answered a list or watch, by kind of objects.',
     labels: ['kind'],
   },
-  [MetricName.RecentWorkspaceTokens]: {
-    kind: Gauge,
-    help: 'Tokens that all daemons have lately sent to engines for a workspace, decayed over some seconds.',
-    labels: ['workspace'],
-  },
   [MetricName.WorkerSpeed]: {
     kind: Gauge,
     help: 'Learned speed of an upstream as a multiple of the median of its service.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -27,7 +27,6 @@
   ConfigurationAge = 'sardinegrade_configuration_age_seconds',
   StoreAnswerAge = 'sardinegrade_store_answer_age_seconds',
   WorkerSpeed = 'sardinegrade_worker_speed_ratio',
-  RecentWorkspaceTokens = 'sardinegrade_workspace_recent_tokens',
   LinksLost = 'sardinegrade_links_lost',
   Tunnels = 'sardinegrade_tunnels_total',
   DutyHolder = 'sardinegrade_duty_holder',
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -3,10 +3,8 @@
   BuildHistory,
   CrashTracker,
   DataCentreMonitor,
-  DrainRate,
   LaneTable,
   PeerRole,
-  RankTable,
   RouteHistory,
   RouteTable,
   SharedLoadView,
@@ -28,7 +26,7 @@
 import { LinkMonitor, LinkSign, TunnelClient, WorkerDialer } from './links/index.js';
 import { WorkerNotices } from './notices/index.js';
 import { isPortClosed, PartQuarantine } from './quarantine/index.js';
-import { RefusedRequests, RequestQueue, WorkspaceShares } from './waiting/index.js';
+import { RequestQueue } from './waiting/index.js';
 import { toInstanceId, WorkerFleet, WorkerPaces } from './workers/index.js';
 
 import type {
@@ -108,12 +106,6 @@
   readonly dataCentres = new DataCentreMonitor();
   /** Requests that wait for engines. */
   readonly queue: RequestQueue;
-  /** Work that engines have lately done for workspaces that compete with each other. */
-  readonly workspaces: WorkspaceShares;
-  /** Estimates how fast the engines read what waits. */
-  readonly drainRate = new DrainRate();
-  /** Requests that were refused for load and may come back. */
-  readonly refused = new RefusedRequests();
   /** Estimates how long streams currently take. */
   readonly pace = new StreamPace();
   /** Learned paces of the workers. */
@@ -195,7 +187,6 @@
   readonly #storeAnsweredAtMs = new Map<SyncedKind, number>();
   #routes = new RouteTable([]);
   #lanes = new LaneTable([]);
-  #ranks = new RankTable([]);
   #exitAtMs = Number.POSITIVE_INFINITY;
   #drainingSinceMs: number | undefined;
   /** Number of VMs, this one included; undefined until the first list. */
@@ -249,8 +240,7 @@
     this.fleet = new WorkerFleet(this.dialer);
     const listWorkers = (): readonly Worker[] => this.fleet.directory.listAll();
     this.paces = new WorkerPaces({ logger, getNowMs, listWorkers });
-    this.workspaces = new WorkspaceShares(this.sharedLoad, getNowMs);
-    this.queue = new RequestQueue(getNowMs, (name) => this.workspaces.getWork(name));
+    this.queue = new RequestQueue(getNowMs);
     this.workerLimits = new WorkerLimits({ logger, getNowMs, random, getPeerRuns });
     this.workerNotices = new WorkerNotices({ logger, getNowMs, fleet: this.fleet });
     this.partQuarantine = new PartQuarantine({
@@ -283,11 +273,6 @@
     return this.#lanes;
   }
 
-  /** Most urgent ranks by the routes and workspaces of the active configuration. */
-  get ranks(): RankTable {
-    return this.#ranks;
-  }
-
   /** Whether the process is shutting down: it still serves requests, but asks callers to close their connections. */
   get isDraining(): boolean {
     return this.#drainingSinceMs !== undefined;
@@ -329,8 +314,6 @@
     this.#configurationAppliedAtMs = this.options.getNowMs();
     this.#routes = new RouteTable(configuration.routes);
     this.#lanes = new LaneTable(configuration.routes);
-    this.#ranks = new RankTable(configuration.routes, configuration.keyHolders);
-    this.workspaces.setHolders(configuration.keyHolders);
     this.#routeHistory.replace(configuration.routes, this.options.getNowMs());
     return true;
   }
@@ -496,11 +479,6 @@
         value: pace.speed,
       })),
     );
-    metrics.registerGauge(MetricName.RecentWorkspaceTokens, () =>
-      this.workspaces
-        .list()
-        .map(({ workspace, tokens }) => ({ labels: { workspace }, value: tokens })),
-    );
     metrics.registerGauge(MetricName.LinksLost, () => [
       { labels: {}, value: this.links.isLost ? 1 : 0 },
     ]);
--- a/packages/forwarder/src/exchange/ExchangeReport.ts
+++ b/packages/forwarder/src/exchange/ExchangeReport.ts
@@ -22,8 +22,6 @@
 export interface PlacementDetails {
   /** Time from the request's arrival to the send, in milliseconds. */
   readonly queuedMs: number;
-  /** Requests of all VMs at the engine, running and queued. */
-  readonly runs: number;
   /** Prompt tokens that the engine had yet to prefill. */
   readonly backlogTokens: number;
   /** Tokens of this prompt that were not in the engine's prefix cache. */
@@ -39,12 +37,7 @@
   readonly next: NextStep;
 }
 
-const NO_PLACEMENT: PlacementDetails = {
-  queuedMs: 0,
-  runs: 0,
-  backlogTokens: 0,
-  uncachedTokens: 0,
-};
+const NO_PLACEMENT: PlacementDetails = { queuedMs: 0, backlogTokens: 0, uncachedTokens: 0 };
 
 const WASTE_CAUSES: Readonly<Partial<Record<ResultCode, WasteCause>>> = {
   [ResultCode.CallerGone]: WasteCause.CallerGone,
@@ -256,7 +249,6 @@
     if (this.admitted.caller.prompt === undefined) return {};
     return {
       held_ms: Math.round(this.#placement.queuedMs),
-      engine_runs: this.#placement.runs,
       backlog_tokens: Math.round(this.#placement.backlogTokens),
       unread_tokens: this.#placement.uncachedTokens,
     };
--- a/packages/forwarder/src/exchange/claimWorker.ts
+++ b/packages/forwarder/src/exchange/claimWorker.ts
@@ -1,6 +1,5 @@
 import { RouteKind } from '@sardinegrade/routing';
 
-import { estimateWork } from '../waiting/index.js';
 import { SendPace } from './SendPace.js';
 import { SilenceTimer } from './SilenceTimer.js';
 import { addUnansweredSend } from './unansweredSends.js';
@@ -30,18 +29,14 @@
  */
 export const claimWorker = (
   state: ForwarderState,
-  admitted: AdmittedRequest,
+  { caller, route }: AdmittedRequest,
   { record, service, isRepeatable, load }: ChosenWorker,
 ): ActiveSend => {
-  const { caller, route } = admitted;
   const nowMs = state.options.getNowMs();
   const claimed = record.pool.claim(nowMs, isRepeatable);
   const prompt = service.engine === undefined ? undefined : caller.prompt;
   const run = prompt === undefined ? undefined : record.tracker.start(prompt, nowMs);
   state.workerLimits.recordSend(record);
-  const { workspace, workTokens } = estimateWork(state, admitted);
-  if (run !== undefined) state.drainRate.recordSend(prompt?.promptTokens ?? 0, run.uncachedTokens);
-  if (run !== undefined && workspace !== undefined) state.workspaces.record(workspace, workTokens);
   if (prompt !== undefined && run?.hasUncachedSharedParts === true) {
     state.onPlacement(record.worker.id, prompt.parts);
   }
--- a/packages/forwarder/src/exchange/filterCandidates.ts
+++ b/packages/forwarder/src/exchange/filterCandidates.ts
@@ -1,6 +1,6 @@
 import { toCandidateSet } from '../workers/index.js';
 
-import type { BuildName, RequestId, UpstreamId, WorkspaceName } from '@sardinegrade/common';
+import type { BuildName, RequestId, UpstreamId } from '@sardinegrade/common';
 import type { PromptShape, RoutedService } from '@sardinegrade/routing';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { CandidateSet, WorkerRecord } from '../workers/index.js';
@@ -17,10 +17,6 @@
   readonly eventGapMs: number;
   /** Random number from 0 to 1 that decides whether the request is a trial of a worker; the same at each placement. */
   readonly trialDraw: number;
-  /** Priority rank; 0 is the most urgent. */
-  readonly priority: number;
-  /** Workspace of the caller; undefined for requests without a known key. */
-  readonly workspace: WorkspaceName | undefined;
   /** Workers to which this request has already been sent. */
   readonly tried: ReadonlySet<UpstreamId>;
   /** Build that began the stream which the request goes on with; undefined if any may serve it. */
@@ -31,9 +27,6 @@
   readonly requestId: RequestId | undefined;
   /** Whether the request may be sent again, and therefore may probe an unreachable data centre. */
   readonly isRepeatable: boolean;
-  readonly arrivedAtMs: number;
-  /** Time from the arrival to the deadline, in milliseconds. */
-  readonly timeoutMs: number;
   readonly nowMs: number;
 }
 
--- a/packages/forwarder/src/exchange/findRefusal.ts
+++ b/packages/forwarder/src/exchange/findRefusal.ts
@@ -1,8 +1,7 @@
 import { ResultCode } from '@sardinegrade/common';
-import { computeLongestWaitMs, shouldRefuse, shouldRefuseOnArrival } from '@sardinegrade/routing';
+import { computeLongestWaitMs, shouldRefuse } from '@sardinegrade/routing';
 
 import { DRAINING_RETRY_MS } from '../constants.js';
-import { countWaitingTokens, estimateDrainMs } from '../waiting/index.js';
 import { describeRefusedPart } from './unansweredSends.js';
 
 import type { PromptShape, Route } from '@sardinegrade/routing';
@@ -145,32 +144,3 @@
   }
   return { code: ResultCode.Overloaded, message: 'all workers limit their requests' };
 };
-
-/** A request that arrives while no engine accepts it. */
-export interface ArrivingRequest extends PendingRequest {
-  /** Priority rank; 0 is the most urgent. */
-  readonly priority: number;
-}
-
-/**
- * Finds whether a request is refused on arrival because its turn would come too late: the share of its rank and more urgent
- * ones in this VM's queue is taken as that of all VMs, so that nothing is refused where nothing waits at this VM.
- *
- * @param state - state of the forwarder
- * @param request - the request
- * @returns the reply, or undefined if the request may wait
- */
-export const findQueueRefusal = (
-  state: ForwarderState,
-  request: ArrivingRequest,
-): LocalReply | undefined => {
-  const { route, priority, prompt } = request;
-  if (prompt === undefined) return undefined;
-  const tokensAhead = countWaitingTokens(state) * state.queue.computeShareAhead(priority);
-  if (tokensAhead === 0) return undefined;
-  const waitMs = estimateDrainMs(state, tokensAhead);
-  const times = { ...request, streamMs: state.pace.estimateMs(route.name) };
-  if (!shouldRefuseOnArrival(route, waitMs, times)) return undefined;
-  const message = `the engines need ${Math.round(waitMs)} ms to read what waits before it`;
-  return { code: ResultCode.Overloaded, message };
-};
--- a/packages/forwarder/src/exchange/selectForRequest.ts
+++ b/packages/forwarder/src/exchange/selectForRequest.ts
@@ -1,5 +1,3 @@
-import { computePriorityRank } from '@sardinegrade/routing';
-
 import { findService } from './findService.js';
 import { selectWorker } from './selectWorker.js';
 
@@ -36,7 +34,7 @@
  */
 export const buildSelectionContext = (
   state: ForwarderState,
-  { caller, route, holder, arrivedAtMs, timeoutMs }: AdmittedRequest,
+  { caller, route }: AdmittedRequest,
   { service: name, attempts, build }: RequestProgress,
 ): SelectionContext | undefined => {
   const service = findService(state.configuration, name);
@@ -48,15 +46,11 @@
     targetMs: route.targetMs,
     eventGapMs: route.eventGapMs,
     trialDraw: attempts.trialDraw,
-    priority: computePriorityRank(holder?.priority, route.priority),
-    workspace: holder?.workspace,
     tried: attempts.tried,
     build,
     beginsStream: route.isResumable && build === undefined,
     requestId: caller.requestId,
     isRepeatable: attempts.isRepeatable,
-    arrivedAtMs,
-    timeoutMs,
     nowMs: state.options.getNowMs(),
   };
 };
--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -2,11 +2,9 @@
   chooseEngine,
   chooseTrial,
   chooseWorker,
-  isEngineFull,
   isPlainLoadShared,
   MAX_DIRECT_VMS,
   shouldWait,
-  shouldWaitForPlace,
 } from '@sardinegrade/routing';
 
 import { filterCandidates } from './filterCandidates.js';
@@ -65,23 +63,11 @@
     id: record.worker.id,
     runs: record.pool.busyCount + (isShared ? state.sharedLoad.getLoad(record.hash).runs : 0),
     isLocal: record.worker.dataCentre === state.options.dataCentre,
-    // Requests to a brittle worker wait by a rule of their own, which sends it none that has to wait there.
-    slots: state.workerLimits.brittle.has(record) ? 0 : record.worker.slots,
     isAvoided: isAvoided(context, record),
     failureShare: record.health.failureShare,
   }));
   const chosen = chooseWorker(views, state.options.random, isShared);
-  const seeker = {
-    waitedMs: nowMs - context.arrivedAtMs,
-    timeoutMs: context.timeoutMs,
-    waitingRequests: state.queue.size + state.sharedLoad.waiting.requests,
-    draw: state.options.random(),
-  };
-  return {
-    ...NO_WORKER,
-    record: candidates.find(({ worker }) => worker.id === chosen),
-    shouldWait: isShared && shouldWaitForPlace(views, context, seeker),
-  };
+  return { ...NO_WORKER, record: candidates.find(({ worker }) => worker.id === chosen) };
 };
 
 const buildEngineView = (
@@ -108,7 +94,7 @@
   prompt: PromptShape,
   { records: candidates, ranking }: CandidateSet,
 ): WorkerSelection => {
-  const { state, service, targetMs, eventGapMs, trialDraw, priority, nowMs } = context;
+  const { state, service, targetMs, eventGapMs, trialDraw, nowMs } = context;
   const peerCount = state.sharedLoad.countLive(nowMs);
   const views = candidates.map((record) => buildEngineView(context, prompt, record));
   const lane = state.lanes.getLane(service.name, targetMs);
@@ -125,13 +111,10 @@
   if (choice === undefined) return NO_WORKER;
   const view = views.find(({ id }) => id === choice.id);
   const { backlogTokens, runs } = view ?? NO_WORKER.load;
-  const isMostUrgent = state.ranks.isMostUrgent(service.name, priority);
-  const roomShare = state.workspaces.computeRoomShare(context.workspace);
-  const slots = (service.engine?.slots ?? Infinity) * roomShare;
-  const isFull = isEngineFull(slots, runs, isMostUrgent);
+  const isFull = runs >= (service.engine?.slots ?? Infinity);
   return {
     record: candidates.find(({ worker }) => worker.id === choice.id),
-    shouldWait: isFull || shouldWait(lane, backlogTokens / roomShare, view?.pace?.speed),
+    shouldWait: isFull || shouldWait(lane, backlogTokens, view?.pace?.speed),
     load: { backlogTokens, runs },
     limited: [],
   };
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -17,8 +17,8 @@
   PACE_SAMPLES_PER_DATAGRAM,
   PARTS_PER_DATAGRAM,
   PARTS_WITH_EVIDENCE_PER_DATAGRAM,
+  PLACEMENTS_PER_DATAGRAM,
 } from './constants.js';
-import { encodeLoad } from './encodeLoad.js';
 import {
   encodePeerMessage,
   fromLoadShare,
@@ -193,7 +193,6 @@
     let encoded: readonly Uint8Array[] = [];
     let last: LoadMessage | undefined;
     const { waiting } = this.options.state.queue;
-    const work = this.options.state.workspaces.listOwn();
     const { partQuarantine, workerLimits, workerNotices } = this.options.state;
     const evidence = partQuarantine.collectUnsent();
     const notices = {
@@ -204,11 +203,11 @@
     const brittleWorkers = workerLimits.brittle.collectUnsent();
     const origins = this.#unsentOrigins;
     this.#unsentOrigins = [];
-    for (const { address, message } of this.#gossip.tick(loads, nowMs, waiting, work)) {
+    for (const { address, message } of this.#gossip.tick(loads, nowMs, waiting)) {
       // Messages to several receivers are encoded once.
       if (message !== last) {
         encoded = [
-          ...encodeLoad(message),
+          ...this.#encodeLoad(message),
           ...this.#encodePaceSamples(message),
           ...this.#encodeEvidence(message, evidence),
           ...this.#encodeNotices(message, notices),
@@ -222,6 +221,30 @@
     }
   }
 
+  /** Encodes a message, followed by messages with the placements that do not fit into it. */
+  #encodeLoad(message: LoadMessage): readonly Uint8Array[] {
+    const { placements } = message;
+    const datagrams: Uint8Array[] = [];
+    let part = {
+      ...message,
+      paceSamples: [],
+      placements: placements.slice(0, PLACEMENTS_PER_DATAGRAM),
+    };
+    for (let next = PLACEMENTS_PER_DATAGRAM; ; next += PLACEMENTS_PER_DATAGRAM) {
+      datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
+      if (next >= placements.length) return datagrams;
+      part = {
+        ...message,
+        scope: LoadScope.News,
+        engines: new Map(),
+        waiting: NO_WAITING,
+        crashes: [],
+        paceSamples: [],
+        placements: placements.slice(next, next + PLACEMENTS_PER_DATAGRAM),
+      };
+    }
+  }
+
   #encodePaceSamples(message: LoadMessage): readonly Uint8Array[] {
     const datagrams: Uint8Array[] = [];
     const samples = message.paceSamples;
--- a/packages/forwarder/src/peers/constants.ts
+++ b/packages/forwarder/src/peers/constants.ts
@@ -4,9 +4,6 @@
 /** Maximum number of placements in a datagram: each has an engine and some three parts, 70 bytes; loads add 600. */
 export const PLACEMENTS_PER_DATAGRAM = 10;
 
-/** Number of placements that are left out of a datagram with the work for 32 workspaces, which takes 200 bytes. */
-export const PLACEMENTS_FOR_WORK = 3;
-
 /** Maximum number of cached parts in a datagram, some 20 bytes each. */
 export const PARTS_PER_DATAGRAM = 50;
 
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -6,7 +6,7 @@
   toBranded,
 } from '@sardinegrade/common';
 import { LoadProtocol } from '@sardinegrade/peer';
-import { LoadScope, NO_WAITING, NO_WORK } from '@sardinegrade/routing';
+import { LoadScope, NO_WAITING } from '@sardinegrade/routing';
 
 import { fromWirePaceSamples, toWirePaceSamples } from './paceMessages.js';
 
@@ -38,9 +38,6 @@
 const MAX_ERA = 1e15;
 const MAX_BACKLOG_UNITS = 10_000_000;
 
-/** Maximum number of workspaces in a message: 200 bytes of a datagram. */
-const MAX_WORKSPACES = 32;
-
 const WIRE_SCOPES: Readonly<Record<LoadScope, LoadProtocol.LoadScope>> = {
   [LoadScope.ForAll]: LoadProtocol.LoadScope.LOAD_SCOPE_FOR_ALL,
   [LoadScope.ForRelay]: LoadProtocol.LoadScope.LOAD_SCOPE_FOR_RELAY,
@@ -120,16 +117,9 @@
     : { revision, answerAgeMs };
 };
 
-/** Lists the workspaces with the most work. A workspace that is left out has little. */
-const listMostWork = ({ work = NO_WORK }: LoadMessage): readonly (readonly [number, number])[] =>
-  work.size <= MAX_WORKSPACES
-    ? [...work]
-    : [...work].sort(([, left], [, right]) => right - left).slice(0, MAX_WORKSPACES);
-
 /** @returns the wire form of a load message */
 export const toLoadShare = (message: LoadMessage): LoadProtocol.LoadShare => {
   const loads = [...message.engines];
-  const work = listMostWork(message);
   return {
     vm: message.vm,
     startedAtMs: toUint64(message.startedAtMs),
@@ -151,8 +141,6 @@
     storeFailureAgeMs: toOptionalUint32(message.storeVersions.failureAgeMs),
     queuedRequests: toUint32(message.waiting.requests),
     queuedHundreds: toUint32(message.waiting.promptTokens / TOKENS_PER_UNIT),
-    workspaces: work.map(([workspace]) => workspace),
-    workspaceHundreds: work.map(([, tokens]) => toUint32(tokens / TOKENS_PER_UNIT)),
     ...toWireWatch(message.storeVersions.workerWatch),
     workerLimits: message.workerLimits.map((limit) => ({
       ...limit,
@@ -228,19 +216,6 @@
     ? NO_WAITING
     : { requests: queuedRequests, promptTokens: queuedHundreds * TOKENS_PER_UNIT };
 
-/** Reads the work for workspaces, without what is out of range; no member if there is none. */
-const fromWireWork = ({
-  workspaces,
-  workspaceHundreds,
-}: LoadProtocol.LoadShare): Pick<LoadMessage, 'work'> => {
-  const entries = workspaces
-    .slice(0, MAX_WORKSPACES)
-    .map((workspace, index): [number, number] => [workspace, workspaceHundreds[index] ?? 0])
-    .filter(([, units]) => units > 0 && units <= MAX_BACKLOG_UNITS);
-  const work = new Map(entries.map(([workspace, units]) => [workspace, units * TOKENS_PER_UNIT]));
-  return work.size > 0 ? { work } : {};
-};
-
 const isLimit = ({ perSecond = 0 }: Pick<LoadProtocol.WorkerLimit, 'perSecond'>): boolean =>
   perSecond >= 0 && perSecond <= MAX_PER_SECOND;
 
@@ -251,7 +226,6 @@
   dataCentre: toBranded<DataCentreName>(load.dataCentre),
   engines: fromWireLoads(load),
   waiting: fromWireWaiting(load),
-  ...fromWireWork(load),
   placements: load.placements.map(fromWirePlacement),
   crashes: load.crashes.map(({ fingerprint, upstream }) => ({
     fingerprint: toBranded<Fingerprint>(fingerprint),
--- a/packages/forwarder/src/waiting/RequestQueue.ts
+++ b/packages/forwarder/src/waiting/RequestQueue.ts
@@ -1,6 +1,6 @@
 import { PREFILL_TOKENS_PER_MS, rankWaiting, selectTries } from '@sardinegrade/routing';
 
-import type { GetWork, WaitingLoad, WaitingRequest } from '@sardinegrade/routing';
+import type { WaitingLoad, WaitingRequest } from '@sardinegrade/routing';
 
 /**
  * Minimum interval between two passes over the queue, in milliseconds, and the interval at which queued requests are
@@ -27,14 +27,8 @@
   #lastPassAtMs = Number.NEGATIVE_INFINITY;
   #offset = 0;
 
-  /**
-   * @param getNowMs - reads a monotonic clock, in milliseconds
-   * @param getWork - work that engines have lately done for a workspace; without it all workspaces count alike
-   */
-  constructor(
-    private readonly getNowMs: () => number,
-    private readonly getWork?: GetWork,
-  ) {}
+  /** @param getNowMs - reads a monotonic clock, in milliseconds */
+  constructor(private readonly getNowMs: () => number) {}
 
   /** Number of queued requests. */
   get size(): number {
@@ -55,17 +49,6 @@
     return count;
   }
 
-  /** @returns part of the queued prompt tokens, from 0 to 1, that are at least as urgent as this priority rank */
-  computeShareAhead(priority: number): number {
-    let aheadMs = 0;
-    let totalMs = 0;
-    for (const request of this.#requests) {
-      totalMs += request.prefillMs;
-      if (request.priority <= priority) aheadMs += request.prefillMs;
-    }
-    return totalMs === 0 ? 0 : aheadMs / totalMs;
-  }
-
   /** Adds a request that could not be started immediately. */
   add(request: QueuedRequest): void {
     this.#requests.add(request);
@@ -100,7 +83,7 @@
     for (const request of [...this.#requests]) {
       if (request.refuseIfExpired()) this.#requests.delete(request);
     }
-    const ranked = rankWaiting([...this.#requests], this.#lastPassAtMs, this.getWork);
+    const ranked = rankWaiting([...this.#requests], this.#lastPassAtMs);
     const { requests, nextOffset } = selectTries(ranked, this.#offset);
     this.#offset = nextOffset;
     for (const request of requests) {
--- a/packages/routing/src/load/LoadGossip.ts
+++ b/packages/routing/src/load/LoadGossip.ts
@@ -2,7 +2,7 @@
 import { LoadScope, PeerRole } from './enums.js';
 import { listRelays } from './listRelays.js';
 import { RelaySelector } from './RelaySelector.js';
-import { mergeLoads, mergeWaiting, mergeWork, NO_WAITING, NO_WORK } from './SharedLoadView.js';
+import { mergeLoads, mergeWaiting, NO_WAITING } from './SharedLoadView.js';
 
 import type { DataCentreName, SocketAddress, VmId } from '@sardinegrade/common';
 import type { DataCentreMonitor } from './DataCentreMonitor.js';
@@ -16,7 +16,6 @@
   StoreVersions,
   VmIdentity,
   WaitingLoad,
-  WorkLoads,
 } from './types.js';
 
 /** Time without a report after which a subscriber is removed and receives no more digests, in milliseconds. */
@@ -45,11 +44,10 @@
   readonly reportedAtMs: number;
 }
 
-/** Load that this VM has placed on engines, what waits at it, and its work for workspaces. */
+/** Load that this VM has placed on engines, and what waits at it. */
 interface OwnLoad {
   readonly engines: EngineLoads;
   readonly waiting: WaitingLoad;
-  readonly work: WorkLoads;
 }
 
 /** News and the VM from which they were received. */
@@ -160,17 +158,15 @@
    * @param ownLoads - load of this VM
    * @param nowMs - current time, in milliseconds
    * @param waiting - what waits at this VM
-   * @param work - work for workspaces that this VM has sent to engines
    * @returns the messages with their destinations
    */
   tick(
     ownLoads: EngineLoads,
     nowMs: number,
     waiting: WaitingLoad = NO_WAITING,
-    work: WorkLoads = NO_WORK,
   ): readonly OutgoingMessage[] {
     this.#dropSilentSubscribers(nowMs);
-    const own: OwnLoad = { engines: ownLoads, waiting, work };
+    const own: OwnLoad = { engines: ownLoads, waiting };
     const outgoing = this.#buildReports(own, nowMs);
     for (const [name, { address }] of this.#subscribers) {
       outgoing.push({ address, message: this.#buildDigest(name, own, nowMs) });
@@ -253,19 +249,18 @@
     const targets = this.#isRelay ? this.#relays : this.#relaySelector.listTargets(nowMs);
     if (targets.length === 0) return [];
     const { view } = this.options;
-    let { engines, waiting, work } = own;
+    let { engines, waiting } = own;
     let vmCount = 1;
     for (const vm of this.#subscribers.keys()) {
       const report = view.find(vm);
       if (report === undefined) continue;
       engines = mergeLoads(engines, report.engines);
       waiting = mergeWaiting(waiting, report.waiting);
-      work = mergeWork(work, report.work);
       vmCount += report.vmCount;
     }
     const news = mergeNews(this.#pendingNews.filter(({ isSentToRelays }) => !isSentToRelays));
     const scope = this.#isRelay ? LoadScope.ForAll : LoadScope.ForRelay;
-    const message = this.#buildMessage(scope, { engines, waiting, work, vmCount, news });
+    const message = this.#buildMessage(scope, { engines, waiting, vmCount, news });
     return targets.map(({ address }) => ({ address, message }));
   }
 
@@ -273,14 +268,12 @@
     const { view, dataCentres } = this.options;
     const engines = mergeLoads(view.computeTotalsWithout(subscriber), own.engines);
     const waiting = mergeWaiting(view.computeWaitingWithout(subscriber), own.waiting);
-    const work = mergeWork(view.computeWorkWithout(subscriber), own.work);
     const vmCount = view.countLive(nowMs) + 1 - (view.find(subscriber)?.vmCount ?? 0);
     const news = mergeNews(this.#pendingNews.filter(({ source }) => source !== subscriber));
     const dataCentreAges = dataCentres.listLastSeenAges(nowMs);
     return this.#buildMessage(LoadScope.Digest, {
       engines,
       waiting,
-      work,
       vmCount,
       news,
       dataCentreAges,
@@ -292,14 +285,13 @@
     content: {
       readonly engines: EngineLoads;
       readonly waiting: WaitingLoad;
-      readonly work?: WorkLoads;
       readonly vmCount: number;
       readonly news: News;
       readonly dataCentreAges?: ReadonlyMap<DataCentreName, number>;
     },
   ): LoadMessage {
     this.#sequence += 1;
-    const { engines, waiting, work = NO_WORK, vmCount, news, dataCentreAges = new Map() } = content;
+    const { engines, waiting, vmCount, news, dataCentreAges = new Map() } = content;
     return {
       ...this.options.identity,
       ...news,
@@ -308,7 +300,6 @@
       sequence: this.#sequence,
       engines,
       waiting,
-      ...(work.size > 0 && { work }),
       vmCount,
       dataCentreAges,
       partEvidence: [],
--- a/packages/routing/src/load/SharedLoadView.ts
+++ b/packages/routing/src/load/SharedLoadView.ts
@@ -1,5 +1,5 @@
 import type { VmId } from '@sardinegrade/common';
-import type { EngineLoad, EngineLoads, LoadReport, WaitingLoad, WorkLoads } from './types.js';
+import type { EngineLoad, EngineLoads, LoadReport, WaitingLoad } from './types.js';
 
 interface ReceivedReport {
   readonly report: LoadReport;
@@ -17,36 +17,6 @@
 /** No waiting requests. */
 export const NO_WAITING: WaitingLoad = { requests: 0, promptTokens: 0 };
 
-/** No work for workspaces. */
-export const NO_WORK: WorkLoads = new Map();
-
-/** Adds work to totals, or subtracts it. */
-const addWork = (totals: Map<number, number>, work: WorkLoads, sign: 1 | -1): void => {
-  for (const [workspace, tokens] of work) {
-    const total = (totals.get(workspace) ?? 0) + sign * tokens;
-    if (total <= 0) totals.delete(workspace);
-    else totals.set(workspace, total);
-  }
-};
-
-/**
- * Adds or subtracts work for workspaces.
- *
- * @param first - work to start from; not modified
- * @param second - work to add or subtract
- * @param sign - 1 adds, -1 subtracts
- * @returns the result by workspace
- */
-export const mergeWork = (
-  first: WorkLoads,
-  second: WorkLoads = NO_WORK,
-  sign: 1 | -1 = 1,
-): WorkLoads => {
-  const totals = new Map(first);
-  addWork(totals, second, sign);
-  return totals;
-};
-
 /**
  * Adds or subtracts what waits at VMs.
  *
@@ -99,8 +69,6 @@
   /** Sums over all reports by the hash of the engine's id: a lookup takes constant time in a fleet of any size. */
   readonly #totals = new Map<number, EngineLoad>();
   #waiting = NO_WAITING;
-  /** Sums over all reports by the hash of the workspace's name. */
-  readonly #work = new Map<number, number>();
 
   /**
    * Applies a report unless a newer one of the same VM is known.
@@ -137,16 +105,6 @@
     return this.#waiting;
   }
 
-  /** @returns tokens that engines have lately processed for a workspace, given by its hash, as sent by all other VMs */
-  getWork(workspace: number): number {
-    return this.#work.get(workspace) ?? 0;
-  }
-
-  /** Work for all workspaces, by the hashes of their names, as sent by all other VMs. */
-  get work(): WorkLoads {
-    return this.#work;
-  }
-
   /** Counts the other VMs that are alive, and removes the reports of those that are gone. */
   countLive(nowMs: number): number {
     let count = 0;
@@ -182,13 +140,7 @@
     return mergeWaiting(this.#waiting, this.find(vm)?.waiting ?? NO_WAITING, -1);
   }
 
-  /** @returns the work that all VMs except one and this VM itself have sent */
-  computeWorkWithout(vm: VmId): WorkLoads {
-    return mergeWork(this.#work, this.find(vm)?.work, -1);
-  }
-
-  #addToTotals({ engines, waiting, work }: LoadReport, sign: 1 | -1): void {
-    if (work !== undefined) addWork(this.#work, work, sign);
+  #addToTotals({ engines, waiting }: LoadReport, sign: 1 | -1): void {
     addLoads(this.#totals, engines, sign);
     this.#waiting = mergeWaiting(this.#waiting, waiting, sign);
   }
--- a/packages/routing/src/load/types.ts
+++ b/packages/routing/src/load/types.ts
@@ -24,9 +24,6 @@
   readonly promptTokens: number;
 }
 
-/** Tokens that engines have processed lately, by the hash of the workspace's name (see `WorkspaceWork`). */
-export type WorkLoads = ReadonlyMap<number, number>;
-
 /** Report of the load that one or more VMs put on the engines. */
 export interface LoadReport {
   readonly vm: VmId;
@@ -36,8 +33,6 @@
   readonly sequence: number;
   readonly engines: EngineLoads;
   readonly waiting: WaitingLoad;
-  /** Work for workspaces; none if it is missing. */
-  readonly work?: WorkLoads;
   /** Number of VMs whose load is included. */
   readonly vmCount: number;
 }
--- a/packages/routing/src/placement/index.ts
+++ b/packages/routing/src/placement/index.ts
@@ -7,5 +7,4 @@
 export * from './LaneTable.js';
 export * from './PrefixCacheModel.js';
 export * from './shouldWait.js';
-export * from './shouldWaitForPlace.js';
 export type * from './types.js';
--- a/packages/routing/src/refusal/StreamPace.ts
+++ b/packages/routing/src/refusal/StreamPace.ts
@@ -40,11 +40,6 @@
     this.#paces.set(route, { ...pace, events: addSample(pace.events, events, LENGTH_WEIGHT) });
   }
 
-  /** @returns the expected number of events in a stream; 0 if unknown */
-  estimateEvents(route: RouteName): number {
-    return this.#paces.get(route)?.events ?? 0;
-  }
-
   /** @returns the expected time from the first event of a stream to its end, in milliseconds; 0 if unknown */
   estimateMs(route: RouteName): number {
     const { gapMs, events } = this.#paces.get(route) ?? UNKNOWN;
--- a/packages/routing/src/refusal/computePatience.ts
+++ b/packages/routing/src/refusal/computePatience.ts
@@ -11,16 +11,13 @@
 /** Share of the caller's patience that a request may spend in the queue; the rest is left for prefill. */
 const MAX_WAIT_SHARE = 0.6;
 
-/** Targets of a route by which callers decide how long they wait. */
-export type RouteTargets = Pick<Route, 'targetMs' | 'eventGapMs'>;
-
 /**
  * Computes the caller's patience: the time that it waits for the first event of a stream.
  *
  * @param route - route of the request
  * @returns the patience, in milliseconds
  */
-export const computePatienceMs = (route: RouteTargets): number =>
+export const computePatienceMs = (route: Route): number =>
   Math.max(MIN_PATIENCE_MS, route.targetMs * PATIENCE_TARGETS, route.eventGapMs * PATIENCE_GAPS);
 
 /**
@@ -29,7 +26,7 @@
  * @param route - route of the request
  * @returns the time, in milliseconds
  */
-export const computeLongestWaitMs = (route: RouteTargets): number =>
+export const computeLongestWaitMs = (route: Route): number =>
   computePatienceMs(route) * MAX_WAIT_SHARE;
 
 /** Elapsed, remaining and expected times of a queued request, in milliseconds. */
@@ -56,27 +53,3 @@
 export const shouldRefuse = (route: Route, times: WaitingTimes): boolean =>
   times.waitedMs > computeLongestWaitMs(route) ||
   times.remainingMs < times.prefillMs + times.streamMs;
-
-/** Factor by which the expected wait has to exceed the permitted one: the estimate knows no slots and few cached prompts. */
-const REFUSAL_MARGIN = 1.5;
-
-/**
- * Decides whether to refuse a request that arrives while others wait, because its turn would come too late.
- *
- * Load pattern: a queue that takes longer to drain than callers wait. A request that is refused at once has most of its time
- * left to return; one that is refused after its wait has little.
- *
- * @param route - the route
- * @param expectedWaitMs - expected time until the requests before it have been read, in milliseconds
- * @param times - times of the request
- * @returns whether it is refused now, as not run
- */
-export const shouldRefuseOnArrival = (
-  route: Route,
-  expectedWaitMs: number,
-  { waitedMs, remainingMs, prefillMs, streamMs }: WaitingTimes,
-): boolean => {
-  const latestStartMs = remainingMs - prefillMs - streamMs;
-  const longestWaitMs = Math.min(computeLongestWaitMs(route) - waitedMs, latestStartMs);
-  return expectedWaitMs > Math.max(0, longestWaitMs) * REFUSAL_MARGIN;
-};
--- a/packages/routing/src/refusal/computeRetryAfter.ts
+++ b/packages/routing/src/refusal/computeRetryAfter.ts
@@ -10,17 +10,6 @@
 const MIN_RETRY_AFTER_MS = 200;
 const MAX_RETRY_AFTER_MS = 2_000;
 
-/** Length of the interval over which returning callers are spread, as a share of the time until the queue is empty. */
-const SPREAD_SHARE = 0.5;
-
-/** Spreads callers over an interval that begins when the queue is expected to be empty, or ends at their latest time. */
-const spreadRetryMs = (drainMs: number, remainingMs: number, random: RandomSource): number => {
-  const latestMs = Math.max(0, remainingMs * MAX_REMAINING_SHARE);
-  const earliestMs = Math.max(MIN_RETRY_AFTER_MS, drainMs);
-  const startMs = Math.min(earliestMs, latestMs / (1 + SPREAD_SHARE));
-  return startMs * (1 + SPREAD_SHARE * random());
-};
-
 /**
  * Computes after what time a refused caller should retry: late enough for the queue to shrink, early enough to be
  * served within the remaining time, and with jitter, so that callers that are refused together do not return together.
@@ -29,15 +18,9 @@
  *
  * @param remainingMs - time left until the caller's deadline, in milliseconds
  * @param random - source of the jitter
- * @param drainMs - expected time until the engines have read what waits; undefined if nothing waits for engines
  * @returns the wait, in milliseconds
  */
-export const computeRetryAfterMs = (
-  remainingMs: number,
-  random: RandomSource,
-  drainMs?: number,
-): number => {
-  if (drainMs !== undefined) return spreadRetryMs(drainMs, remainingMs, random);
+export const computeRetryAfterMs = (remainingMs: number, random: RandomSource): number => {
   const longestMs = Math.min(MAX_RETRY_AFTER_MS, remainingMs * MAX_REMAINING_SHARE);
   return Math.max(MIN_RETRY_AFTER_MS, longestMs * (0.5 + random() / 2));
 };
