--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -23,6 +23,7 @@
   encodePeerMessage,
   fromLoadShare,
   fromWirePlacement,
+  NO_LOAD,
   toLoadShare,
   toWirePlacement,
 } from './loadMessages.js';
@@ -43,17 +44,6 @@
 import type { Socket } from 'node:dgram';
 import type { ForwarderState } from '../ForwarderState.js';
 
-/** Fields of a message that carries only what VMs tell each other about workers. */
-const NO_LOAD: Partial<LoadMessage> = {
-  scope: LoadScope.News,
-  engines: new Map(),
-  waiting: NO_WAITING,
-  crashes: [],
-  placements: [],
-  paceSamples: [],
-  dataCentreAges: new Map(),
-};
-
 /** Fields of a message with what workers state about themselves. */
 type NoticeReports = Pick<LoadMessage, 'workerLimits' | 'leavingWorkers'>;
 
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -278,3 +278,14 @@
   checkSender(load);
   return toLoadMessage(load);
 };
+
+/** Fields of a message that carries only what VMs tell each other about workers. */
+export const NO_LOAD: Partial<LoadMessage> = {
+  scope: LoadScope.News,
+  engines: new Map(),
+  waiting: NO_WAITING,
+  crashes: [],
+  placements: [],
+  paceSamples: [],
+  dataCentreAges: new Map(),
+};
