--- a/packages/forwarder/src/exchange/selectWorker.ts
+++ b/packages/forwarder/src/exchange/selectWorker.ts
@@ -2,7 +2,6 @@
   chooseEngine,
   chooseTrial,
   chooseWorker,
-  isEngineFull,
   isPlainLoadShared,
   MAX_DIRECT_VMS,
   shouldWait,
@@ -95,7 +94,7 @@
   prompt: PromptShape,
   { records: candidates, ranking }: CandidateSet,
 ): WorkerSelection => {
-  const { state, service, targetMs, eventGapMs, trialDraw, priority, nowMs } = context;
+  const { state, service, targetMs, eventGapMs, trialDraw, nowMs } = context;
   const peerCount = state.sharedLoad.countLive(nowMs);
   const views = candidates.map((record) => buildEngineView(context, prompt, record));
   const lane = state.lanes.getLane(service.name, targetMs);
@@ -112,13 +111,10 @@
   if (choice === undefined) return NO_WORKER;
   const view = views.find(({ id }) => id === choice.id);
   const { backlogTokens, runs } = view ?? NO_WORKER.load;
-  const isMostUrgent = state.ranks.isMostUrgent(service.name, priority);
-  const roomShare = state.workspaces.computeRoomShare(context.workspace);
-  const slots = (service.engine?.slots ?? Infinity) * roomShare;
-  const isFull = isEngineFull(slots, runs, isMostUrgent);
+  const isFull = runs >= (service.engine?.slots ?? Infinity);
   return {
     record: candidates.find(({ worker }) => worker.id === choice.id),
-    shouldWait: isFull || shouldWait(lane, backlogTokens / roomShare, view?.pace?.speed),
+    shouldWait: isFull || shouldWait(lane, backlogTokens, view?.pace?.speed),
     load: { backlogTokens, runs },
     limited: [],
   };
