--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -42,6 +42,7 @@
 import type { RandomSource } from '@sardinegrade/dispatch';
 import type {
   Crash,
+  EngineLoads,
   PromptPart,
   Route,
   RoutingConfiguration,
@@ -395,6 +396,17 @@
     return isPlainLoadShared(length, this.sharedLoad.countLive(nowMs) + 1);
   }
 
+  /**
+   * Lists the load that this VM puts on engines.
+   *
+   * @param isNeeded - returns whether the load of a worker of a plain service is listed, too
+   * @returns the load by the hash of the worker's id
+   */
+  listOwnLoads(isNeeded: (record: WorkerRecord) => boolean): EngineLoads {
+    const getSpeed = (record: WorkerRecord): number => this.paces.get(record).speed;
+    return this.fleet.listLoads(this.options.getNowMs(), isNeeded, getSpeed);
+  }
+
   /** Removes what has expired; called every second. */
   sweep(): void {
     const nowMs = this.options.getNowMs();
--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -148,18 +148,19 @@
   }
 
   #tick(): void {
-    const nowMs = this.options.state.options.getNowMs();
+    const { state } = this.options;
+    const nowMs = state.options.getNowMs();
     this.#requestCachedParts(nowMs);
     this.#collectOrigins(nowMs);
-    const loads = this.#listOwnLoads(nowMs);
-    const { partQuarantine, workerLimits, workerNotices } = this.options.state;
+    const loads = state.listOwnLoads((record) => state.isLoadNeeded(record));
+    const { partQuarantine, workerLimits, workerNotices } = state;
     const hasUnsent =
       partQuarantine.hasUnsent ||
       workerLimits.hasUnsent ||
       workerNotices.hasUnsent ||
       workerLimits.brittle.hasUnsent ||
       this.#unsentOrigins.length > 0;
-    const isWaiting = this.options.state.queue.size > 0;
+    const isWaiting = state.queue.size > 0;
     const isBusy = loads.size > 0 || isWaiting || this.#gossip.hasNews || hasUnsent;
     // The first report without load clears this VM's load at the receivers.
     const isDue = isBusy || this.#wasBusy || nowMs - this.#sentAtMs >= IDLE_REPORT_INTERVAL_MS;
@@ -169,16 +170,6 @@
     this.#send(loads, nowMs);
   }
 
-  #listOwnLoads(nowMs: number): EngineLoads {
-    const { state } = this.options;
-    const loads = state.fleet.listLoads(
-      nowMs,
-      (record) => state.isLoadNeeded(record),
-      (record) => state.paces.get(record).speed,
-    );
-    return new Map(loads.map(({ id, load }) => [hashText(id), load]));
-  }
-
   #send(loads: EngineLoads, nowMs: number): void {
     let encoded: readonly Uint8Array[] = [];
     let last: LoadMessage | undefined;
--- a/packages/forwarder/src/workers/WorkerFleet.ts
+++ b/packages/forwarder/src/workers/WorkerFleet.ts
@@ -14,6 +14,7 @@
 import type { WorkerDialer } from '../links/index.js';
 import type {
   EngineLoad,
+  EngineLoads,
   OutdatedReport,
   PromptPart,
   RoutedService,
@@ -44,12 +45,6 @@
   ranking: new EngineRanking(records.map(({ worker }) => worker.id)),
 });
 
-/** Load that this VM puts on one engine. */
-export interface NamedLoad {
-  readonly id: UpstreamId;
-  readonly load: EngineLoad;
-}
-
 /**
  * Capacity of an engine's KV cache, in tokens, for records created without one, for example from a load message: that of
  * the smallest site.
@@ -169,21 +164,21 @@
    * @param nowMs - current time, in milliseconds
    * @param isNeeded - returns whether other VMs need the load of a worker of a plain service
    * @param getSpeed - returns the learned speed of an engine
-   * @returns the workers with this VM's load
+   * @returns this VM's load by the hash of the worker's id
    */
   listLoads(
     nowMs: number,
     isNeeded: (record: WorkerRecord) => boolean,
     getSpeed: (record: WorkerRecord) => number,
-  ): readonly NamedLoad[] {
-    const loads: NamedLoad[] = [];
-    for (const [id, record] of this.#records) {
-      const { tracker, pool } = record;
+  ): EngineLoads {
+    const loads = new Map<number, EngineLoad>();
+    for (const record of this.#records.values()) {
+      const { hash, tracker, pool } = record;
       const plainRuns = pool.busyCount > 0 && isNeeded(record) ? pool.busyCount : 0;
       const runs = tracker.runCount > 0 ? tracker.runCount : plainRuns;
       if (runs === 0) continue;
       const backlogTokens = tracker.estimateBacklogTokens(nowMs, getSpeed(record));
-      loads.push({ id, load: { backlogTokens, runs } });
+      loads.set(hash, { backlogTokens, runs });
     }
     return loads;
   }
