refactor(forwarder): one encodeList for the lists that go beside the load

Pace samples, evidence, outdated and brittle workers and origins of streams were each encoded by a copy of the same loop. The datagrams are the same.

--- a/packages/forwarder/src/peers/LoadReporter.ts
+++ b/packages/forwarder/src/peers/LoadReporter.ts
@@ -20,6 +20,7 @@
   PLACEMENTS_PER_DATAGRAM,
 } from './constants.js';
 import {
+  encodeList,
   encodePeerMessage,
   fromLoadShare,
   fromWirePlacement,
@@ -31,7 +32,6 @@
 
 import type { SocketAddress, UpstreamId, VmId } from '@sardinegrade/common';
 import type {
-  BrittleReport,
   EngineLoads,
   LoadMessage,
   OutdatedReport,
@@ -181,7 +181,7 @@
       leavingWorkers: workerNotices.collectLeaving(),
     };
     const outdatedWorkers = this.#collectOutdated(nowMs);
-    const brittleWorkers = workerLimits.brittle.collectUnsent();
+    const brittle = workerLimits.brittle.collectUnsent();
     const origins = this.#unsentOrigins;
     this.#unsentOrigins = [];
     for (const { address, message } of this.#gossip.tick(loads, nowMs, waiting)) {
@@ -189,11 +189,13 @@
       if (message !== last) {
         encoded = [
           ...this.#encodeLoad(message),
-          ...this.#encodePaceSamples(message),
+          ...encodeList(message, message.paceSamples, PACE_SAMPLES_PER_DATAGRAM, (paceSamples) => ({
+            paceSamples,
+          })),
           ...this.#encodeEvidence(message, evidence),
           ...this.#encodeNotices(message, notices),
           ...this.#encodeOutdated(message, outdatedWorkers),
-          ...this.#encodeBrittleWorkers(message, brittleWorkers),
+          ...encodeList(message, brittle, Infinity, (brittleWorkers) => ({ brittleWorkers })),
           ...this.#encodeOrigins(message, origins),
         ];
       }
@@ -226,26 +228,9 @@
     }
   }
 
-  #encodePaceSamples(message: LoadMessage): readonly Uint8Array[] {
-    const datagrams: Uint8Array[] = [];
-    const samples = message.paceSamples;
-    for (let first = 0; first < samples.length; first += PACE_SAMPLES_PER_DATAGRAM) {
-      const paceSamples = samples.slice(first, first + PACE_SAMPLES_PER_DATAGRAM);
-      const part: LoadMessage = { ...message, ...NO_LOAD, paceSamples };
-      datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
-    }
-    return datagrams;
-  }
-
   #encodeEvidence(message: LoadMessage, evidence: readonly PartEvidence[]): readonly Uint8Array[] {
-    const datagrams: Uint8Array[] = [];
     const size = PARTS_WITH_EVIDENCE_PER_DATAGRAM;
-    for (let first = 0; first < evidence.length; first += size) {
-      const partEvidence = evidence.slice(first, first + size);
-      const part: LoadMessage = { ...message, ...NO_LOAD, partEvidence };
-      datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
-    }
-    return datagrams;
+    return encodeList(message, evidence, size, (partEvidence) => ({ partEvidence }));
   }
 
   #encodeNotices(message: LoadMessage, notices: NoticeReports): readonly Uint8Array[] {
@@ -257,33 +242,17 @@
 
   #encodeOutdated(
     message: LoadMessage,
-    outdatedWorkers: readonly OutdatedReport[],
+    outdated: readonly OutdatedReport[],
   ): readonly Uint8Array[] {
-    if (outdatedWorkers.length === 0) return [];
-    const part: LoadMessage = { ...message, ...NO_LOAD, outdatedWorkers };
-    return [encodePeerMessage({ load: toLoadShare(part) })];
-  }
-
-  #encodeBrittleWorkers(
-    message: LoadMessage,
-    brittleWorkers: readonly BrittleReport[],
-  ): readonly Uint8Array[] {
-    if (brittleWorkers.length === 0) return [];
-    const part: LoadMessage = { ...message, ...NO_LOAD, brittleWorkers };
-    return [encodePeerMessage({ load: toLoadShare(part) })];
+    return encodeList(message, outdated, Infinity, (outdatedWorkers) => ({ outdatedWorkers }));
   }
 
   #encodeOrigins(
     message: LoadMessage,
     origins: readonly StreamOriginReport[],
   ): readonly Uint8Array[] {
-    const datagrams: Uint8Array[] = [];
-    for (let first = 0; first < origins.length; first += ORIGINS_PER_DATAGRAM) {
-      const streamOrigins = origins.slice(first, first + ORIGINS_PER_DATAGRAM);
-      const part: LoadMessage = { ...message, ...NO_LOAD, streamOrigins };
-      datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
-    }
-    return datagrams;
+    const size = ORIGINS_PER_DATAGRAM;
+    return encodeList(message, origins, size, (streamOrigins) => ({ streamOrigins }));
   }
 
   #collectOutdated(nowMs: number): readonly OutdatedReport[] {
--- a/packages/forwarder/src/peers/loadMessages.ts
+++ b/packages/forwarder/src/peers/loadMessages.ts
@@ -289,3 +289,26 @@
   paceSamples: [],
   dataCentreAges: new Map(),
 };
+
+/**
+ * Encodes a list in messages without load.
+ *
+ * @param message - the sender and its versions
+ * @param items - the list
+ * @param size - maximum number of items in a datagram
+ * @param toFields - puts items into the field of a message that holds them
+ * @returns the datagrams; none for an empty list
+ */
+export const encodeList = <Item>(
+  message: LoadMessage,
+  items: readonly Item[],
+  size: number,
+  toFields: (items: readonly Item[]) => Partial<LoadMessage>,
+): readonly Uint8Array[] => {
+  const datagrams: Uint8Array[] = [];
+  for (let first = 0; first < items.length; first += size) {
+    const part = { ...message, ...NO_LOAD, ...toFields(items.slice(first, first + size)) };
+    datagrams.push(encodePeerMessage({ load: toLoadShare(part) }));
+  }
+  return datagrams;
+};
