refactor(duties): the warnings about the store use LogLimit

The duty holder limited its warnings about the store to one a minute with a time and a constant of its own, beside the LogLimit of the usage reports.

--- a/packages/duties/src/holder/constants.ts
+++ b/packages/duties/src/holder/constants.ts
@@ -19,9 +19,6 @@
 export const MAX_SILENT_CALLS = 3;
 export const MIN_SILENCE_MS = 4_000;
 
-/** Minimum time between two warnings that the store cannot be reached, in milliseconds. */
-export const STORE_WARNING_INTERVAL_MS = 60_000;
-
 /** Time for which this VM does not claim the lease after it released it because the API did not respond, in milliseconds. */
 export const SILENCE_PAUSE_MS = 10_000;
 
--- a/packages/duties/src/holder/createDutyHolder.ts
+++ b/packages/duties/src/holder/createDutyHolder.ts
@@ -1,11 +1,7 @@
 import { createLeaseAgent, LeaseEventKind, LeasePhase } from '@sardinegrade/lease';
 
-import {
-  createDutyTimings,
-  DUTY_LEASE_NAME,
-  SILENCE_PAUSE_MS,
-  STORE_WARNING_INTERVAL_MS,
-} from './constants.js';
+import { LogLimit } from '../LogLimit.js';
+import { createDutyTimings, DUTY_LEASE_NAME, SILENCE_PAUSE_MS } from './constants.js';
 import { PermitRefusal } from './enums.js';
 import { findPermitRefusal } from './permit.js';
 import { NO_SILENCE, recordResponse, shouldRelease } from './silence.js';
@@ -71,14 +67,15 @@
   readonly #options: DutyHolderOptions;
   readonly #timings: LeaseTimings;
   readonly #lease: LeaseAgent;
+  readonly #logLimit: LogLimit;
   #suspension = NO_SUSPENSION;
   #silence = NO_SILENCE;
   #isLeaving = false;
-  #storeWarnedAtMs = -Infinity;
   #unreadableVersion: number | undefined;
 
   constructor(options: DutyHolderOptions) {
     this.#options = options;
+    this.#logLimit = new LogLimit(() => this.#getNowMs());
     this.#timings = createDutyTimings(options.leaseMs);
     this.#lease = createLeaseAgent({
       platform: options.platform,
@@ -196,9 +193,7 @@
 
   /** Limits the rate of warnings: an outage of the store would otherwise fill the log. */
   #logError(error: unknown): void {
-    const nowMs = this.#getNowMs();
-    if (nowMs - this.#storeWarnedAtMs < STORE_WARNING_INTERVAL_MS) return;
-    this.#storeWarnedAtMs = nowMs;
+    if (this.#logLimit.record('store') === undefined) return;
     this.#options.logger.warn('call to the store for the lease of the duties failed', { error });
   }
 
--- a/packages/duties/src/usage/ReportRecorder.test.ts
+++ b/packages/duties/src/usage/ReportRecorder.test.ts
@@ -4,7 +4,7 @@
 import { createLogger, LogFormat, LogLevel, toBranded } from '@sardinegrade/common';
 
 import { FleetClock } from './FleetClock.js';
-import { LogLimit } from './LogLimit.js';
+import { LogLimit } from '../LogLimit.js';
 import { ReportRecorder } from './ReportRecorder.js';
 
 import type { DutyRecord, DutyStore } from '../types.js';
--- a/packages/duties/src/usage/ReportRecorder.ts
+++ b/packages/duties/src/usage/ReportRecorder.ts
@@ -10,7 +10,7 @@
 
 import type { Logger } from '@sardinegrade/common';
 import type { DutyStore } from '../types.js';
-import type { LogLimit } from './LogLimit.js';
+import type { LogLimit } from '../LogLimit.js';
 import type { FleetClock } from './FleetClock.js';
 import type { UsageRecord, WorkspaceCounts } from './types.js';
 
