--- a/packages/duties/src/holder/constants.ts
+++ b/packages/duties/src/holder/constants.ts
@@ -12,9 +12,6 @@
 /** Covers delays within a VM, and suspensions too short for `MAX_DRIFT_MS`. */
 const MARGIN_MS = 300;
 
-/** Change of the difference of wall clock and monotonic clock from which a suspension is assumed, in milliseconds. */
-export const MAX_DRIFT_MS = 250;
-
 /** Consecutive calls without any response, and the time from the first to the last, after which the lease is released. */
 export const MAX_SILENT_CALLS = 3;
 export const MIN_SILENCE_MS = 4_000;
--- a/packages/duties/src/holder/suspension.ts
+++ b/packages/duties/src/holder/suspension.ts
@@ -1,4 +1,4 @@
-import { MAX_DRIFT_MS } from './constants.js';
+import { MAX_DRIFT_MS } from '../constants.js';
 
 /** Difference up to which two offsets count as the same one, in milliseconds. */
 const MAX_EQUAL_OFFSET_MS = 1;
--- a/packages/duties/src/usage/FleetClock.ts
+++ b/packages/duties/src/usage/FleetClock.ts
@@ -1,3 +1,5 @@
+import { MAX_DRIFT_MS } from '../constants.js';
+
 import type { VmId } from '@sardinegrade/common';
 
 /** Clocks of this VM, in milliseconds. */
@@ -31,9 +33,6 @@
 /** Samples are used for this number of rounds: some VMs do not respond in each. */
 const SAMPLE_ROUNDS = 4;
 
-/** Difference between the clocks of this VM that tells of a jump or of a suspension, in milliseconds. */
-const MAX_DRIFT_MS = 250;
-
 const computeMedian = (values: readonly number[]): number => {
   const sorted = [...values].sort((a, b) => a - b);
   const middle = sorted.length / 2;
