--- a/packages/forwarder/src/exchange/SendPace.ts
+++ b/packages/forwarder/src/exchange/SendPace.ts
@@ -24,7 +24,6 @@
 export class SendPace {
   readonly #times: AnswerTimes;
   #gaps = 0;
-  #hasFirstEvent = false;
   /** Whether the caller read slowly, so that the times of the events do not tell those of the engine. */
   #isHeldUp = false;
 
@@ -45,10 +44,10 @@
 
   /** Records that one or more complete events of the stream were received. */
   recordEvents(nowMs: number): void {
-    const gapMs = this.#times.record(nowMs);
-    if (gapMs !== undefined) this.#gaps += 1;
-    if (this.#hasFirstEvent) return;
-    this.#hasFirstEvent = true;
+    if (this.#times.record(nowMs) !== undefined) {
+      this.#gaps += 1;
+      return;
+    }
     const { instance } = this.record;
     const firstMs = nowMs - this.sentAtMs;
     this.paces.record(measureFirstEvent(instance, this.send, firstMs, this.paces.get(this.record)));
@@ -70,7 +69,7 @@
     const unmeasured = { instance, speed: undefined, gapMs: undefined };
     if (isBadEnd(end)) return { ...unmeasured, kind: SampleKind.Bad };
     if (!end.isComplete || !isSuccess(end.head.status)) return undefined;
-    if (!this.#hasFirstEvent) return { ...unmeasured, kind: SampleKind.OnTime };
+    if (this.#times.firstMs === undefined) return { ...unmeasured, kind: SampleKind.OnTime };
     if (this.#isHeldUp) return undefined;
     const { longestGapMs } = this.#times;
     return measureStream(instance, { gaps: this.#gaps, longestGapMs, runs: this.send.runs });
