--- a/packages/duties/src/usage/index.ts
+++ b/packages/duties/src/usage/index.ts
@@ -6,4 +6,5 @@
 export { computePollIntervalMs } from './UsagePoller.js';
 export type { UsagePageFetcher } from './UsagePoller.js';
 export type * from './types.js';
+export * from './windowCounts.js';
 export * from './windows.js';
--- a/packages/duties/src/usage/usageRecord.ts
+++ b/packages/duties/src/usage/usageRecord.ts
@@ -1,6 +1,6 @@
-import { toBranded } from '@sardinegrade/common';
 import * as z from 'zod';
 
+import { decodeWindows, encodeWindows } from './windowCounts.js';
 import { computeWindow } from './windows.js';
 
 import type { UsageRecord, WorkspaceCounts } from './types.js';
@@ -21,9 +21,6 @@
     .max(2 * RECORDED_REPORTS),
 });
 
-const decodeCounts = (counts: Readonly<Record<string, number>>): WorkspaceCounts =>
-  new Map(Object.entries(counts).map(([workspace, count]) => [toBranded(workspace), count]));
-
 /**
  * Decodes the record.
  *
@@ -34,11 +31,7 @@
   const result = recordSchema.safeParse(value);
   if (!result.success) return undefined;
   const { era, highest_window: highestWindow, reports } = result.data;
-  return {
-    era,
-    highestWindow,
-    reports: new Map(reports.map(({ window_seq, counts }) => [window_seq, decodeCounts(counts)])),
-  };
+  return { era, highestWindow, reports: decodeWindows(reports) };
 };
 
 /**
@@ -50,10 +43,7 @@
 export const encodeUsageRecord = ({ era, highestWindow, reports }: UsageRecord): unknown => ({
   era,
   highest_window: highestWindow,
-  reports: [...reports].map(([window_seq, counts]) => ({
-    window_seq,
-    counts: Object.fromEntries(counts),
-  })),
+  reports: encodeWindows(reports),
 });
 
 const keepLatest = (
