--- a/packages/routing/src/workers/types.ts
+++ b/packages/routing/src/workers/types.ts
@@ -19,8 +19,6 @@
   readonly sequence: number;
   /** Whether it may be reclaimed at short notice, all of a data centre at once. */
   readonly isSpot?: boolean;
-  /** Time that a leaving worker has left, in milliseconds; undefined if it is not known. */
-  readonly leavesInMs?: number | undefined;
 }
 
 /**
