--- a/review/kit-2/Worker.js
+++ b/review/kit-2/Worker.js
@@ -77,6 +77,11 @@
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
     request.on('end', () => {
+      if (request.url === '/v1/report') {
+        response.setHeader('Content-Type', 'application/json');
+        response.end(JSON.stringify({ born: this.#born, seq: this.#seq, running: this.running }));
+        return;
+      }
       const id = request.headers['x-request-id'] ?? '';
       if (request.headers['x-expect-instance'] !== this.id) {
         response.writeHead(421, { 'X-Instance-Id': this.id, 'X-Request-Id': id }).end();
