refactor: what clients can make a process hold has a package of its own

Cause: the limits of connections, bodies and answers are needed by the entry daemon, too, and stood in the forwarder.

Change: packages/ingress holds the byte collector, the held bytes, the turns, the garbage collection, the reader of bodies, the connections of callers and the limits derived from memory and descriptors. Files moved; no behaviour changes.

--- a/packages/common/src/http/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Connections of callers to an HTTP server. */
-export * from './CallerConnections.js';
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,7 +8,6 @@
 export * from './configuration/index.js';
 export * from './errors/index.js';
 export * from './hashing/index.js';
-export * from './http/index.js';
 export * from './ids/index.js';
 export * from './logs/index.js';
 export * from './metrics/index.js';
--- a/packages/entry/src/callers/CallerServer.ts
+++ b/packages/entry/src/callers/CallerServer.ts
@@ -3,13 +3,13 @@
 import { createServer as createTlsServer } from 'node:https';
 
 import {
-  CallerConnections,
   Hop,
   parseTraceparent,
   ResultCode,
   SardinegradeError,
   toSardinegradeError,
 } from '@sardinegrade/common';
+import { CallerConnections } from '@sardinegrade/ingress';
 
 import { DecisionKind } from '../administration/index.js';
 import { Authenticator } from './Authenticator.js';
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,4 +1,15 @@
-import { CallerConnections, createMetrics, MetricName } from '@sardinegrade/common';
+import { createMetrics, MetricName } from '@sardinegrade/common';
+import {
+  CallerConnections,
+  CancelOrder,
+  deriveClientLimits,
+  GarbageCollector,
+  HeldBytes,
+  MAX_PIPELINED_REQUESTS,
+  SPARED_BODY_BYTES,
+  TurnQueue,
+  UNREAD_TIMEOUT_MS,
+} from '@sardinegrade/ingress';
 import {
   BuildHistory,
   CrashTracker,
@@ -14,14 +25,6 @@
   isPlainLoadShared,
 } from '@sardinegrade/routing';
 
-import { MAX_PIPELINED_REQUESTS, SPARED_BODY_BYTES, UNREAD_TIMEOUT_MS } from './constants.js';
-import {
-  CancelOrder,
-  deriveClientLimits,
-  GarbageCollector,
-  HeldBytes,
-  TurnQueue,
-} from './relay/index.js';
 import { WorkerLimits } from './limits/index.js';
 import { LinkMonitor, LinkSign, TunnelClient, WorkerDialer } from './links/index.js';
 import { WorkerNotices } from './notices/index.js';
@@ -40,6 +43,7 @@
   WorkspaceName,
 } from '@sardinegrade/common';
 import type { RandomSource } from '@sardinegrade/dispatch';
+import type { ClientLimits, ProcessLimits } from '@sardinegrade/ingress';
 import type {
   Crash,
   EngineLoads,
@@ -50,7 +54,6 @@
   StoreVersions,
   Worker,
 } from '@sardinegrade/routing';
-import type { ClientLimits, ProcessLimits } from './relay/index.js';
 import type { ForwardProtocol } from './types.js';
 import type { WorkerRecord } from './workers/index.js';
 
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -1,11 +1,11 @@
 import { setImmediate } from 'node:timers/promises';
 
 import { ResultCode } from '@sardinegrade/common';
+import { BodyEnd, readBody } from '@sardinegrade/ingress';
 import { computeRetryAfterMs } from '@sardinegrade/routing';
 
 import { DEFAULT_TIMEOUT_MS, DRAINING_RETRY_MS } from '../constants.js';
 import { SyncedKind } from '../ForwarderState.js';
-import { BodyEnd, readBody } from '../front/readBody.js';
 import { sendLocalReply } from '../front/sendLocalReply.js';
 import { findRequestFault } from './findRequestFault.js';
 import { findStreamOrigin } from './findStreamOrigin.js';
--- a/packages/forwarder/src/exchange/sendToWorker.ts
+++ b/packages/forwarder/src/exchange/sendToWorker.ts
@@ -1,12 +1,10 @@
+import { ByteCollector, MAX_ANSWER_BYTES } from '@sardinegrade/ingress';
 import { SendFailure } from '@sardinegrade/routing';
 
-import { MAX_ANSWER_BYTES } from '../constants.js';
-import { ByteCollector } from '../relay/index.js';
-
 import type { RequestId } from '@sardinegrade/common';
+import type { HeldBytes } from '@sardinegrade/ingress';
 import type { Dispatcher } from 'undici';
 import type { ClaimedConnection, SendGuard } from '../connections/index.js';
-import type { HeldBytes } from '../relay/index.js';
 import type { AnswerMetadata, ForwardProtocol, RawHeaders } from '../types.js';
 
 /** What a request asks of a worker. */
--- a/packages/forwarder/src/front/heldBodies.test.ts
+++ b/packages/forwarder/src/front/heldBodies.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { MAX_HELD_BODY_BYTES } from '../constants.js';
+import { MAX_HELD_BODY_BYTES } from '@sardinegrade/ingress';
+
 import { buildTestConfiguration, formatAnswer, startTestForwarder } from '../testing/index.js';
 
 import type { TestContext } from 'node:test';
--- a/packages/forwarder/src/front/slowBodies.test.ts
+++ b/packages/forwarder/src/front/slowBodies.test.ts
@@ -2,7 +2,8 @@
 import { connect } from 'node:net';
 import { test } from 'node:test';
 
-import { MAX_PIPELINED_REQUESTS } from '../constants.js';
+import { MAX_PIPELINED_REQUESTS } from '@sardinegrade/ingress';
+
 import { buildTestConfiguration, formatAnswer, startTestForwarder } from '../testing/index.js';
 
 import type { TestContext } from 'node:test';
--- a/packages/forwarder/src/relay/deriveClientLimits.test.ts
+++ b/packages/ingress/src/deriveClientLimits.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { MAX_ANSWER_BYTES, MAX_HELD_BODY_BYTES } from '../constants.js';
+import { MAX_ANSWER_BYTES, MAX_HELD_BODY_BYTES } from './constants.js';
 import { deriveClientLimits } from './deriveClientLimits.js';
 
 const MAX_BODY_BYTES = 4_194_304;
--- a/packages/forwarder/src/relay/deriveClientLimits.ts
+++ b/packages/ingress/src/deriveClientLimits.ts
@@ -3,7 +3,7 @@
   MAX_HELD_BODY_BYTES,
   MAX_RELEASED_BYTES,
   MAX_UNREAD_ANSWER_BYTES,
-} from '../constants.js';
+} from './constants.js';
 
 /** Memory and descriptors of this process, as far as the settings name them. */
 export interface ProcessLimits {
--- a/packages/forwarder/src/front/readBody.ts
+++ b/packages/ingress/src/readBody.ts
@@ -1,7 +1,8 @@
-import { ByteCollector } from '../relay/index.js';
+import { ByteCollector } from './ByteCollector.js';
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { HeldBytes, TurnQueue } from '../relay/index.js';
+import type { HeldBytes } from './HeldBytes.js';
+import type { TurnQueue } from './TurnQueue.js';
 
 /** Outcome of reading a body. */
 export enum BodyEnd {
--- a/tools/eslint/importDownwards.js
+++ b/tools/eslint/importDownwards.js
@@ -1,7 +1,7 @@
 /** Packages by layer, lowest first. A package may import only from layers below its own. */
 const LAYERS = [
   ['common'],
-  ['platform', 'upstream', 'peer'],
+  ['platform', 'upstream', 'peer', 'ingress'],
   ['dispatch', 'orders', 'fleet', 'lease'],
   ['routing'],
   ['duties'],
