feat(ingress): the owner that holds most gives way, and limits that are met are reported

Cause: bodies, answers and requests of all clients shared one limit, so a client with one key could use up what all others need. An operator saw neither which limit was met nor by whom.

Change: messages and requests have an owner, their workspace. Of several owners the one that holds most gives way; the last quarter of the requests is left to owners that have few. Ingress holds all limits of a process. Each limit that a client meets counts in sardinegrade_client_limits_total and sardinegrade_workspace_limits_total and is logged at most once a minute and workspace (LogLimit moved from duties to common). A connection of a TLS server counted twice, and its handshake, on which no answer is owed, would have been replaced first: the connection takes the place of its handshake. Dropped chunks and connections with too many requests report the memory that they release.

Conclusion: no default changes for clients within the limits.

--- a/packages/common/src/logs/index.ts
+++ b/packages/common/src/logs/index.ts
@@ -4,5 +4,6 @@
  */
 export * from './createLogger.js';
 export * from './enums.js';
+export * from './LogLimit.js';
 export * from './sanitizeText.js';
 export type * from './types.js';
--- a/packages/common/src/metrics/constants.ts
+++ b/packages/common/src/metrics/constants.ts
@@ -203,6 +203,16 @@
     help: 'Demand in fully used engines, at the daemon that holds the duty.',
     labels: ['service'],
   },
+  [MetricName.ClientLimits]: {
+    kind: Counter,
+    help: 'Times that clients exceeded a limit of this daemon, by limit.',
+    labels: ['limit'],
+  },
+  [MetricName.WorkspaceLimits]: {
+    kind: Counter,
+    help: 'Times that clients exceeded a limit of this daemon, by workspace.',
+    labels: ['workspace'],
+  },
   [MetricName.DroppedLabels]: {
     kind: Counter,
     help: 'Label sets counted under other because a metric had reached its bound.',
--- a/packages/common/src/metrics/enums.ts
+++ b/packages/common/src/metrics/enums.ts
@@ -39,6 +39,8 @@
   OrderedWorkers = 'sardinegrade_ordered_workers',
   WorkerOrders = 'sardinegrade_worker_orders_total',
   DemandEngines = 'sardinegrade_demand_engines',
+  ClientLimits = 'sardinegrade_client_limits_total',
+  WorkspaceLimits = 'sardinegrade_workspace_limits_total',
   DroppedLabels = 'sardinegrade_metric_labels_dropped_total',
 }
 
--- a/packages/duties/src/holder/createDutyHolder.ts
+++ b/packages/duties/src/holder/createDutyHolder.ts
@@ -1,6 +1,6 @@
+import { LogLimit } from '@sardinegrade/common';
 import { createLeaseAgent, LeaseEventKind, LeasePhase } from '@sardinegrade/lease';
 
-import { LogLimit } from '../LogLimit.js';
 import { createDutyTimings, DUTY_LEASE_NAME, SILENCE_PAUSE_MS } from './constants.js';
 import { PermitRefusal } from './enums.js';
 import { findPermitRefusal } from './permit.js';
--- a/packages/duties/src/usage/ReportRecorder.test.ts
+++ b/packages/duties/src/usage/ReportRecorder.test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { createLogger, LogFormat, LogLevel, toBranded } from '@sardinegrade/common';
+import { createLogger, LogFormat, LogLevel, LogLimit, toBranded } from '@sardinegrade/common';
 
 import { FleetClock } from './FleetClock.js';
-import { LogLimit } from '../LogLimit.js';
 import { ReportRecorder } from './ReportRecorder.js';
 
 import type { DutyRecord, DutyStore } from '../types.js';
--- a/packages/duties/src/usage/ReportRecorder.ts
+++ b/packages/duties/src/usage/ReportRecorder.ts
@@ -8,9 +8,8 @@
   USAGE_OBJECT,
 } from './usageRecord.js';
 
-import type { Logger } from '@sardinegrade/common';
+import type { Logger, LogLimit } from '@sardinegrade/common';
 import type { DutyStore } from '../types.js';
-import type { LogLimit } from '../LogLimit.js';
 import type { FleetClock } from './FleetClock.js';
 import type { UsageRecord, WorkspaceCounts } from './types.js';
 
--- a/packages/duties/src/usage/UsagePoller.ts
+++ b/packages/duties/src/usage/UsagePoller.ts
@@ -2,10 +2,9 @@
 import { PollSchedule } from './PollSchedule.js';
 import { UsageView } from './UsageView.js';
 
-import type { Logger } from '@sardinegrade/common';
+import type { Logger, LogLimit } from '@sardinegrade/common';
 import type { Peer } from '@sardinegrade/routing';
 import type { UsageSource } from './buildUsagePage.js';
-import type { LogLimit } from '../LogLimit.js';
 import type { UsagePage, UsageRequest, WorkspaceCounts } from './types.js';
 
 /** Fetches the page of another VM; rejects if the VM does not respond or its page is malformed. */
--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -1,8 +1,7 @@
-import { MetricName } from '@sardinegrade/common';
+import { LogLimit, MetricName } from '@sardinegrade/common';
 
 import { DutyOutcome } from '../enums.js';
 import { MIN_CLOCKS, OWN_CLOCK_ERROR_MS } from './FleetClock.js';
-import { LogLimit } from '../LogLimit.js';
 import { PacedStep } from './PacedStep.js';
 import { ReportRecorder } from './ReportRecorder.js';
 import {
--- a/packages/forwarder/src/ForwarderState.ts
+++ b/packages/forwarder/src/ForwarderState.ts
@@ -1,15 +1,5 @@
 import { createMetrics, MetricName } from '@sardinegrade/common';
-import {
-  CallerConnections,
-  CancelOrder,
-  deriveClientLimits,
-  GarbageCollector,
-  HeldBytes,
-  MAX_PIPELINED_REQUESTS,
-  SPARED_BODY_BYTES,
-  TurnQueue,
-  UNREAD_TIMEOUT_MS,
-} from '@sardinegrade/ingress';
+import { createLimitReporter, deriveClientLimits, Ingress } from '@sardinegrade/ingress';
 import {
   BuildHistory,
   CrashTracker,
@@ -43,7 +33,7 @@
   WorkspaceName,
 } from '@sardinegrade/common';
 import type { RandomSource } from '@sardinegrade/dispatch';
-import type { ClientLimits, ProcessLimits } from '@sardinegrade/ingress';
+import type { ProcessLimits } from '@sardinegrade/ingress';
 import type {
   Crash,
   EngineLoads,
@@ -54,7 +44,7 @@
   StoreVersions,
   Worker,
 } from '@sardinegrade/routing';
-import type { ForwardProtocol } from './types.js';
+import type { CallerRequest, ForwardProtocol } from './types.js';
 import type { WorkerRecord } from './workers/index.js';
 
 /** Dependencies and settings of the forwarder. */
@@ -115,18 +105,8 @@
   /** Learned paces of the workers. */
   readonly paces: WorkerPaces;
   readonly metrics = createMetrics();
-  /** Limits of what clients make this VM hold. */
-  readonly clientLimits: ClientLimits;
-  /** Unfinished answers of plain services, which are buffered. */
-  readonly heldAnswers: HeldBytes;
-  /** Answers that callers have not read so far. */
-  readonly unreadAnswers: HeldBytes;
-  /** Bodies of requests, which are read before they are sent. */
-  readonly heldBodies: HeldBytes;
-  /** Lets bodies of many small chunks take turns. */
-  readonly bodyTurns = new TurnQueue();
-  /** Connections of callers, and the answers that are owed on them. */
-  readonly callerConnections: CallerConnections;
+  /** What callers make this VM hold: connections, requests, bodies and answers. */
+  readonly ingress: Ingress;
   /** Detects requests that crash workers. */
   readonly crashes = new CrashTracker();
   /** Refuses requests with prompt parts that crash workers. */
@@ -202,33 +182,9 @@
   /** @param options - dependencies and settings */
   constructor(readonly options: ForwarderOptions) {
     const { logger, getNowMs, random } = options;
-    const limits = deriveClientLimits(options.processLimits ?? {});
-    this.clientLimits = limits;
-    const onRemoved = new GarbageCollector(limits.releasedBytes).recordReleased;
-    this.heldAnswers = new HeldBytes({
-      maxBytes: limits.answerBytes,
-      sparedBytes: 0,
-      onRemoved,
-      cancelOrder: CancelOrder.Largest,
-    });
-    this.unreadAnswers = new HeldBytes({
-      maxBytes: limits.unreadBytes,
-      sparedBytes: 0,
-      cancelOrder: CancelOrder.Oldest,
-      onRemoved,
-    });
-    this.heldBodies = new HeldBytes({
-      maxBytes: limits.bodyBytes,
-      sparedBytes: SPARED_BODY_BYTES,
-      cancelOrder: CancelOrder.Newest,
-      maxOpen: limits.openBodies,
-      onRemoved,
-    });
-    this.callerConnections = new CallerConnections({
-      maxConnections: limits.connections,
-      maxPipelined: MAX_PIPELINED_REQUESTS,
-      unreadTimeoutMs: UNREAD_TIMEOUT_MS,
-    });
+    const { metrics } = this;
+    const onLimit = createLimitReporter({ logger, metrics, getNowMs });
+    this.ingress = new Ingress(deriveClientLimits(options.processLimits ?? {}), onLimit);
     const getPeerRuns = (hash: number): number => this.sharedLoad.getLoad(hash).runs;
     this.tunnels = new TunnelClient({
       ...options,
@@ -256,6 +212,11 @@
     this.#registerGauges();
   }
 
+  /** Finds the workspace whose key a request names; undefined if there is none. */
+  findWorkspace({ key }: Pick<CallerRequest, 'key'>): WorkspaceName | undefined {
+    return key === undefined ? undefined : this.#configuration?.keyHolders?.get(key)?.workspace;
+  }
+
   /** The active configuration; undefined until the first one has been applied. */
   get configuration(): RoutingConfiguration | undefined {
     return this.#configuration;
@@ -414,7 +375,7 @@
   sweep(): void {
     const nowMs = this.options.getNowMs();
     this.fleet.sweep(nowMs);
-    this.callerConnections.sweep();
+    this.ingress.connections.sweep();
     this.streamOrigins.sweep(nowMs);
     this.paces.update();
     this.#recordBuilds();
--- a/packages/forwarder/src/exchange/CallerAnswer.ts
+++ b/packages/forwarder/src/exchange/CallerAnswer.ts
@@ -1,5 +1,6 @@
 import { sendLocalReply } from '../front/sendLocalReply.js';
 
+import type { Owner } from '@sardinegrade/ingress';
 import type { ServerResponse } from 'node:http';
 import type { ForwarderState } from '../ForwarderState.js';
 import type { LocalReply } from '../front/sendLocalReply.js';
@@ -18,8 +19,10 @@
   constructor(
     private readonly state: ForwarderState,
     private readonly response: ServerResponse,
+    /** Workspace of the caller, if it is known. */
+    private readonly owner?: Owner,
   ) {
-    response.once('close', () => state.unreadAnswers.remove(this.#cutUnread));
+    response.once('close', () => state.ingress.unreadAnswers.remove(this.#cutUnread));
   }
 
   /** Closes the connection of a caller whose unread answer, together with others, needs too much memory. */
@@ -27,7 +30,7 @@
     this.state.options.logger.warn(
       'answer cut: the answers that callers do not read exceed the memory for them',
       {
-        inputs: { unread_bytes: this.state.unreadAnswers.totalBytes },
+        inputs: { unread_bytes: this.state.ingress.unreadAnswers.totalBytes },
       },
     );
     // An answer behind another one has no connection of its own.
@@ -59,8 +62,9 @@
   writeEvents(events: Buffer, resume: () => void): boolean {
     this.#writeStreamHead();
     if (this.response.write(events)) return true;
-    const { unreadAnswers } = this.state;
-    unreadAnswers.add(this.#cutUnread, UNREAD_STREAM_COST_BYTES + this.response.writableLength);
+    const { unreadAnswers } = this.state.ingress;
+    const bytes = UNREAD_STREAM_COST_BYTES + this.response.writableLength;
+    unreadAnswers.add(this.#cutUnread, bytes, this.owner);
     this.response.once('drain', () => {
       unreadAnswers.remove(this.#cutUnread);
       resume();
@@ -85,7 +89,7 @@
     this.response.end(pieces.at(-1));
     // The system has taken most answers at once.
     if (this.response.writableLength > 0)
-      this.state.unreadAnswers.add(this.#cutUnread, UNREAD_COST_BYTES + length);
+      this.state.ingress.unreadAnswers.add(this.#cutUnread, UNREAD_COST_BYTES + length, this.owner);
   }
 
   /** Sends a reply of this VM. */
@@ -116,6 +120,6 @@
   }
 
   #closeAfterIfDraining(): void {
-    if (this.state.isDraining) this.state.callerConnections.closeAfter(this.response);
+    if (this.state.isDraining) this.state.ingress.connections.closeAfter(this.response);
   }
 }
--- a/packages/forwarder/src/exchange/Exchange.ts
+++ b/packages/forwarder/src/exchange/Exchange.ts
@@ -83,7 +83,7 @@
     this.#service = origin?.service ?? chooseService(route.shares, state.options.random);
     this.#build = origin?.build;
     this.#report = new ExchangeReport(state, admitted, this.#service);
-    this.#answer = new CallerAnswer(state, response);
+    this.#answer = new CallerAnswer(state, response, admitted.holder?.workspace);
     this.#priorityRank = computePriorityRank(holder?.priority, route.priority);
     this.#prefillMs = (caller.prompt?.promptTokens ?? 0) / PREFILL_TOKENS_PER_MS;
     this.#timeoutMs = timeoutMs;
--- a/packages/forwarder/src/exchange/admitRequest.ts
+++ b/packages/forwarder/src/exchange/admitRequest.ts
@@ -127,7 +127,7 @@
       store_answer_age_ms: toRoundedMs(state.getStoreAnswerAgeMs(SyncedKind.Configuration)),
     },
   });
-  if (state.isDraining) state.callerConnections.closeAfter(response);
+  if (state.isDraining) state.ingress.connections.closeAfter(response);
   sendLocalReply(response, reply);
 };
 
@@ -147,15 +147,16 @@
  * @param state - state of the forwarder
  * @param request - the caller's request
  * @param response - response to the caller
+ * @param caller - what the head of the request says
  * @returns the admitted request, or undefined if it was refused or its caller has left
  */
 export const admitRequest = async (
   state: ForwarderState,
   request: IncomingMessage,
   response: ServerResponse,
+  caller: CallerRequest,
 ): Promise<AdmittedRequest | undefined> => {
   const arrivedAtMs = state.options.getNowMs();
-  const caller = state.options.protocol.decodeRequest(request.headers);
   const { configuration } = state;
   if (configuration === undefined) {
     refuse(state, response, caller, NOT_READY);
@@ -164,8 +165,10 @@
   const read = await readBody(request, response, {
     limitBytes: configuration.limits.bodyBytes,
     limitMs: findBodyTimeoutMs(state, request, caller),
-    held: state.heldBodies,
-    turns: state.bodyTurns,
+    held: state.ingress.heldBodies,
+    owner: state.findWorkspace(caller),
+    turns: state.ingress.bodyTurns,
+    onDropped: state.ingress.recordReleased,
   });
   if (read.end !== BodyEnd.Whole) {
     if (CLOSING_ENDS.has(read.end)) response.shouldKeepAlive = false;
--- a/packages/forwarder/src/exchange/sendToProcess.ts
+++ b/packages/forwarder/src/exchange/sendToProcess.ts
@@ -74,8 +74,14 @@
   };
 
   #send(request: WorkerRequest, observer: SendObserver): Send {
-    const { heldAnswers, options } = this.state;
-    return sendToWorker(request, this.active.claimed, options.protocol, heldAnswers, observer);
+    const { ingress, options } = this.state;
+    return sendToWorker(
+      request,
+      this.active.claimed,
+      options.protocol,
+      ingress.heldAnswers,
+      observer,
+    );
   }
 
   /** Ends the send without the request having been sent. */
@@ -141,8 +147,8 @@
   observer: SendObserver,
 ): Send => {
   if (!shouldVerify(state, active, request)) {
-    const { heldAnswers, options } = state;
-    return sendToWorker(request, active.claimed, options.protocol, heldAnswers, observer);
+    const { ingress, options } = state;
+    return sendToWorker(request, active.claimed, options.protocol, ingress.heldAnswers, observer);
   }
   const send = new VerifiedSend(state, active, request, observer);
   send.start();
--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -39,7 +39,6 @@
 export class FrontServer {
   readonly #server: Server;
   readonly #sweepTimer: NodeJS.Timeout;
-  #openExchanges = 0;
   readonly #exchanges = new Set<Exchange>();
 
   /** @param state - state of the forwarder */
@@ -55,13 +54,13 @@
         void this.#serve(request, response);
       },
     );
-    state.callerConnections.attach(this.#server);
+    state.ingress.connections.attach(this.#server);
     this.#sweepTimer = setInterval(() => state.sweep(), IDLE_SWEEP_INTERVAL_MS);
   }
 
   /** Number of requests without a final answer. */
   get openExchanges(): number {
-    return this.#openExchanges;
+    return this.state.ingress.requests.count;
   }
 
   /**
@@ -100,19 +99,18 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (!this.state.callerConnections.addAnswer(response)) return;
-    if (this.#openExchanges >= this.state.clientLimits.requests) {
+    if (!this.state.ingress.connections.addAnswer(response)) return;
+    const caller = this.state.options.protocol.decodeRequest(request.headers);
+    const release = this.state.ingress.claimRequest(this.state.findWorkspace(caller));
+    if (release === undefined) {
       // The rest of its body is not read.
       if (!request.complete) response.shouldKeepAlive = false;
       sendLocalReply(response, CROWDED);
       return;
     }
-    this.#openExchanges += 1;
-    response.once('close', () => {
-      this.#openExchanges -= 1;
-    });
+    response.once('close', release);
     try {
-      const admitted = await admitRequest(this.state, request, response);
+      const admitted = await admitRequest(this.state, request, response, caller);
       // The caller may have left while the origin of its stream was fetched.
       if (admitted === undefined || response.destroyed) return;
       const exchange = new Exchange(this.state, request, response, admitted);
--- a/packages/forwarder/src/front/heldBodies.test.ts
+++ b/packages/forwarder/src/front/heldBodies.test.ts
@@ -40,7 +40,7 @@
 // Guards against a process that is killed for its memory, with all requests in progress, as many callers upload at once.
 test('bodies that exceed the memory for them are refused as not run, and small requests are served', async (context) => {
   const forwarder = await startUploads(context);
-  const { heldBodies } = forwarder.state;
+  const { heldBodies } = forwarder.state.ingress;
   let peakBytes = 0;
   const timer = setInterval(() => (peakBytes = Math.max(peakBytes, heldBodies.totalBytes)), 1);
   const headers = { 'deadline-ms': String(LIMIT_MS) };
--- a/packages/forwarder/src/front/slowBodies.test.ts
+++ b/packages/forwarder/src/front/slowBodies.test.ts
@@ -46,7 +46,7 @@
   ]);
   assert.match(answer, /^HTTP\/1\.1 200 .*done$/s);
   assert.match(forwarder.workers[0]?.heads[0] ?? '', new RegExp(`content-length: ${BODY_BYTES}`));
-  assert.equal(forwarder.state.heldBodies.totalBytes, 0);
+  assert.equal(forwarder.state.ingress.heldBodies.totalBytes, 0);
 });
 
 // Guards against memory that a caller holds as long as it stays connected.
@@ -56,7 +56,7 @@
   const answer = await sendBytes(forwarder.port, [head, 'x']);
   assert.match(answer, /^HTTP\/1\.1 408 .*not_run/s);
   assert.equal(forwarder.workers[0]?.heads.length, 0);
-  const { heldBodies } = forwarder.state;
+  const { heldBodies } = forwarder.state.ingress;
   assert.deepEqual([heldBodies.totalBytes, heldBodies.openCount], [0, 0]);
 });
 
--- a/packages/ingress/src/CallerConnections.ts
+++ b/packages/ingress/src/CallerConnections.ts
@@ -1,7 +1,12 @@
 import { STATUS_CODES } from 'node:http';
 import { Socket } from 'node:net';
+import { Server as TlsServer } from 'node:tls';
+
+import { ClientLimit } from './types.js';
 
 import type { Server, ServerResponse } from 'node:http';
+import type { TLSSocket } from 'node:tls';
+import type { LimitListener } from './types.js';
 
 /** Limits of connections; each is unlimited if it is missing. */
 export interface CallerConnectionLimits {
@@ -11,6 +16,10 @@
   readonly maxPipelined?: number;
   /** Time without progress after which a connection with an unread answer is closed, in milliseconds. */
   readonly unreadTimeoutMs?: number;
+  /** Called when a connection exceeds a limit. */
+  readonly onLimit?: LimitListener;
+  /** Called with the memory that is released with a connection that asked for too many answers, in bytes. */
+  readonly onReleased?: (bytes: number) => void;
 }
 
 /** What is known of one connection of a caller. */
@@ -34,6 +43,9 @@
 
 const BAD_REQUEST = 400;
 
+/** Memory of the requests that one read of 64 KiB may hold, in bytes: some 600 with some 4 KiB of objects each. */
+const READ_REQUESTS_BYTES = 2_500_000;
+
 /** Number of connections that are read again in one iteration after all have been paused. */
 const RESUMED_CONNECTIONS = 4;
 
@@ -51,6 +63,9 @@
   /** Connections on which no answer is owed; those that wait longest for a request come first. */
   readonly #waiting = new Set<Socket>();
 
+  /** Connections in a TLS handshake, by their remote address and port. */
+  readonly #handshakes = new Map<string, Socket>();
+
   /** Connections that are read again in one of the next iterations of the event loop. */
   readonly #paused = new Set<Socket>();
 
@@ -69,8 +84,12 @@
    * @param server - server of the callers
    */
   attach(server: Server): void {
-    server.on('connection', (socket: Socket) => this.#add(socket));
-    server.on('secureConnection', (socket: Socket) => this.#add(socket));
+    const isTls = server instanceof TlsServer;
+    server.on('connection', (socket: Socket) => {
+      this.#add(socket);
+      if (isTls && !socket.destroyed) this.#addHandshake(socket);
+    });
+    server.on('secureConnection', (socket: TLSSocket) => this.#replaceHandshake(socket));
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (socket instanceof Socket) this.#refuse(socket, error.code);
       else socket.destroy();
@@ -93,6 +112,8 @@
     if (owed.size >= (this.limits.maxPipelined ?? Infinity)) {
       // Node would go on reading requests for which there is no answer.
       connection.isClosing = true;
+      this.limits.onLimit?.(ClientLimit.PipelinedRequests);
+      this.limits.onReleased?.(READ_REQUESTS_BYTES);
       socket.destroy();
       this.#pauseAll();
       return false;
@@ -161,6 +182,7 @@
   /** Makes room for a new connection. Returns whether there is any. */
   #makeRoom(): boolean {
     if (this.#connections.size < (this.limits.maxConnections ?? Infinity)) return true;
+    this.limits.onLimit?.(ClientLimit.Connections);
     const [longest] = this.#waiting;
     if (longest === undefined) return false;
     this.#remove(longest);
@@ -173,6 +195,21 @@
     this.#connections.delete(socket);
   }
 
+  #addHandshake(socket: Socket): void {
+    const remote = formatRemote(socket);
+    this.#handshakes.set(remote, socket);
+    socket.once('close', () => {
+      if (this.#handshakes.get(remote) === socket) this.#handshakes.delete(remote);
+    });
+  }
+
+  /** Tracks the connection that a TLS handshake has led to in place of the one on which it took place: they are one. */
+  #replaceHandshake(socket: TLSSocket): void {
+    const handshake = this.#handshakes.get(formatRemote(socket));
+    if (handshake !== undefined) this.#remove(handshake);
+    this.#add(socket);
+  }
+
   #add(socket: Socket): void {
     if (!this.#makeRoom()) {
       socket.destroy();
@@ -209,6 +246,9 @@
   }
 }
 
+const formatRemote = ({ remoteAddress = '', remotePort = 0 }: Socket): string =>
+  `${remoteAddress} ${remotePort}`;
+
 /** Whether an answer is owed to a request that was read whole; a refusal is the answer to one whose body is malformed. */
 const hasWholeRequest = ({ owed }: CallerConnection): boolean =>
   [...owed].some(({ req }) => req.complete);
--- a/packages/ingress/src/HeldBytes.test.ts
+++ b/packages/ingress/src/HeldBytes.test.ts
@@ -77,3 +77,22 @@
   for (const name of ['first', 'second', 'third']) held.add(() => cancelled.push(name), 40);
   assert.deepEqual([held.totalBytes, cancelled], [80, ['first']]);
 });
+
+// Guards against a client whose messages make those of all others give way.
+test('the owner that holds most gives way, by its bytes or by the number of its messages', () => {
+  const cancelled: string[] = [];
+  const build = (maxBytes: number, maxOpen: number): HeldBytes => {
+    cancelled.length = 0;
+    const limits = { maxBytes, sparedBytes: 10, cancelOrder: CancelOrder.Newest, maxOpen };
+    return new HeldBytes({ ...limits, onCancelled: (owner) => cancelled.push(owner ?? 'none') });
+  };
+  const bytes = build(100, Infinity);
+  bytes.add(() => undefined, 60, 'greedy');
+  bytes.add(() => undefined, 30, 'modest');
+  bytes.add(() => undefined, 30, undefined);
+  assert.deepEqual([bytes.totalBytes, cancelled], [60, ['greedy']]);
+  const messages = build(1_000, 4);
+  messages.add(() => undefined, 50, 'modest');
+  for (let index = 0; index < 6; index += 1) messages.add(() => undefined, 5, 'greedy');
+  assert.deepEqual([messages.openCount, cancelled], [4, ['greedy', 'greedy', 'greedy']]);
+});
--- /dev/null
+++ b/packages/ingress/src/Ingress.ts
@@ -0,0 +1,86 @@
+import { CallerConnections } from './CallerConnections.js';
+import { MAX_PIPELINED_REQUESTS, SPARED_BODY_BYTES, UNREAD_TIMEOUT_MS } from './constants.js';
+import { GarbageCollector } from './GarbageCollector.js';
+import { CancelOrder, HeldBytes, HeldBytesLimit } from './HeldBytes.js';
+import { ClientLimit } from './types.js';
+import { RequestSlots } from './RequestSlots.js';
+import { TurnQueue } from './TurnQueue.js';
+
+import type { ClientLimits } from './deriveClientLimits.js';
+import type { Owner } from './HeldBytes.js';
+import type { LimitListener } from './types.js';
+
+const BODY_LIMITS: Readonly<Record<HeldBytesLimit, ClientLimit>> = {
+  [HeldBytesLimit.Bytes]: ClientLimit.BodyBytes,
+  [HeldBytesLimit.OpenMessages]: ClientLimit.OpenBodies,
+};
+
+/** What the clients of a process make it hold, within its limits. */
+export class Ingress {
+  /** Bodies of requests, until their answers have ended. */
+  readonly heldBodies: HeldBytes;
+  /** Answers of upstreams that are not whole. */
+  readonly heldAnswers: HeldBytes;
+  /** Whole answers that callers have not read so far. */
+  readonly unreadAnswers: HeldBytes;
+  /** Lets bodies of many small chunks take turns. */
+  readonly bodyTurns = new TurnQueue();
+  readonly connections: CallerConnections;
+  /** Records memory that clients made this process hold, and that has become garbage, in bytes. */
+  readonly recordReleased: (bytes: number) => void;
+  readonly requests: RequestSlots;
+
+  /**
+   * @param limits - limits of this process
+   * @param onLimit - called each time a client exceeds one of them
+   */
+  constructor(
+    readonly limits: ClientLimits,
+    readonly onLimit: LimitListener = () => undefined,
+  ) {
+    const onRemoved = new GarbageCollector(limits.releasedBytes).recordReleased;
+    this.recordReleased = onRemoved;
+    this.heldAnswers = new HeldBytes({
+      maxBytes: limits.answerBytes,
+      sparedBytes: 0,
+      cancelOrder: CancelOrder.Largest,
+      onRemoved,
+      onCancelled: (owner) => onLimit(ClientLimit.AnswerBytes, owner),
+    });
+    this.unreadAnswers = new HeldBytes({
+      maxBytes: limits.unreadBytes,
+      sparedBytes: 0,
+      cancelOrder: CancelOrder.Oldest,
+      onRemoved,
+      onCancelled: (owner) => onLimit(ClientLimit.UnreadBytes, owner),
+    });
+    this.heldBodies = new HeldBytes({
+      maxBytes: limits.bodyBytes,
+      sparedBytes: SPARED_BODY_BYTES,
+      cancelOrder: CancelOrder.Newest,
+      maxOpen: limits.openBodies,
+      onRemoved,
+      onCancelled: (owner, limit) => onLimit(BODY_LIMITS[limit], owner),
+    });
+    this.connections = new CallerConnections({
+      maxConnections: limits.connections,
+      maxPipelined: MAX_PIPELINED_REQUESTS,
+      unreadTimeoutMs: UNREAD_TIMEOUT_MS,
+      onLimit,
+      onReleased: onRemoved,
+    });
+    this.requests = new RequestSlots(limits.requests);
+  }
+
+  /**
+   * Claims a slot for a request.
+   *
+   * @param owner - owner of the request
+   * @returns releases the slot; undefined if there is none
+   */
+  claimRequest(owner: Owner): (() => void) | undefined {
+    const release = this.requests.claim(owner);
+    if (release === undefined) this.onLimit(ClientLimit.Requests, owner);
+    return release;
+  }
+}
--- a/packages/ingress/src/readBody.ts
+++ b/packages/ingress/src/readBody.ts
@@ -1,7 +1,7 @@
 import { ByteCollector } from './ByteCollector.js';
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { HeldBytes } from './HeldBytes.js';
+import type { HeldBytes, Owner } from './HeldBytes.js';
 import type { TurnQueue } from './TurnQueue.js';
 
 /** Outcome of reading a body. */
@@ -29,8 +29,14 @@
   readonly limitMs: number;
   /** Limits the bodies of all requests together. */
   readonly held: HeldBytes;
+  /** Owner of the body among them. */
+  readonly owner?: Owner;
+  /** Number of copies of the body that its request needs until it has ended; 1 by default. */
+  readonly copies?: number;
   /** Lets bodies of many small chunks take turns. */
   readonly turns: TurnQueue;
+  /** Called with the size of each chunk that is dropped, in bytes. */
+  readonly onDropped?: (bytes: number) => void;
 }
 
 /** Memory that a request with an open body needs beside the body, in bytes: its connection, its objects and its timer. */
@@ -87,7 +93,7 @@
 export const readBody = (
   request: IncomingMessage,
   response: ServerResponse,
-  { limitBytes, limitMs, held, turns }: BodyLimits,
+  { limitBytes, limitMs, held, owner, copies = 1, turns, onDropped }: BodyLimits,
 ): Promise<BodyRead> => {
   const hasBody =
     request.headers['content-length'] !== undefined ||
@@ -117,7 +123,7 @@
       turns.remove(pacer.resume);
     };
     response.once('close', () => held.remove(cancel));
-    held.add(cancel, OPEN_BODY_COST_BYTES);
+    held.add(cancel, OPEN_BODY_COST_BYTES, owner);
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       pacer.recordChunk();
@@ -128,7 +134,8 @@
         refuse(BodyEnd.TooLarge);
         return;
       }
-      if (!isDropped) held.add(cancel, collector.add(chunk));
+      if (isDropped) onDropped?.(chunk.length);
+      else held.add(cancel, copies * collector.add(chunk), owner);
     });
     request.on('end', () => {
       stopReading();
