fix(ingress): bodies of all sizes exceeded the memory of a VM of 160 MB

Cause: V8 collects the memory of buffers only after 64 MB more of it. The limits were shares of the whole memory, of which 70 MB are in use before any client comes, and did not fall below half of those of 250 MB.

Limits follow what the memory leaves beyond the process itself, and never exceed those before; each connection counts 160 KB of the memory.

Why it works: what one iteration of the event loop may receive beyond the limits is now bounded by the released bytes, not by V8's 64 MB.

--- a/packages/ingress/src/GarbageCollector.ts
+++ b/packages/ingress/src/GarbageCollector.ts
@@ -2,7 +2,7 @@
 import { runInNewContext } from 'node:vm';
 
 /** Size from which the memory of a message is counted: smaller buffers are collected in time, in bytes. */
-const MIN_RELEASED_BYTES = 64 * 1_024;
+const MIN_RELEASED_BYTES = 4 * 1_024;
 
 /**
  * Collects garbage after so many bytes have been released. V8 collects the memory of buffers only after 64 MB more of it, whatever
--- a/packages/ingress/src/deriveClientLimits.ts
+++ b/packages/ingress/src/deriveClientLimits.ts
@@ -1,4 +1,5 @@
 import {
+  MAX_ANSWER_BYTES,
   MAX_HELD_ANSWER_BYTES,
   MAX_HELD_BODY_BYTES,
   MAX_RELEASED_BYTES,
@@ -10,6 +11,8 @@
   /** Memory at which the process is ended, in bytes. */
   readonly memoryBytes?: number | undefined;
   readonly descriptorLimit?: number | undefined;
+  /** Memory that the process needs without any client, in bytes; that of a router by default. */
+  readonly baseBytes?: number | undefined;
 }
 
 /** Limits of what the clients of this VM make it hold. */
@@ -31,8 +34,10 @@
 /** Memory for which the constants of held bytes are meant, and its default, in bytes: that of a small VM. */
 const REFERENCE_MEMORY_BYTES = 250_000_000;
 
-/** Smallest and largest part of these constants: one body and one answer of the largest size have to fit. */
-const MIN_MEMORY_SHARE = 0.5;
+const DEFAULT_BASE_BYTES = 75_000_000;
+
+/** Smallest and largest part of these constants. */
+const MIN_MEMORY_SHARE = 0.3;
 const MAX_MEMORY_SHARE = 4;
 
 /** Memory that the pieces of answers need beside their bytes, as a share of these. */
@@ -40,6 +45,9 @@
 
 const DEFAULT_DESCRIPTORS = 8_192;
 
+/** Memory of the machine for each connection, in bytes: its objects, buffers of the system and a head of the largest size. */
+const CONNECTION_MEMORY_BYTES = 160_000;
+
 /** Descriptors for files, the store, other VMs and the ports. */
 const RESERVED_DESCRIPTORS = 200;
 
@@ -52,6 +60,9 @@
 /** Share of the requests whose bodies may be incomplete at the same time. */
 const OPEN_BODY_SHARE = 0.5;
 
+const clampShare = (share: number): number =>
+  Math.min(MAX_MEMORY_SHARE, Math.max(MIN_MEMORY_SHARE, share));
+
 /**
  * Derives the limits of what clients make this VM hold from what it has.
  *
@@ -61,16 +72,24 @@
 export const deriveClientLimits = ({
   memoryBytes = REFERENCE_MEMORY_BYTES,
   descriptorLimit = DEFAULT_DESCRIPTORS,
+  baseBytes = DEFAULT_BASE_BYTES,
 }: ProcessLimits): ClientLimits => {
-  const memoryShare = Math.min(
-    MAX_MEMORY_SHARE,
-    Math.max(MIN_MEMORY_SHARE, memoryBytes / REFERENCE_MEMORY_BYTES),
+  const memoryShare = clampShare(
+    Math.min(
+      memoryBytes / REFERENCE_MEMORY_BYTES,
+      (memoryBytes - baseBytes) / (REFERENCE_MEMORY_BYTES - DEFAULT_BASE_BYTES),
+    ),
+  );
+  const usable = Math.min(
+    descriptorLimit - RESERVED_DESCRIPTORS,
+    memoryBytes / CONNECTION_MEMORY_BYTES / CONNECTION_SHARE,
   );
-  const usable = descriptorLimit - RESERVED_DESCRIPTORS;
   const requests = Math.max(MIN_CONNECTIONS, Math.floor(usable * REQUEST_SHARE));
   return {
     bodyBytes: Math.floor(MAX_HELD_BODY_BYTES * memoryShare),
-    answerBytes: Math.floor(MAX_HELD_ANSWER_BYTES * memoryShare * (1 + PIECE_SHARE)),
+    answerBytes: Math.floor(
+      Math.max(MAX_ANSWER_BYTES, MAX_HELD_ANSWER_BYTES * memoryShare) * (1 + PIECE_SHARE),
+    ),
     unreadBytes: Math.floor(MAX_UNREAD_ANSWER_BYTES * memoryShare),
     releasedBytes: Math.floor(MAX_RELEASED_BYTES * memoryShare),
     connections: Math.max(MIN_CONNECTIONS, Math.floor(usable * CONNECTION_SHARE)),
