fix(controller): clients of the status port used up the descriptors

Callers saw: 3,000 clients with incomplete heads held 2,787 descriptors of the controller, which then cannot reach the platform or an engine.

Cause: the status server had Node's defaults: no limit of connections, a check for slow heads every 30 s, any number of requests a connection.

Change: 128 connections, of which a new one replaces the one that has waited longest; 8 answers a connection; slow heads end after 10 s.

Evidence: 'a controller stays within its memory and descriptors and serves: incomplete request heads' failed before and has 150 descriptors of 500 now.

--- a/packages/controller/src/startStatusServer.ts
+++ b/packages/controller/src/startStatusServer.ts
@@ -1,5 +1,11 @@
 import { createServer } from 'node:http';
 
+import {
+  attachConnections,
+  createOperatorConnections,
+  LIMITED_SERVER,
+} from '@sardinegrade/ingress';
+
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
@@ -31,7 +37,9 @@
   listen: string,
   getStatus: () => ControllerStatus,
 ): Promise<StatusServer> => {
-  const server = createServer((request, response) => {
+  const connections = createOperatorConnections();
+  const server = createServer(LIMITED_SERVER, (request, response) => {
+    if (!connections.addAnswer(response)) return;
     const path = request.url ?? '';
     if (path === '/livez' || path === '/readyz') {
       response.end('ok\n');
@@ -44,6 +52,7 @@
     response.setHeader('content-type', 'application/json');
     response.end(JSON.stringify(getStatus()));
   });
+  attachConnections(server, connections);
   const [host, port] = listen.split(':');
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
