fix(entry): bodies and connections of the administration port had no limit

Callers saw: 100 unfinished bodies in one-byte chunks took the daemon to 2,229 MB of 350, 100 connections that ask and do not read to 403 MB, and 3,000 incomplete heads to 3,028 descriptors; all callers' requests end with the process.

Cause: each chunk was kept as a buffer of its own, with no limit over all requests, and the server had Node's defaults. The rest of a body that was refused was read on without end.

Change: bodies are collected by packages/ingress, 8 MiB in all; 128 connections, 8 answers each; an answer to a request whose body was not read whole closes its connection.

--- a/packages/entry/src/administration/constants.ts
+++ b/packages/entry/src/administration/constants.ts
@@ -1,7 +1,10 @@
 /** Largest accepted request body; configuration texts are the largest bodies. */
 export const BODY_LIMIT_BYTES = 1_048_576;
 
-/** Unused: the administration server has only Node's default timeout for receiving a request. */
+/** Maximum number of bytes of the bodies of all requests: room for some texts of the largest size. */
+export const MAX_HELD_BYTES = 8 * BODY_LIMIT_BYTES;
+
+/** Time limit for receiving a complete body. */
 export const BODY_TIMEOUT_MS = 10_000;
 
 /** Number of list entries when the request has no `limit` parameter. */
--- a/packages/entry/src/administration/createAdministrationHandler.ts
+++ b/packages/entry/src/administration/createAdministrationHandler.ts
@@ -1,17 +1,26 @@
+import { createServer } from 'node:http';
+
 import { ResultCode, toSardinegradeError } from '@sardinegrade/common';
+import {
+  attachConnections,
+  createOperatorConnections,
+  LIMITED_SERVER,
+} from '@sardinegrade/ingress';
 
 import { JSON_TYPE, PROBLEM_TYPE } from './constants.js';
 import { MethodError } from './errors.js';
 import { findAdministrator, requireRole } from './http/authenticate.js';
 import { createRouteMatcher } from './http/matchRoute.js';
 import { describeProblem, formatRetryAfter } from './http/problem.js';
-import { readText } from './http/readBody.js';
+import { AdministrationBodies } from './http/readBody.js';
 import { ROUTES } from './routes/index.js';
 
+import type { LimitListener } from '@sardinegrade/ingress';
 import type {
   IncomingMessage,
   OutgoingHttpHeaders,
   RequestListener,
+  Server,
   ServerResponse,
 } from 'node:http';
 import type { Route, RouteReply } from './http/types.js';
@@ -66,7 +75,7 @@
   if (problem.status === 401) headers['www-authenticate'] = 'Bearer';
   if (thrown instanceof MethodError) headers.allow = thrown.allowed.join(', ');
   // The rest of the body stays unread, so the connection cannot be reused for another request.
-  if (toSardinegradeError(thrown).code === ResultCode.BodyTooLarge) headers.connection = 'close';
+  if (!response.req.complete) headers.connection = 'close';
   sendReply(response, { status: problem.status, headers, body: problem });
 };
 
@@ -82,12 +91,14 @@
 const respond = async (
   context: AdministrationContext,
   matchRoute: ReturnType<typeof createRouteMatcher>,
-  request: IncomingMessage,
+  bodies: AdministrationBodies,
+  response: ServerResponse,
 ): Promise<RouteReply> => {
+  const request = response.req;
   const target = parseTarget(request);
   const { route, path } = matchRoute(request.method ?? '', target.pathname);
   const administrator = checkAccess(context, route, request);
-  const text = BODY_METHODS.has(route.method) ? await readText(request) : '';
+  const text = BODY_METHODS.has(route.method) ? await bodies.readText(request, response) : '';
   const { headers } = request;
   return route.handle(context, { administrator, path, query: target.searchParams, headers, text });
 };
@@ -100,8 +111,9 @@
  */
 export const createAdministrationHandler = (context: AdministrationContext): RequestListener => {
   const matchRoute = createRouteMatcher(ROUTES);
-  return (request, response) => {
-    respond(context, matchRoute, request)
+  const bodies = new AdministrationBodies();
+  return (_request, response) => {
+    respond(context, matchRoute, bodies, response)
       .then((reply) => sendReply(response, reply))
       .catch((thrown: unknown) => {
         logFailure(context, thrown);
@@ -110,3 +122,23 @@
       });
   };
 };
+
+/**
+ * Creates the server of the administration API.
+ *
+ * @param context - daemon state that the API reads and changes
+ * @param onLimit - called each time a client exceeds a limit of the connections
+ * @returns the server, which does not listen yet
+ */
+export const createAdministrationServer = (
+  context: AdministrationContext,
+  onLimit: LimitListener,
+): Server => {
+  const handle = createAdministrationHandler(context);
+  const connections = createOperatorConnections(onLimit);
+  const server = createServer(LIMITED_SERVER, (request, response) => {
+    if (connections.addAnswer(response)) handle(request, response);
+  });
+  attachConnections(server, connections);
+  return server;
+};
--- a/packages/entry/src/administration/http/readBody.ts
+++ b/packages/entry/src/administration/http/readBody.ts
@@ -1,9 +1,10 @@
 import { ResultCode } from '@sardinegrade/common';
+import { BodyEnd, CancelOrder, HeldBytes, readBody, TurnQueue } from '@sardinegrade/ingress';
 
-import { BODY_LIMIT_BYTES } from '../constants.js';
+import { BODY_LIMIT_BYTES, BODY_TIMEOUT_MS, MAX_HELD_BYTES } from '../constants.js';
 import { ApiError } from '../errors.js';
 
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 const createTooLargeError = (): ApiError =>
   new ApiError(ResultCode.BodyTooLarge, `The body exceeds ${BODY_LIMIT_BYTES} bytes.`);
@@ -16,31 +17,49 @@
   }
 };
 
-/**
- * Reads a request body as UTF-8 text.
- *
- * @param request - the request
- * @returns the text
- * @throws ApiError if the body is too large, incomplete or not UTF-8
- */
-export const readText = async (request: IncomingMessage): Promise<string> => {
-  if (Number(request.headers['content-length'] ?? 0) > BODY_LIMIT_BYTES)
-    throw createTooLargeError();
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > BODY_LIMIT_BYTES) throw createTooLargeError();
-      chunks.push(chunk);
-    }
-  } catch (error) {
-    if (error instanceof ApiError) throw error;
-    throw new ApiError(ResultCode.MalformedBody, 'The body was cut short.');
-  }
-  return decodeText(Buffer.concat(chunks));
+const ERRORS: Readonly<Record<Exclude<BodyEnd, BodyEnd.Whole>, () => ApiError>> = {
+  [BodyEnd.TooLarge]: createTooLargeError,
+  [BodyEnd.NoMemory]: () =>
+    new ApiError(ResultCode.Overloaded, 'The bodies of all requests exceed the memory for them.'),
+  [BodyEnd.TooSlow]: () =>
+    new ApiError(ResultCode.MalformedBody, `The body was not whole within ${BODY_TIMEOUT_MS} ms.`),
+  [BodyEnd.Broken]: () => new ApiError(ResultCode.MalformedBody, 'The body was cut short.'),
 };
 
+/** Bodies of all requests to the administration port. */
+export class AdministrationBodies {
+  readonly #held = new HeldBytes({
+    maxBytes: MAX_HELD_BYTES,
+    sparedBytes: 0,
+    cancelOrder: CancelOrder.Newest,
+  });
+  readonly #turns = new TurnQueue();
+
+  /**
+   * Reads a request body as UTF-8 text.
+   *
+   * @param request - the request
+   * @param response - the response to it
+   * @returns the text
+   * @throws ApiError if the body is too large, incomplete, too slow or not UTF-8, or if all need too much memory
+   */
+  readonly readText = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<string> => {
+    if (Number(request.headers['content-length'] ?? 0) > BODY_LIMIT_BYTES)
+      throw createTooLargeError();
+    const read = await readBody(request, response, {
+      limitBytes: BODY_LIMIT_BYTES,
+      limitMs: BODY_TIMEOUT_MS,
+      held: this.#held,
+      turns: this.#turns,
+    });
+    if (read.end !== BodyEnd.Whole) throw ERRORS[read.end]();
+    return read.body === undefined ? '' : decodeText(read.body);
+  };
+}
+
 /**
  * Parses a JSON body.
  *
