fix(entry): bodies, connections and requests of callers had no limit

Callers saw: with one valid key 100 unfinished bodies of 200 KB in one-byte chunks took the daemon to 5,146 MB of 350, and no request was answered for 20 s; 400 of 1 MB in large chunks to 539 MB; 2,500 small ones and 3,000 incomplete heads to 2,303 and 2,550 descriptors of 2,000; pipelined requests whose answers are not read to 459 MB.

Cause: readBody kept each chunk as a buffer of its own, with no limit over all requests; nothing limited connections, open requests or the answers that a connection is owed.

Change: the daemon uses packages/ingress. callers.memory_limit, connection_limit and request_limit set the limits; without them they follow the machine's memory or control group and the descriptors. A body counts three times: received, parsed and sent on. Refusals say not_run and name Retry-After.

Why it works: what is held is counted where it is held, and the newest body of the workspace that holds most gives way; bodies of small chunks are read in turns.

--- a/packages/entry/src/callers/CallerServer.test.ts
+++ b/packages/entry/src/callers/CallerServer.test.ts
@@ -13,6 +13,7 @@
   SYSTEM_CLOCK,
 } from '@sardinegrade/common';
 import { hashKey, parseConfiguration } from '@sardinegrade/fleet';
+import { deriveClientLimits, Ingress } from '@sardinegrade/ingress';
 import { Client } from 'undici';
 
 import { createRequestJournal } from '../administration/index.js';
@@ -33,8 +34,9 @@
   pattern: /^\/echo$/,
   methods: ['POST'],
   errorFormat: ErrorFormat.OpenAi,
-  serve: async ({ request, response, workspace }) => {
-    const body = await readBody(request, BODY_LIMIT_BYTES);
+  serve: async (caller) => {
+    const { response, workspace } = caller;
+    const body = await readBody({ ...caller, workspace: workspace.name }, BODY_LIMIT_BYTES);
     response.end(`${workspace.name} ${body.length}`);
   },
 };
@@ -74,6 +76,7 @@
     certificate: undefined,
     metrics: createMetrics(),
     journal: createRequestJournal(SYSTEM_CLOCK),
+    ingress: new Ingress(deriveClientLimits({})),
   });
 };
 
--- a/packages/entry/src/callers/CallerServer.ts
+++ b/packages/entry/src/callers/CallerServer.ts
@@ -9,14 +9,12 @@
   SardinegradeError,
   toSardinegradeError,
 } from '@sardinegrade/common';
-import { CallerConnections } from '@sardinegrade/ingress';
+import { LIMITED_SERVER, attachConnections } from '@sardinegrade/ingress';
 
 import { DecisionKind } from '../administration/index.js';
 import { Authenticator } from './Authenticator.js';
 import {
-  REQUEST_TIMEOUT_MS,
-  HEADER_LIMIT_BYTES,
-  HEADERS_TIMEOUT_MS,
+  CROWDED_RETRY_MS,
   KEEP_ALIVE_TIMEOUT_MS,
   REQUEST_ID_LIMIT_CHARACTERS,
 } from './constants.js';
@@ -34,6 +32,7 @@
 } from '@sardinegrade/common';
 import type { RequestJournal } from '../administration/index.js';
 import type { ReloadingCertificate } from '@sardinegrade/fleet';
+import type { Ingress } from '@sardinegrade/ingress';
 import type { CallerRequest, CallerRoute } from './types.js';
 
 /** Settings and dependencies of a `CallerServer`. */
@@ -49,17 +48,14 @@
   readonly getConfiguration: () => Configuration | undefined;
   /** Certificate for TLS; if undefined, callers connect over plain HTTP. */
   readonly certificate: ReloadingCertificate | undefined;
+  /** Limits of what callers make this daemon hold. */
+  readonly ingress: Ingress;
 }
 
 /** Labels of requests that were rejected before their service and class were determined. */
 const UNKNOWN_TARGET = { service: 'unknown', className: 'unknown' };
 
-const SERVER_LIMITS = {
-  maxHeaderSize: HEADER_LIMIT_BYTES,
-  headersTimeout: HEADERS_TIMEOUT_MS,
-  requestTimeout: REQUEST_TIMEOUT_MS,
-  keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-} as const;
+const SERVER_LIMITS = { ...LIMITED_SERVER, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS } as const;
 
 const REQUEST_ID = /^[\x21-\x7e]+$/;
 
@@ -86,14 +82,13 @@
 export class CallerServer {
   readonly server: Server;
   readonly #options: CallerServerOptions;
-  readonly #connections = new CallerConnections();
   readonly #authenticator = new Authenticator();
   #openRequests = 0;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.server = this.#createServer();
-    this.#connections.attach(this.server);
+    attachConnections(this.server, options.ingress.connections);
   }
 
   readonly #createServer = (): Server => {
@@ -109,7 +104,7 @@
   readonly countOpen = (): number => this.#openRequests;
 
   readonly #handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    if (!this.#connections.addAnswer(response)) return;
+    if (!this.#options.ingress.connections.addAnswer(response)) return;
     const url = parseUrl(request);
     if (url !== undefined && this.#options.serveUnauthenticatedPath(url.pathname, response)) return;
     this.#openRequests += 1;
@@ -137,6 +132,7 @@
       format = route.errorFormat;
       const configuration = this.#requireConfiguration();
       const workspace = this.#authenticator.findWorkspace(request, configuration);
+      this.#claimRequest(response, workspace.name);
       const arrivedAtMs = this.#options.clock.getNowMs();
       caller = {
         requestId,
@@ -147,6 +143,7 @@
         request,
         response,
         url: checkedUrl,
+        ingress: this.#options.ingress,
         trail: this.#options.journal.start({
           requestId,
           workspace: workspace.name,
@@ -164,6 +161,20 @@
     }
   };
 
+  /** Limits the requests without a whole answer. */
+  readonly #claimRequest = (response: ServerResponse, workspace: string): void => {
+    const release = this.#options.ingress.claimRequest(workspace);
+    if (release !== undefined) {
+      response.once('close', release);
+      return;
+    }
+    throw new SardinegradeError(
+      ResultCode.Overloaded,
+      'This VM serves as many requests as its memory and descriptors allow.',
+      { retryAfterMs: CROWDED_RETRY_MS },
+    );
+  };
+
   readonly #findRoute = (
     request: IncomingMessage,
     url: URL | undefined,
--- a/packages/entry/src/callers/types.ts
+++ b/packages/entry/src/callers/types.ts
@@ -6,6 +6,7 @@
   RequestId,
   WorkspaceConfiguration,
 } from '@sardinegrade/common';
+import type { Ingress } from '@sardinegrade/ingress';
 import type { RequestTrail } from '../administration/index.js';
 
 /** An authenticated request of a caller. */
@@ -21,6 +22,8 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly url: URL;
+  /** Limits of what callers make this daemon hold. */
+  readonly ingress: Ingress;
 }
 
 /** Format of an error response. */
--- a/packages/entry/src/daemon/PlainServiceHandler.ts
+++ b/packages/entry/src/daemon/PlainServiceHandler.ts
@@ -137,6 +137,7 @@
       traceparent: caller.span.traceparent,
       deadlineAtMs: caller.arrivedAtMs + serviceClass.deadlineMs,
       bodyLimitBytes: this.#options.bodyLimitBytes,
+      ingress: caller.ingress,
       signal: abortController.signal,
     };
     this.#observer.start(caller, context);
--- a/packages/entry/src/daemon/ServingComponents.ts
+++ b/packages/entry/src/daemon/ServingComponents.ts
@@ -1,11 +1,10 @@
 import { randomUUID } from 'node:crypto';
-import { createServer } from 'node:http';
 
 import { ReloadingCertificate } from '@sardinegrade/fleet';
 
 import {
   createAdministrationContext,
-  createAdministrationHandler,
+  createAdministrationServer,
 } from '../administration/index.js';
 import { CallerServer } from '../callers/index.js';
 import { createModelRoutes } from '../models/index.js';
@@ -114,7 +113,7 @@
       isReady,
     });
     registerGauges(this.#base.metrics, context);
-    return createServer(createAdministrationHandler(context));
+    return createAdministrationServer(context, this.#base.ingress.onLimit);
   };
 
   readonly #checkDependencies = (caller: CallerRequest, service: ServiceConfiguration): void =>
--- a/packages/entry/src/daemon/daemonBase.ts
+++ b/packages/entry/src/daemon/daemonBase.ts
@@ -1,8 +1,10 @@
 import { createLogger, createMetrics, startTracing, SYSTEM_CLOCK } from '@sardinegrade/common';
+import { createLimitReporter, Ingress } from '@sardinegrade/ingress';
 import { createPeerCredentials } from '@sardinegrade/peer';
 import { createPlatformClient } from '@sardinegrade/platform';
 
 import { createRequestJournal } from '../administration/index.js';
+import { deriveDaemonLimits } from './deriveDaemonLimits.js';
 import { observePlatform } from '../observation/index.js';
 import { RetryBudgets } from '../retries/index.js';
 
@@ -27,6 +29,8 @@
   readonly platform: PlatformClient;
   readonly credentials: PeerCredentials;
   readonly retryBudgets: RetryBudgets;
+  /** Limits of what callers make this daemon hold. */
+  readonly ingress: Ingress;
 }
 
 const getPeerTls = ({ peer }: EntrySettings): PeerTlsFiles | undefined => {
@@ -69,5 +73,9 @@
     platform: observePlatform(client, { metrics, tracing }),
     credentials: createPeerCredentials(getPeerTls(settings)),
     retryBudgets: new RetryBudgets(clock),
+    ingress: new Ingress(
+      deriveDaemonLimits(settings.callers),
+      createLimitReporter({ logger, metrics, getNowMs: () => performance.now() }),
+    ),
   };
 };
--- a/packages/entry/src/models/routes.ts
+++ b/packages/entry/src/models/routes.ts
@@ -32,7 +32,10 @@
     .slice(0, FINGERPRINT_HEX_DIGITS) as Fingerprint;
 
 const serveChat = async (options: ModelRouteOptions, caller: CallerRequest): Promise<void> => {
-  const body = await readBody(caller.request, options.bodyLimitBytes);
+  const body = await readBody(
+    { ...caller, workspace: caller.workspace.name },
+    options.bodyLimitBytes,
+  );
   const chat = parseChatRequest(body);
   const { configuration, workspace } = caller;
   const target = findTarget(configuration, workspace, chat.model, readClassHeader(caller.request));
--- a/packages/entry/src/services/handleServiceCall.test.ts
+++ b/packages/entry/src/services/handleServiceCall.test.ts
@@ -10,6 +10,7 @@
   SYSTEM_CLOCK,
   toBranded,
 } from '@sardinegrade/common';
+import { deriveClientLimits, Ingress } from '@sardinegrade/ingress';
 import { request } from 'undici';
 
 import { RetryBudgets } from '../retries/index.js';
@@ -22,6 +23,8 @@
 import type { OrderSubmission } from '@sardinegrade/orders';
 import type { ServiceCallContext } from './types.js';
 
+const INGRESS = new Ingress(deriveClientLimits({}));
+
 const servers: Server[] = [];
 
 afterEach(() => {
@@ -105,6 +108,7 @@
         traceparent: '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01',
         deadlineAtMs: SYSTEM_CLOCK.getNowMs() + 10_000,
         bodyLimitBytes: 1_000,
+        ingress: INGRESS,
         signal: new AbortController().signal,
         ...overrides,
       },
--- a/packages/entry/src/services/handleServiceCall.ts
+++ b/packages/entry/src/services/handleServiceCall.ts
@@ -76,11 +76,12 @@
   const readRequest = async (
     context: ServiceCallContext,
     request: IncomingMessage,
+    response: ServerResponse,
   ): Promise<ServiceRequest> => ({
     method: request.method ?? 'GET',
     path: context.path,
     headers: pickHeaders(request.headers, REQUEST_HEADERS),
-    body: await readBody(request, context.bodyLimitBytes),
+    body: await readBody({ ...context, request, response }, context.bodyLimitBytes),
   });
 
   const handle = async (
@@ -91,7 +92,7 @@
     const key = readIdempotencyKey(request);
     // Rejects the call before reading its body, which may be large.
     if (!context.service.repeatableMethods.has(request.method ?? 'GET')) requireIdempotencyKey(key);
-    const result = await runCall(context, await readRequest(context, request), key);
+    const result = await runCall(context, await readRequest(context, request, response), key);
     if ('error' in result) {
       options.onEnd?.(context, { error: result.error, isReplay: false });
       respondProblem(response, context, result.error);
--- a/packages/entry/src/services/types.ts
+++ b/packages/entry/src/services/types.ts
@@ -7,6 +7,7 @@
   UpstreamConfiguration,
   WorkspaceName,
 } from '@sardinegrade/common';
+import type { Ingress } from '@sardinegrade/ingress';
 import type { OrderService, ServiceClient } from '@sardinegrade/orders';
 import type { RetryBudgets } from '../retries/index.js';
 
@@ -22,6 +23,8 @@
   /** Deadline, in the time of the daemon's `clock`. */
   readonly deadlineAtMs: number;
   readonly bodyLimitBytes: number;
+  /** Limits of what callers make this daemon hold. */
+  readonly ingress: Ingress;
   /** Aborted when the caller disconnects. Orders are executed nevertheless. */
   readonly signal: AbortSignal;
 }
--- a/packages/lab/src/bench/orders/runOutage.ts
+++ b/packages/lab/src/bench/orders/runOutage.ts
@@ -1,5 +1,6 @@
 import { RunState, ServiceKind, Tier, toBranded } from '@sardinegrade/common';
 import { createRepeatableCallRunner, RetryBudgets } from '@sardinegrade/entry';
+import { deriveClientLimits, Ingress } from '@sardinegrade/ingress';
 import {
   CallOutcome,
   createOrderService,
@@ -101,6 +102,7 @@
         traceparent: submission.traceparent,
         deadlineAtMs: submission.deadlineAtMs,
         bodyLimitBytes: BODY_LIMIT_BYTES,
+        ingress: new Ingress(deriveClientLimits({})),
         signal: new AbortController().signal,
       },
       submission.request,
