fix(entry): answers of services that are not whole or not read had no limit

Callers saw: 100 callers that ask for an answer of 6 MB and do not read it took the daemon to 956 MB of 350.

Cause: whole answers of plain services are collected chunk by chunk and held until their callers have read them, whatever they need together.

Change: unfinished answers and answers that are not read have limits of their own. The largest unfinished one gives way: a call that may be repeated ends as 3003 with run and Retry-After, an order as carried out whose answer was not kept. The connection of the oldest unread one of the workspace that holds most closes.

--- a/packages/entry/src/callers/index.ts
+++ b/packages/entry/src/callers/index.ts
@@ -2,5 +2,6 @@
 export * from './Authenticator.js';
 export * from './CallerServer.js';
 export * from './errorAnswer.js';
+export * from './keepUnreadAnswer.js';
 export * from './readBody.js';
 export * from './types.js';
--- a/packages/entry/src/daemon/PlainServiceHandler.ts
+++ b/packages/entry/src/daemon/PlainServiceHandler.ts
@@ -20,6 +20,7 @@
   UpstreamId,
   VmId,
 } from '@sardinegrade/common';
+import type { HeldBytes } from '@sardinegrade/ingress';
 import type { OrderService } from '@sardinegrade/orders';
 import type { PlatformClient } from '@sardinegrade/platform';
 import type { CallerRequest, CallerRoute } from '../callers/index.js';
@@ -42,6 +43,8 @@
   readonly tracing: Tracing;
   readonly platform: PlatformClient;
   readonly bodyLimitBytes: number;
+  /** Limits the answers of services that are not whole. */
+  readonly heldAnswers: HeldBytes;
   readonly writesPerSecond: number;
   readonly getConfiguration: () => Configuration | undefined;
   readonly isUpstreamDown: (upstream: UpstreamId) => boolean;
@@ -75,7 +78,10 @@
     this.#options = options;
     this.#observer = new ServiceObserver(options);
     const { clock, logger, platform, vm, writesPerSecond } = options;
-    const serviceClient = observeServiceClient(createServiceClient(this.#findUpstreams), options);
+    const serviceClient = observeServiceClient(
+      createServiceClient(this.#findUpstreams, options.heldAnswers),
+      options,
+    );
     const shared = { clock, serviceClient, sleep: sleepMs, newId: randomUUID };
     const burst = writesPerSecond * WRITE_BURST_SECONDS;
     this.orders = createOrderService({
--- a/packages/entry/src/daemon/ServingComponents.ts
+++ b/packages/entry/src/daemon/ServingComponents.ts
@@ -91,6 +91,7 @@
     return new PlainServiceHandler({
       ...this.#base,
       bodyLimitBytes: settings.callers.body_limit,
+      heldAnswers: this.#base.ingress.heldAnswers,
       writesPerSecond: settings.orders.writes_per_second,
       getConfiguration: fleet.agent.getConfiguration,
       isUpstreamDown: dispatch.fleetHealth.isDown,
--- a/packages/entry/src/models/AnswerSink.ts
+++ b/packages/entry/src/models/AnswerSink.ts
@@ -1,9 +1,10 @@
 import { ResultCode, SardinegradeError } from '@sardinegrade/common';
 
-import { buildOpenAiError, ErrorFormat, sendError } from '../callers/index.js';
+import { buildOpenAiError, ErrorFormat, keepUnreadAnswer, sendError } from '../callers/index.js';
 import { COLLECTED_ANSWER_LIMIT_CHARACTERS } from './constants.js';
 
 import type { ServerResponse } from 'node:http';
+import type { CallerRequest } from '../callers/index.js';
 import type { Usage } from './types.js';
 
 const MS_PER_SECOND = 1_000;
@@ -108,12 +109,12 @@
 
 /** Collects an answer and sends it as one JSON object in OpenAI's format. */
 export class CollectedAnswer implements AnswerSink {
-  readonly #response: ServerResponse;
+  readonly #caller: CallerRequest;
   readonly #metadata: CompletionMetadata;
   #text = '';
 
-  constructor(response: ServerResponse, metadata: CompletionMetadata) {
-    this.#response = response;
+  constructor(caller: CallerRequest, metadata: CompletionMetadata) {
+    this.#caller = caller;
     this.#metadata = metadata;
   }
 
@@ -139,13 +140,15 @@
       ],
       usage: encodeUsage(usage),
     });
-    this.#response.writeHead(200, {
+    const { response, ingress, workspace } = this.#caller;
+    response.writeHead(200, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
     });
-    this.#response.end(body);
+    response.end(body);
+    keepUnreadAnswer(response, ingress, workspace.name);
   };
 
   readonly fail = (error: SardinegradeError): void =>
-    sendError(this.#response, ErrorFormat.OpenAi, error);
+    sendError(this.#caller.response, ErrorFormat.OpenAi, error);
 }
--- a/packages/entry/src/models/routes.ts
+++ b/packages/entry/src/models/routes.ts
@@ -53,7 +53,7 @@
   };
   const sink = chat.isStreamed
     ? new StreamedAnswer(caller.response, metadata)
-    : new CollectedAnswer(caller.response, metadata);
+    : new CollectedAnswer(caller, metadata);
   const input = {
     caller,
     chat,
--- a/packages/entry/src/services/constants.ts
+++ b/packages/entry/src/services/constants.ts
@@ -1,6 +1,3 @@
-/** Largest answer body of a plain service that is read into memory. */
-export const ANSWER_LIMIT_BYTES = 16 * 1024 * 1024;
-
 /** Timeout for opening a connection to an upstream. */
 export const CONNECT_TIMEOUT_MS = 1_000;
 
--- a/packages/entry/src/services/handleServiceCall.test.ts
+++ b/packages/entry/src/services/handleServiceCall.test.ts
@@ -89,7 +89,7 @@
   let ids = 0;
   const handle = createServiceHandler({
     orders: { submitOrder },
-    serviceClient: createServiceClient(() => upstreams),
+    serviceClient: createServiceClient(() => upstreams, INGRESS.heldAnswers),
     findUpstreams: () => upstreams,
     clock: SYSTEM_CLOCK,
     sleep: () => Promise.resolve(),
@@ -221,7 +221,10 @@
     calls += 1;
     response.end();
   });
-  const serviceClient = createServiceClient(() => [buildUpstream('a', service)]);
+  const serviceClient = createServiceClient(
+    () => [buildUpstream('a', service)],
+    INGRESS.heldAnswers,
+  );
   const result = await serviceClient.callService({
     service: SERVICE,
     request: { method: 'POST', path: '/', headers: {}, body: Buffer.alloc(0) },
--- a/packages/entry/src/services/repeatableCall.ts
+++ b/packages/entry/src/services/repeatableCall.ts
@@ -1,5 +1,6 @@
 import { ResultCode, RunState, SardinegradeError, toBranded } from '@sardinegrade/common';
 import { decideRetry, RetryVerdict } from '@sardinegrade/dispatch';
+import { MAX_ANSWER_BYTES } from '@sardinegrade/ingress';
 import { CallOutcome } from '@sardinegrade/orders';
 
 import { RETRY_AFTER_MS } from './constants.js';
@@ -28,12 +29,21 @@
   return new SardinegradeError(ResultCode.NoUpstream, 'The service could not be reached.', options);
 };
 
+/** The call can be repeated, and its answer may find memory later. */
+const createMemoryError = (): SardinegradeError =>
+  new SardinegradeError(
+    ResultCode.AnswerCut,
+    'The answers of all calls exceed the memory for them.',
+    { run: RunState.Run, retryAfterMs: RETRY_AFTER_MS },
+  );
+
 /** Builds the result of a call, in the form that it shares with the result of an order. */
 const toServiceResult = (result: CallResult, mayHaveStarted: boolean): OrderResult => {
   switch (result.outcome) {
     case CallOutcome.Answered:
       return { answer: result.answer, isReplay: false };
     case CallOutcome.TooLarge:
+      if (result.bytes <= MAX_ANSWER_BYTES) return { error: createMemoryError() };
       return {
         error: new SardinegradeError(ResultCode.AnswerNotKept, 'The answer is too large.', {
           run: RunState.Run,
--- a/packages/entry/src/services/serviceClient.ts
+++ b/packages/entry/src/services/serviceClient.ts
@@ -1,9 +1,9 @@
+import { ByteCollector, MAX_ANSWER_BYTES } from '@sardinegrade/ingress';
 import { CallOutcome, LookupOutcome } from '@sardinegrade/orders';
 import { z } from 'zod';
 
 import {
   ANSWER_HEADERS,
-  ANSWER_LIMIT_BYTES,
   ATTEMPT_ID_HEADER,
   IDEMPOTENCY_KEY_HEADER,
   STATUS_LOOKUP_TIMEOUT_MS,
@@ -13,7 +13,9 @@
 import { createSingleUseClient, hasFailedBeforeSend } from './singleUseClient.js';
 
 import type { ServiceConfiguration, UpstreamConfiguration, UpstreamId } from '@sardinegrade/common';
+import type { HeldBytes } from '@sardinegrade/ingress';
 import type { CallResult, LookupResult, ServiceCall, ServiceClient } from '@sardinegrade/orders';
+import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import type { FindUpstreams } from './types.js';
 
@@ -27,21 +29,36 @@
   }),
 ]);
 
-/** A complete body, or undefined with the number of bytes read if it exceeds the limit. */
+/** A complete body, or undefined with the number of bytes read if it exceeds a limit. */
 interface CollectedBody {
   readonly bytes: number;
   readonly body: Buffer | undefined;
 }
 
-const collectBody = async (stream: AsyncIterable<Buffer>): Promise<CollectedBody> => {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of stream) {
-    bytes += chunk.length;
-    if (bytes > ANSWER_LIMIT_BYTES) return { bytes, body: undefined };
-    chunks.push(chunk);
+/** Collects a body, which gives way if the answers of all calls need too much memory. */
+const collectBody = async (stream: Readable, held: HeldBytes): Promise<CollectedBody> => {
+  const collector = new ByteCollector();
+  const cancellation = new AbortController();
+  const cancel = (): void => {
+    cancellation.abort();
+    stream.destroy();
+  };
+  try {
+    for await (const chunk of stream as AsyncIterable<Buffer>) {
+      if (collector.bytes + chunk.length > MAX_ANSWER_BYTES)
+        return { bytes: collector.bytes + chunk.length, body: undefined };
+      held.add(cancel, collector.add(chunk));
+    }
+  } catch (error) {
+    if (!cancellation.signal.aborted) throw error;
+  } finally {
+    held.remove(cancel);
   }
-  return { bytes, body: Buffer.concat(chunks) };
+  const { bytes } = collector;
+  return {
+    bytes,
+    body: cancellation.signal.aborted ? undefined : Buffer.concat(collector.takePieces(), bytes),
+  };
 };
 
 const getHeader = (response: Dispatcher.ResponseData, name: string): string | undefined => {
@@ -60,12 +77,13 @@
 const readAnswer = async (
   call: ServiceCall,
   response: Dispatcher.ResponseData,
+  held: HeldBytes,
 ): Promise<CallResult> => {
   // An answer without the id of this attempt belongs to another request or was sent by an intermediary.
   if (getHeader(response, ATTEMPT_ID_HEADER) !== call.attemptId) {
     return { outcome: CallOutcome.Unknown, cause: 'the answer is not for this attempt' };
   }
-  const { bytes, body } = await collectBody(response.body);
+  const { bytes, body } = await collectBody(response.body, held);
   const status = response.statusCode;
   if (body === undefined) return { outcome: CallOutcome.TooLarge, status, bytes };
   const headers = pickHeaders(response.headers, ANSWER_HEADERS);
@@ -75,6 +93,7 @@
 const callUpstream = async (
   upstream: UpstreamConfiguration,
   call: ServiceCall,
+  held: HeldBytes,
 ): Promise<CallResult> => {
   const client = createSingleUseClient(upstream.address, call.canStart);
   try {
@@ -87,7 +106,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    return await readAnswer(call, response);
+    return await readAnswer(call, response, held);
   } catch (cause) {
     const outcome = hasFailedBeforeSend(cause) ? CallOutcome.NotStarted : CallOutcome.Unknown;
     return { outcome, cause };
@@ -99,12 +118,13 @@
 const lookupUpstream = async (
   upstream: UpstreamConfiguration,
   path: string,
+  held: HeldBytes,
 ): Promise<LookupResult> => {
   const client = createSingleUseClient(upstream.address, () => true);
   try {
     const signal = AbortSignal.timeout(STATUS_LOOKUP_TIMEOUT_MS);
     const response = await client.request({ method: 'GET', path, signal });
-    const { body } = await collectBody(response.body);
+    const { body } = await collectBody(response.body, held);
     if (response.statusCode !== 200 || body === undefined) {
       return { outcome: LookupOutcome.Unavailable };
     }
@@ -125,9 +145,13 @@
  * Creates the client for calls to plain services.
  *
  * @param findUpstreams - finds the upstreams of a service that accept calls
+ * @param held - limits the answers that are not whole
  * @returns a client that prefers the upstream with the fewest running calls of this daemon per slot
  */
-export const createServiceClient = (findUpstreams: FindUpstreams): ServiceClient => {
+export const createServiceClient = (
+  findUpstreams: FindUpstreams,
+  held: HeldBytes,
+): ServiceClient => {
   const runningCalls = new Map<UpstreamId, number>();
 
   const getLoad = ({ id, slots }: UpstreamConfiguration): number =>
@@ -139,7 +163,7 @@
   const runCall = async (upstream: UpstreamConfiguration, call: ServiceCall) => {
     runningCalls.set(upstream.id, (runningCalls.get(upstream.id) ?? 0) + 1);
     try {
-      return await callUpstream(upstream, call);
+      return await callUpstream(upstream, call, held);
     } finally {
       runningCalls.set(upstream.id, (runningCalls.get(upstream.id) ?? 1) - 1);
     }
@@ -164,7 +188,7 @@
     const path = service.statusLookupPath?.replaceAll('{key}', encodeURIComponent(scopedKey));
     if (path === undefined) return { outcome: LookupOutcome.Unavailable };
     for (const upstream of sortUpstreams(service)) {
-      const result = await lookupUpstream(upstream, path);
+      const result = await lookupUpstream(upstream, path, held);
       if (result.outcome !== LookupOutcome.Unavailable) return result;
     }
     return { outcome: LookupOutcome.Unavailable };
--- a/packages/entry/src/services/serviceResponse.ts
+++ b/packages/entry/src/services/serviceResponse.ts
@@ -1,4 +1,4 @@
-import { ErrorFormat, sendError } from '../callers/index.js';
+import { ErrorFormat, keepUnreadAnswer, sendError } from '../callers/index.js';
 import { REQUEST_ID_HEADER } from './constants.js';
 
 import type { ServerResponse } from 'node:http';
@@ -30,6 +30,7 @@
   if (isReplay) response.setHeader('idempotency-replayed', 'true');
   response.writeHead(answer.status);
   response.end(answer.body);
+  keepUnreadAnswer(response, context.ingress, context.workspace);
 };
 
 /**
