fix(routing): tables grew by all that the heads of requests list

Cause: recordAnswer of PartCrashTracker removed one entry for all that a prompt adds; PrefixCacheModel was limited in tokens, not in parts; StreamOrigins kept ids of any length; an id cut out of a header keeps the whole header; broken sends were remembered without a limit.

Change: normalizeParts joins the parts beyond the 32nd into groups by position and normalizeId bounds the length of ids, before any table or decision reads them. The request itself is passed on as it was received.

Why it works: entries and bytes of each are bounded, whatever a client lists; prompts that share leading parts still share most of their groups.

--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -3,7 +3,7 @@
 import { ResultCode, toSardinegradeError } from '@sardinegrade/common';
 
 import { CROWDED_RETRY_MS, IDLE_SWEEP_INTERVAL_MS } from '../constants.js';
-import { admitRequest, CallerAnswer, Exchange } from '../exchange/index.js';
+import { admitRequest, CallerAnswer, decodeCaller, Exchange } from '../exchange/index.js';
 import { sendLocalReply } from './sendLocalReply.js';
 
 import type { SocketAddress } from '@sardinegrade/common';
@@ -100,7 +100,7 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.state.ingress.connections.addAnswer(response)) return;
-    const caller = this.state.options.protocol.decodeRequest(request.headers);
+    const caller = decodeCaller(this.state, request);
     const release = this.state.ingress.claimRequest(this.state.findWorkspace(caller));
     if (release === undefined) {
       // The rest of its body is not read.
--- a/packages/forwarder/src/quarantine/PartQuarantine.ts
+++ b/packages/forwarder/src/quarantine/PartQuarantine.ts
@@ -8,6 +8,9 @@
 /** Time in which sends that broke on one worker instance belong to the same event, in milliseconds. */
 const BROKEN_LIFETIME_MS = 8_000;
 
+/** Maximum number of prompts that are remembered for one worker instance. */
+const MAX_BROKEN_PROMPTS = 1_024;
+
 /** Maximum number of part ids in a log line. */
 const MAX_LOGGED_PARTS = 16;
 
@@ -99,7 +102,7 @@
     } else if (known === undefined) {
       this.#broken.set(toInstanceId(worker), { atMs: nowMs, prompts: [parts], hasEnded: false });
       void this.#checkEnded(worker);
-    } else known.prompts.push(parts);
+    } else if (known.prompts.length < MAX_BROKEN_PROMPTS) known.prompts.push(parts);
   }
 
   /** Records that a worker instance has ended, for example because its registration has lapsed. */
--- a/packages/forwarder/src/streams/BuildTables.ts
+++ b/packages/forwarder/src/streams/BuildTables.ts
@@ -1,5 +1,6 @@
 import {
   BuildHistory,
+  normalizeStreamId,
   pickBuild,
   pickCommonBuild,
   shouldReplaceTable,
@@ -152,12 +153,13 @@
 
   #pickBuilds(table: RecordedTable, request: RequestId): readonly BuildName[] {
     const picks = this.#picks.get(table) ?? new Map<RequestId, readonly BuildName[]>();
-    const existing = picks.get(request);
+    const key = normalizeStreamId(request);
+    const existing = picks.get(key);
     if (existing !== undefined) return existing;
     if (picks.size >= MAX_KEPT_PICKS) picks.clear();
     const build = pickBuild(table, request);
     const builds = build === undefined ? [] : [build];
-    this.#picks.set(table, picks.set(request, builds));
+    this.#picks.set(table, picks.set(key, builds));
     return builds;
   }
 
@@ -171,8 +173,9 @@
   async fetchBuild(service: ServiceName, request: RequestId): Promise<BuildName | undefined> {
     try {
       const { list, vms, streams } = await this.#evidence.read();
+      const recordedId = normalizeStreamId(request);
       const isNamed = (stream: RecordedStream): boolean =>
-        stream.request === request && stream.service === service;
+        stream.request === recordedId && stream.service === service;
       const [build, ...others] = new Set(streams.filter(isNamed).map((stream) => stream.build));
       if (build !== undefined) return others.length === 0 ? build : undefined;
       if (list.era !== vms.era || !isClaimedByAll(list, vms.vms, service)) return undefined;
--- a/packages/routing/src/placement/PrefixCacheModel.ts
+++ b/packages/routing/src/placement/PrefixCacheModel.ts
@@ -1,5 +1,8 @@
 import type { PartId, PromptPart } from './types.js';
 
+/** Maximum number of parts, the least recently used of which are removed first: a client may list many small ones. */
+export const MAX_CACHED_PARTS = 2_048;
+
 /** Estimates the contents of an engine's prefix cache as an LRU cache of prompt parts, least recently used first. */
 export class PrefixCacheModel {
   readonly #tokensByPart = new Map<PartId, number>();
@@ -16,7 +19,8 @@
       this.#tokens += part.tokens;
     }
     for (const id of this.#tokensByPart.keys()) {
-      if (this.#tokens <= this.capacityTokens) return;
+      const isWithin = this.#tokensByPart.size <= MAX_CACHED_PARTS;
+      if (isWithin && this.#tokens <= this.capacityTokens) return;
       this.#evict(id);
     }
   }
--- a/packages/routing/src/placement/index.ts
+++ b/packages/routing/src/placement/index.ts
@@ -1,6 +1,7 @@
 /** Chooses the worker that runs a request. */
 export * from './chooseEngine.js';
 export * from './chooseWorker.js';
+export * from './normalizeParts.js';
 export * from './constants.js';
 export * from './EngineTracker.js';
 export * from './EngineRanking.js';
--- a/packages/routing/src/quarantine/CrashTracker.ts
+++ b/packages/routing/src/quarantine/CrashTracker.ts
@@ -16,6 +16,9 @@
 /** Maximum number of tracked fingerprints; the oldest are removed first. */
 const MAX_FINGERPRINTS = 2_048;
 
+/** Maximum number of interrupted sends of one worker instance; the oldest are removed first. */
+const MAX_BROKEN_SENDS = 1_024;
+
 /** A send that was interrupted without an answer. */
 interface BrokenSend {
   readonly fingerprint: Fingerprint;
@@ -51,7 +54,8 @@
     const recent = (this.#brokenSends.get(instance) ?? []).filter(
       ({ atMs }) => nowMs - atMs <= CRASH_WINDOW_MS,
     );
-    this.#brokenSends.set(instance, [...recent, { fingerprint, atMs: nowMs }]);
+    const kept = recent.slice(-MAX_BROKEN_SENDS + 1);
+    this.#brokenSends.set(instance, [...kept, { fingerprint, atMs: nowMs }]);
   }
 
   /**
--- a/packages/routing/src/quarantine/PartCrashTracker.test.ts
+++ b/packages/routing/src/quarantine/PartCrashTracker.test.ts
@@ -172,3 +172,12 @@
   }
   assert.ok(tracker.listEvidence(30_000).length <= 1_024);
 });
+
+// One entry was removed for all parts of a prompt, so prompts of many parts used up the memory of the VMs.
+test('the number of parts that were answered is bounded, however many a prompt has', () => {
+  const tracker = new PartCrashTracker();
+  const parts = Array.from({ length: 3_000 }, (_, index) => `a${index}`).join(' ');
+  for (let prompt = 0; prompt < 4; prompt += 1)
+    tracker.recordAnswer(buildPrompt(parts.replaceAll('a', `p${prompt}-`)), prompt);
+  assert.ok(tracker.answeredCount <= 4_096, `${tracker.answeredCount} parts`);
+});
--- a/packages/routing/src/quarantine/PartCrashTracker.ts
+++ b/packages/routing/src/quarantine/PartCrashTracker.ts
@@ -92,6 +92,11 @@
     return this.#refused;
   }
 
+  /** Number of parts on which answers are remembered. */
+  get answeredCount(): number {
+    return this.#answeredAtMs.size;
+  }
+
   /** Whether a change has not been sent in enough messages yet. */
   get hasUnsent(): boolean {
     return this.#changes.hasUnsent;
@@ -132,8 +137,8 @@
       this.#changes.markChanged(id);
       isChanged = true;
     }
-    const [oldest] = this.#answeredAtMs.keys();
-    if (oldest !== undefined && this.#answeredAtMs.size > MAX_ANSWERED_PARTS) {
+    for (const oldest of this.#answeredAtMs.keys()) {
+      if (this.#answeredAtMs.size <= MAX_ANSWERED_PARTS) break;
       this.#answeredAtMs.delete(oldest);
     }
     if (isChanged) this.#update(nowMs);
--- a/packages/routing/src/streams/StreamOrigins.test.ts
+++ b/packages/routing/src/streams/StreamOrigins.test.ts
@@ -63,3 +63,17 @@
   assert.deepEqual(history.list(SERVICE, STREAM_LIFETIME_MS), ['v1', 'v2']);
   assert.deepEqual(history.list(SERVICE, STREAM_LIFETIME_MS + 1), ['v2']);
 });
+
+// Guards against ids of any length that use up the memory of the VMs, and load messages that exceed a datagram.
+test('a stream with a long request id is found by it, and reported under a short one', () => {
+  const [origins, receiver] = [new StreamOrigins(), new StreamOrigins()];
+  const request = toBranded<RequestId>('x'.repeat(12_000));
+  origins.record(request, V1, 1_000);
+  const reports = origins.list(0);
+  assert.ok(reports.every((report) => report.request.length <= 128));
+  receiver.applyReports(reports, 0, false);
+  assert.deepEqual(
+    [origins, receiver].map((streams) => streams.find(request, 0)),
+    [V1, V1],
+  );
+});
--- a/packages/routing/src/streams/StreamOrigins.ts
+++ b/packages/routing/src/streams/StreamOrigins.ts
@@ -1,9 +1,14 @@
+import { normalizeId } from '@sardinegrade/common';
+
 import type { RequestId } from '@sardinegrade/common';
 import type { StreamOrigin, StreamOriginReport } from './types.js';
 
 /** Maximum number of streams; the oldest are dropped. The largest deployments begin some 500 streams a second. */
 const MAX_STREAMS = 20_000;
 
+/** Maximum length of the id under which a stream is remembered and reported, in characters. */
+const MAX_ID_CHARACTERS = 128;
+
 /** How often an origin is sent to other VMs: a datagram may be lost. */
 const OWN_SENDS = 2;
 const FORWARDED_SENDS = 1;
@@ -20,6 +25,15 @@
 const isSameOrigin = (left: StreamOrigin | undefined, right: StreamOrigin): boolean =>
   left?.service === right.service && left.build === right.build;
 
+/**
+ * Bounds the id of the request that began a stream.
+ *
+ * @param request - id as the caller has sent it
+ * @returns the id under which the stream is remembered, reported to other VMs and recorded
+ */
+export const normalizeStreamId = (request: RequestId): RequestId =>
+  normalizeId(request, MAX_ID_CHARACTERS);
+
 /**
  * Remembers at which build each stream began, by the request that received its first event, until the stream can no longer
  * be resumed.
@@ -35,7 +49,12 @@
 
   /** Records that a stream of this VM has begun. */
   record(request: RequestId, origin: StreamOrigin, expiresAtMs: number): void {
-    this.#set(request, { origin, expiresAtMs, sendsLeft: OWN_SENDS, isOwn: true });
+    this.#set(normalizeStreamId(request), {
+      origin,
+      expiresAtMs,
+      sendsLeft: OWN_SENDS,
+      isOwn: true,
+    });
   }
 
   /**
@@ -50,7 +69,9 @@
     nowMs: number,
     shouldForward: boolean,
   ): void {
-    for (const { request, service, build, remainingMs } of reports) {
+    for (const report of reports) {
+      const { service, build, remainingMs } = report;
+      const request = normalizeStreamId(report.request);
       const origin: StreamOrigin = { service, build };
       const existing = this.#entries.get(request);
       if (existing === undefined) {
@@ -65,13 +86,13 @@
 
   /** @returns where the stream began; undefined if it is not known */
   find(request: RequestId, nowMs: number): StreamOrigin | undefined {
-    const entry = this.#entries.get(request);
+    const entry = this.#entries.get(normalizeStreamId(request));
     return entry !== undefined && entry.expiresAtMs > nowMs ? entry.origin : undefined;
   }
 
   /** @returns whether VMs have reported different origins */
   isDisputed(request: RequestId): boolean {
-    const entry = this.#entries.get(request);
+    const entry = this.#entries.get(normalizeStreamId(request));
     return entry !== undefined && entry.origin === undefined;
   }
 
