fix(ingress): V8's heap grew beyond the memory of small VMs

Cause: V8 does not know the memory of the machine. It lets its heap grow for some hundred megabytes before it collects all garbage.

Change: while the process needs over 65 % of the memory that its settings name, garbage is collected, in at most a twentieth of the time.

--- a/packages/ingress/src/Ingress.ts
+++ b/packages/ingress/src/Ingress.ts
@@ -1,7 +1,8 @@
 import { CallerConnections } from './CallerConnections.js';
 import { MAX_PIPELINED_REQUESTS, SPARED_BODY_BYTES, UNREAD_TIMEOUT_MS } from './constants.js';
-import { GarbageCollector } from './GarbageCollector.js';
+import { collectGarbage, GarbageCollector } from './GarbageCollector.js';
 import { CancelOrder, HeldBytes, HeldBytesLimit } from './HeldBytes.js';
+import { MemoryGuard } from './MemoryGuard.js';
 import { ClientLimit } from './types.js';
 import { RequestSlots } from './RequestSlots.js';
 import { TurnQueue } from './TurnQueue.js';
@@ -15,6 +16,19 @@
   [HeldBytesLimit.OpenMessages]: ClientLimit.OpenBodies,
 };
 
+/** Interval at which the memory of the process is read, in milliseconds. */
+const MEMORY_CHECK_MS = 100;
+
+const startMemoryGuard = (memoryBytes: number): void => {
+  const guard = new MemoryGuard({
+    memoryBytes,
+    getNowMs: () => performance.now(),
+    readResidentBytes: () => process.memoryUsage.rss(),
+    collect: collectGarbage,
+  });
+  setInterval(() => guard.check(), MEMORY_CHECK_MS).unref();
+};
+
 /** What the clients of a process make it hold, within its limits. */
 export class Ingress {
   /** Bodies of requests, until their answers have ended. */
@@ -70,6 +84,7 @@
       onReleased: onRemoved,
     });
     this.requests = new RequestSlots(limits.requests);
+    if (limits.memoryBytes !== undefined) startMemoryGuard(limits.memoryBytes);
   }
 
   /**
--- a/packages/ingress/src/deriveClientLimits.ts
+++ b/packages/ingress/src/deriveClientLimits.ts
@@ -29,6 +29,8 @@
   readonly requests: number;
   /** Maximum number of requests whose bodies have not arrived whole. */
   readonly openBodies: number;
+  /** Memory of the machine for this process, in bytes; undefined if it is not known. */
+  readonly memoryBytes: number | undefined;
 }
 
 /** Memory for which the constants of held bytes are meant, and its default, in bytes: that of a small VM. */
@@ -70,10 +72,11 @@
  * @returns the limits
  */
 export const deriveClientLimits = ({
-  memoryBytes = REFERENCE_MEMORY_BYTES,
+  memoryBytes: knownBytes,
   descriptorLimit = DEFAULT_DESCRIPTORS,
   baseBytes = DEFAULT_BASE_BYTES,
 }: ProcessLimits): ClientLimits => {
+  const memoryBytes = knownBytes ?? REFERENCE_MEMORY_BYTES;
   const memoryShare = clampShare(
     Math.min(
       memoryBytes / REFERENCE_MEMORY_BYTES,
@@ -94,6 +97,7 @@
     releasedBytes: Math.floor(MAX_RELEASED_BYTES * memoryShare),
     connections: Math.max(MIN_CONNECTIONS, Math.floor(usable * CONNECTION_SHARE)),
     requests,
+    memoryBytes: knownBytes,
     openBodies: Math.ceil(requests * OPEN_BODY_SHARE),
   };
 };
