fix(routing): paths of slashes occupied a VM

Callers saw: beside 12 clients that send paths of 16,000 slashes again at once no ordinary request was answered within 20 s.

Cause: RouteTable.find looked up each prefix of the path that ends in a slash, a quadratic amount of text, twice for each request and before the key is checked.

Change: only the part of a path as long as the longest prefix of its host is looked at.

Evidence: 'a VM serves beside and after clients whose paths are slashes' failed before and passes.

--- a/packages/routing/src/configuration/RouteTable.ts
+++ b/packages/routing/src/configuration/RouteTable.ts
@@ -6,6 +6,8 @@
 export class RouteTable {
   /** Routes by normalized host, then by path prefix. */
   readonly #routes = new Map<string, Map<string, Route>>();
+  /** Length of the longest path prefix of each host. */
+  readonly #longest = new Map<string, number>();
 
   /** @param routes - all routes of one configuration version */
   constructor(routes: readonly Route[]) {
@@ -14,20 +16,25 @@
       const byPrefix = this.#routes.get(host) ?? new Map<string, Route>();
       byPrefix.set(route.pathPrefix, route);
       this.#routes.set(host, byPrefix);
+      this.#longest.set(host, Math.max(this.#longest.get(host) ?? 0, route.pathPrefix.length));
     }
   }
 
   /**
-   * Finds the route of a request. The cost grows with the depth of the path, not with the number of routes.
+   * Finds the route of a request. The cost grows with the length of the longest prefix, not with that of the path or the number
+   * of routes.
    *
    * @param host - value of the Host header; case and port are ignored
    * @param target - request target: path and query
    * @returns the route with the longest matching prefix, or undefined if none matches
    */
   find(host: string, target: string): Route | undefined {
-    const byPrefix = this.#routes.get(normalizeHost(host));
+    const name = normalizeHost(host);
+    const byPrefix = this.#routes.get(name);
     if (byPrefix === undefined) return undefined;
-    const path = target.split('?', 1)[0] ?? '';
+    const [wholePath = ''] = target.split('?', 1);
+    // No prefix is longer, and a path may consist of slashes.
+    const path = wholePath.slice(0, this.#longest.get(name));
     for (
       let end = path.lastIndexOf('/');
       end >= 0;
