fix(forwarder): heads of over 1,000 lines lost lines, and a request its body

The entry daemon refused such a booking as if it had no Idempotency-Key.

Cause: Node hands over 1,000 lines of a head and drops the others without a sign, among them Content-Length.

Change: 4,200 lines are handed over, more than 16,384 bytes hold; a head with as many is refused, since lines of it may be missing. Such heads need far more memory than their bytes: large heads of requests in progress have a limit, and so have heads that are not whole (8 bytes for each received one; the connection that has waited longest closes). New connections take turns once there are over 16 in an iteration. Each connection counts 400 KB of the memory.

--- a/packages/entry/src/callers/CallerServer.test.ts
+++ b/packages/entry/src/callers/CallerServer.test.ts
@@ -216,3 +216,13 @@
   socket.destroy();
   await waitUntil('none is open', () => callerServer.countOpen() === 0);
 });
+
+// Node drops the lines of a head beyond a number of them without a sign, and with them the length of a body.
+test('a request with over a thousand lines in its head is served with its key and its body', async (context) => {
+  const { socket, readText } = await openRawCaller(context);
+  const lines = Array.from({ length: 1_200 }, (_, line) => `l${line.toString(36)}: 1\r\n`);
+  const fields = `host: desk\r\n${lines.join('')}authorization: Bearer ${KEY}\r\n`;
+  socket.write(`POST /echo HTTP/1.1\r\n${fields}content-length: 5\r\n\r\nwhole`);
+  await waitUntil('the request is answered', () => readText().includes('desk'));
+  assert.match(readText(), /^HTTP\/1\.1 200 OK.*desk 5/s);
+});
--- a/packages/entry/src/callers/CallerServer.ts
+++ b/packages/entry/src/callers/CallerServer.ts
@@ -132,7 +132,7 @@
       format = route.errorFormat;
       const configuration = this.#requireConfiguration();
       const workspace = this.#authenticator.findWorkspace(request, configuration);
-      this.#claimRequest(response, workspace.name);
+      this.#claimRequest(request, response, workspace.name);
       const arrivedAtMs = this.#options.clock.getNowMs();
       caller = {
         requestId,
@@ -162,8 +162,12 @@
   };
 
   /** Limits the requests without a whole answer. */
-  readonly #claimRequest = (response: ServerResponse, workspace: string): void => {
-    const release = this.#options.ingress.claimRequest(workspace);
+  readonly #claimRequest = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    workspace: string,
+  ): void => {
+    const release = this.#options.ingress.claimRequest(request, workspace);
     if (release !== undefined) {
       response.once('close', release);
       return;
--- a/packages/forwarder/src/exchange/findRequestFault.ts
+++ b/packages/forwarder/src/exchange/findRequestFault.ts
@@ -1,3 +1,5 @@
+import { MAX_HEAD_LINES } from '@sardinegrade/ingress';
+
 import type { IncomingMessage } from 'node:http';
 
 /** Characters that no path has: control characters and spaces, some of which Node accepts. */
@@ -16,6 +18,7 @@
   url = '',
   rawHeaders,
 }: Pick<IncomingMessage, 'url' | 'rawHeaders'>): string | undefined => {
+  if (rawHeaders.length >= 2 * MAX_HEAD_LINES) return 'The head has too many lines.';
   if (INVALID_PATH_CHARACTER.test(url)) return 'The path contains a character that is not allowed.';
   let hosts = 0;
   for (let index = 0; index < rawHeaders.length; index += 2) {
--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 
 import { ResultCode, toSardinegradeError } from '@sardinegrade/common';
+import { MAX_HEAD_LINES } from '@sardinegrade/ingress';
 
 import { CROWDED_RETRY_MS, IDLE_SWEEP_INTERVAL_MS } from '../constants.js';
 import { admitRequest, CallerAnswer, decodeCaller, Exchange } from '../exchange/index.js';
@@ -54,6 +55,7 @@
         void this.#serve(request, response);
       },
     );
+    this.#server.maxHeadersCount = MAX_HEAD_LINES;
     state.ingress.connections.attach(this.#server);
     this.#sweepTimer = setInterval(() => state.sweep(), IDLE_SWEEP_INTERVAL_MS);
   }
@@ -101,7 +103,7 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.state.ingress.connections.addAnswer(response)) return;
     const caller = decodeCaller(this.state, request);
-    const release = this.state.ingress.claimRequest(this.state.findWorkspace(caller));
+    const release = this.state.ingress.claimRequest(request, this.state.findWorkspace(caller));
     if (release === undefined) {
       // The rest of its body is not read.
       if (!request.complete) response.shouldKeepAlive = false;
--- a/packages/ingress/src/CallerConnections.test.ts
+++ b/packages/ingress/src/CallerConnections.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
 import { createServer } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 import { connect } from 'node:net';
 import { test } from 'node:test';
+import { connect as connectTls } from 'node:tls';
 
 import { CallerConnections } from './CallerConnections.js';
 
@@ -11,6 +14,11 @@
 
 const UNREAD_TIMEOUT_MS = 200;
 const SWEEP_INTERVAL_MS = 20;
+/** Part of a head, of which one fits into the memory in the test, if it counts eight times. */
+const PARTIAL = 'x'.repeat(2_500);
+
+const FIXTURES = new URL('../../fleet/src/access/fixtures/', import.meta.url);
+
 const LARGE_ANSWER_BYTES = 32 * 1_024 * 1_024;
 
 const openSocket = async (context: TestContext, server: Server): Promise<Socket> => {
@@ -71,3 +79,57 @@
   await closed;
   assert.equal(connections.count, 0);
 });
+
+// Guards against heads that come in pieces and together need more memory than the machine has.
+test('the connections that have waited longest for the rest of a head are closed beyond the memory for them', async (context) => {
+  const connections = new CallerConnections({ partialHeadBytes: 30_000 });
+  const server = await startServer(context, connections);
+  const sockets: Socket[] = [];
+  for (let count = 0; count < 3; count += 1) {
+    const socket = await openSocket(context, server);
+    const received = new Promise((resolve) =>
+      socket.write(`GET / HTTP/1.1\r\nx: ${PARTIAL}`, resolve),
+    );
+    sockets.push(socket.resume());
+    await received;
+  }
+  const timer = setInterval(() => connections.sweep(), SWEEP_INTERVAL_MS);
+  context.after(() => clearInterval(timer));
+  await Promise.all(sockets.slice(0, 2).map(waitForClose));
+  assert.equal(connections.count, 1);
+});
+
+// A handshake counted as a connection on which no answer is owed, and the connection itself as another one.
+test('a connection over TLS counts once, and is not replaced while an answer is owed on it', async (context) => {
+  const connections = new CallerConnections({ maxConnections: 2 });
+  const [cert, key] = ['first.pem', 'first.key'].map((name) =>
+    readFileSync(new URL(name, FIXTURES)),
+  );
+  const server = createTlsServer({ cert, key }, (_request, response) => {
+    connections.addAnswer(response);
+  });
+  connections.attach(server);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as AddressInfo;
+  const open = async (): Promise<Socket> => {
+    const socket = connectTls({ port, host: '127.0.0.1', rejectUnauthorized: false });
+    context.after(() => socket.destroy());
+    socket.on('error', () => undefined);
+    await new Promise((resolve) => socket.once('secureConnect', resolve));
+    return socket;
+  };
+  const busy = await open();
+  const requested = new Promise((resolve) => server.once('request', resolve));
+  busy.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  await requested;
+  assert.equal(connections.count, 1);
+  const waiting = (await open()).resume();
+  const closed = waitForClose(waiting);
+  await open();
+  await closed;
+  assert.deepEqual([busy.destroyed, connections.count], [false, 2]);
+});
--- a/packages/ingress/src/CallerConnections.ts
+++ b/packages/ingress/src/CallerConnections.ts
@@ -12,13 +12,15 @@
 export interface CallerConnectionLimits {
   /** Maximum number of connections. A new one replaces that which has waited longest for a request or its head. */
   readonly maxConnections?: number;
+  /** Maximum memory of heads that are not whole, in bytes; the connections that have waited longest for theirs are closed. */
+  readonly partialHeadBytes?: number;
   /** Maximum number of answers that are owed on a connection; one that asks for more is closed. */
   readonly maxPipelined?: number;
   /** Time without progress after which a connection with an unread answer is closed, in milliseconds. */
   readonly unreadTimeoutMs?: number;
   /** Called when a connection exceeds a limit. */
   readonly onLimit?: LimitListener;
-  /** Called with the memory that is released with a connection that asked for too many answers, in bytes. */
+  /** Called with the memory that is released with a connection that is closed for one of these limits, in bytes. */
   readonly onReleased?: (bytes: number) => void;
 }
 
@@ -46,6 +48,15 @@
 /** Memory of the requests that one read of 64 KiB may hold, in bytes: some 600 with some 4 KiB of objects each. */
 const READ_REQUESTS_BYTES = 2_500_000;
 
+/** Number of new connections that are read at once in one iteration; others wait as if they had been paused. */
+const FREE_CONNECTIONS = 16;
+
+/** Bytes of a head up to which it does not count as partial: most heads come whole. */
+const SPARED_HEAD_BYTES = 1_024;
+
+/** Memory of a head of short lines, as a multiple of its bytes. */
+const HEAD_MEMORY_FACTOR = 8;
+
 /** Number of connections that are read again in one iteration after all have been paused. */
 const RESUMED_CONNECTIONS = 4;
 
@@ -69,6 +80,12 @@
   /** Connections that are read again in one of the next iterations of the event loop. */
   readonly #paused = new Set<Socket>();
 
+  /** Number of connections that were added in the current iteration. */
+  #added = 0;
+
+  /** Memory of connections that were closed in the current iteration, in bytes. */
+  #releasedBytes = 0;
+
   /** @param limits - limits of the connections */
   constructor(private readonly limits: CallerConnectionLimits = {}) {}
 
@@ -113,7 +130,7 @@
       // Node would go on reading requests for which there is no answer.
       connection.isClosing = true;
       this.limits.onLimit?.(ClientLimit.PipelinedRequests);
-      this.limits.onReleased?.(READ_REQUESTS_BYTES);
+      this.#recordReleased(READ_REQUESTS_BYTES);
       socket.destroy();
       this.#pauseAll();
       return false;
@@ -141,8 +158,9 @@
     response.shouldKeepAlive = false;
   }
 
-  /** Limits the time in which callers read answers that have ended; called every second. */
+  /** Limits the time in which callers read answers that have ended, and the heads that are not whole; called every second. */
   sweep(): void {
+    this.#closePartialHeads();
     const { unreadTimeoutMs } = this.limits;
     if (unreadTimeoutMs === undefined) return;
     for (const [socket, { owed }] of this.#connections) {
@@ -167,7 +185,43 @@
     if (!isScheduled && this.#paused.size > 0) setImmediate(() => this.#resumeSome());
   }
 
+  /** Lets new connections take turns once there are many in one iteration. */
+  #paceNew(socket: Socket): void {
+    if (this.#added === 0) setImmediate(() => (this.#added = 0));
+    this.#added += 1;
+    if (this.#added <= FREE_CONNECTIONS && this.#paused.size === 0) return;
+    const isScheduled = this.#paused.size > 0;
+    this.#paused.add(socket);
+    // Node begins to read a new connection in the next tick.
+    process.nextTick(() => {
+      if (this.#paused.has(socket)) socket.pause();
+    });
+    if (!isScheduled) setImmediate(() => this.#resumeSome());
+  }
+
+  /** Closes the connections that have waited longest for the rest of a head while all such heads need too much memory. */
+  #closePartialHeads(): void {
+    const { partialHeadBytes = Infinity, onLimit } = this.limits;
+    const partial: (readonly [Socket, number])[] = [];
+    let heldBytes = 0;
+    for (const socket of this.#waiting) {
+      const bytes = this.#measurePartialHead(socket);
+      if (bytes <= HEAD_MEMORY_FACTOR * SPARED_HEAD_BYTES) continue;
+      partial.push([socket, bytes]);
+      heldBytes += bytes;
+    }
+    for (const [socket, bytes] of partial) {
+      if (heldBytes <= partialHeadBytes) return;
+      heldBytes -= bytes;
+      onLimit?.(ClientLimit.PartialHeads);
+      this.#recordReleased(bytes);
+      this.#remove(socket);
+      socket.destroy();
+    }
+  }
+
   #resumeSome(): void {
+    this.#closePartialHeads();
     let resumed = 0;
     for (const socket of this.#paused) {
       this.#paused.delete(socket);
@@ -185,11 +239,32 @@
     this.limits.onLimit?.(ClientLimit.Connections);
     const [longest] = this.#waiting;
     if (longest === undefined) return false;
+    this.#recordReleased(this.#measurePartialHead(longest));
     this.#remove(longest);
     longest.destroy();
     return true;
   }
 
+  /** Reports the memory of closed connections once it has become garbage. */
+  #recordReleased(bytes: number): void {
+    if (this.#releasedBytes === 0) {
+      setImmediate(() => {
+        // Connections are released at the end of an iteration.
+        setImmediate(() => {
+          this.limits.onReleased?.(this.#releasedBytes);
+          this.#releasedBytes = 0;
+        });
+      });
+    }
+    this.#releasedBytes += bytes;
+  }
+
+  /** Estimates the memory of what was received of a request's head. */
+  #measurePartialHead(socket: Socket): number {
+    const receivedBytes = socket.bytesRead - (this.#connections.get(socket)?.idleAtBytes ?? 0);
+    return HEAD_MEMORY_FACTOR * receivedBytes;
+  }
+
   #remove(socket: Socket): void {
     this.#waiting.delete(socket);
     this.#connections.delete(socket);
@@ -219,6 +294,7 @@
     const connection = { owed, isClosing: false, refusal: undefined, idleAtBytes: undefined };
     this.#connections.set(socket, connection);
     this.#waiting.add(socket);
+    this.#paceNew(socket);
     socket.once('close', () => {
       this.#remove(socket);
       closeQueued(owed);
--- a/packages/ingress/src/Ingress.ts
+++ b/packages/ingress/src/Ingress.ts
@@ -2,11 +2,13 @@
 import { MAX_PIPELINED_REQUESTS, SPARED_BODY_BYTES, UNREAD_TIMEOUT_MS } from './constants.js';
 import { collectGarbage, GarbageCollector } from './GarbageCollector.js';
 import { CancelOrder, HeldBytes, HeldBytesLimit } from './HeldBytes.js';
+import { measureHead } from './measureHead.js';
 import { MemoryGuard } from './MemoryGuard.js';
 import { ClientLimit } from './types.js';
 import { RequestSlots } from './RequestSlots.js';
 import { TurnQueue } from './TurnQueue.js';
 
+import type { IncomingMessage } from 'node:http';
 import type { ClientLimits } from './deriveClientLimits.js';
 import type { Owner } from './HeldBytes.js';
 import type { LimitListener } from './types.js';
@@ -78,23 +80,25 @@
     });
     this.connections = new CallerConnections({
       maxConnections: limits.connections,
+      partialHeadBytes: limits.headBytes,
       maxPipelined: MAX_PIPELINED_REQUESTS,
       unreadTimeoutMs: UNREAD_TIMEOUT_MS,
       onLimit,
       onReleased: onRemoved,
     });
-    this.requests = new RequestSlots(limits.requests);
+    this.requests = new RequestSlots(limits);
     if (limits.memoryBytes !== undefined) startMemoryGuard(limits.memoryBytes);
   }
 
   /**
    * Claims a slot for a request.
    *
+   * @param request - the request
    * @param owner - owner of the request
    * @returns releases the slot; undefined if there is none
    */
-  claimRequest(owner: Owner): (() => void) | undefined {
-    const release = this.requests.claim(owner);
+  claimRequest(request: IncomingMessage, owner: Owner): (() => void) | undefined {
+    const release = this.requests.claim(owner, measureHead(request));
     if (release === undefined) this.onLimit(ClientLimit.Requests, owner);
     return release;
   }
--- a/packages/ingress/src/constants.ts
+++ b/packages/ingress/src/constants.ts
@@ -4,6 +4,15 @@
 /** Maximum number of bytes of unfinished answers that a VM holds; the smallest VMs have 250 MB in all. */
 export const MAX_HELD_ANSWER_BYTES = 32 * 1_024 * 1_024;
 
+/** Maximum memory of the large ones among the heads of requests in progress, in bytes. */
+export const MAX_HELD_HEAD_BYTES = 16 * 1_024 * 1_024;
+
+/**
+ * Maximum number of lines of a head. A head of 16 KiB has fewer; Node drops the lines beyond it without a sign, so that a request
+ * with as many is refused.
+ */
+export const MAX_HEAD_LINES = 4_200;
+
 /** Maximum number of bytes of requests' bodies that a VM holds, from their arrival until their answers have ended. */
 export const MAX_HELD_BODY_BYTES = 40 * 1_024 * 1_024;
 
--- a/packages/ingress/src/deriveClientLimits.ts
+++ b/packages/ingress/src/deriveClientLimits.ts
@@ -2,6 +2,7 @@
   MAX_ANSWER_BYTES,
   MAX_HELD_ANSWER_BYTES,
   MAX_HELD_BODY_BYTES,
+  MAX_HELD_HEAD_BYTES,
   MAX_RELEASED_BYTES,
   MAX_UNREAD_ANSWER_BYTES,
 } from './constants.js';
@@ -27,6 +28,8 @@
   readonly connections: number;
   /** Maximum number of requests without a whole answer. */
   readonly requests: number;
+  /** Memory of the large ones among their heads, in bytes. */
+  readonly headBytes: number;
   /** Maximum number of requests whose bodies have not arrived whole. */
   readonly openBodies: number;
   /** Memory of the machine for this process, in bytes; undefined if it is not known. */
@@ -48,7 +51,7 @@
 const DEFAULT_DESCRIPTORS = 8_192;
 
 /** Memory of the machine for each connection, in bytes: its objects, buffers of the system and a head of the largest size. */
-const CONNECTION_MEMORY_BYTES = 160_000;
+const CONNECTION_MEMORY_BYTES = 400_000;
 
 /** Descriptors for files, the store, other VMs and the ports. */
 const RESERVED_DESCRIPTORS = 200;
@@ -97,6 +100,7 @@
     releasedBytes: Math.floor(MAX_RELEASED_BYTES * memoryShare),
     connections: Math.max(MIN_CONNECTIONS, Math.floor(usable * CONNECTION_SHARE)),
     requests,
+    headBytes: Math.floor(MAX_HELD_HEAD_BYTES * memoryShare),
     memoryBytes: knownBytes,
     openBodies: Math.ceil(requests * OPEN_BODY_SHARE),
   };
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -8,6 +8,7 @@
 export * from './HeldBytes.js';
 export * from './Ingress.js';
 export * from './attachConnections.js';
+export * from './measureHead.js';
 export * from './MemoryGuard.js';
 export * from './readBody.js';
 export * from './readDescriptorLimit.js';
--- a/packages/ingress/src/types.ts
+++ b/packages/ingress/src/types.ts
@@ -3,6 +3,7 @@
 /** Limits that clients may exceed, as logs and metrics name them. */
 export enum ClientLimit {
   Connections = 'connections',
+  PartialHeads = 'partial_heads',
   PipelinedRequests = 'pipelined_requests',
   Requests = 'requests',
   BodyBytes = 'body_bytes',
--- a/soak/src/hostileHeads.test.ts
+++ b/soak/src/hostileHeads.test.ts
@@ -4,13 +4,16 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { buildLoopbackHost, checkDisturbance } from '@sardinegrade/common/testing';
+import { buildLoopbackHost, checkCrowds, checkDisturbance } from '@sardinegrade/common/testing';
 
 import { CROWD_FIELDS, startCrowdVm } from './startCrowdVm.js';
 
 import type { CrowdTarget } from '@sardinegrade/common/testing';
 import type { CrowdRoute } from './startCrowdVm.js';
 
+/** Limits of the smallest VM that deployments have. */
+const SMALLEST_LIMITS = { memoryMb: 160, descriptorLimit: 4_100 };
+
 const LIMITS = { memoryMb: 210, descriptorLimit: 2_212 };
 const IP = buildLoopbackHost(11, 1);
 
@@ -29,6 +32,11 @@
 const LONG_IDS = 6_000;
 
 const EXTRA_LINES = 1_200;
+
+/** Heads of almost 16,384 bytes in short lines, by so many clients, which stay connected for some time in milliseconds. */
+const LINE_CLIENTS = 2_000;
+const SHORT_LINES = 2_400;
+const LINES_STAY_MS = 6_000;
 const LIMIT_MS = 10_000;
 
 const SHORT_STREAM = 'id: 1\ndata: first\n\nid: 2\ndata: last\n\n';
@@ -176,3 +184,36 @@
   assert.match(answerHead, /\r\nx-response-seal: s(\r\n|$)/i);
   assert.equal(answerHead.match(/\r\nl\d+: 1/g)?.length, EXTRA_LINES);
 });
+
+const SHORT_LINE_TEXT = Array.from(
+  { length: SHORT_LINES },
+  (_, line) => `${line.toString(36)}:b\r\n`,
+).join('');
+
+const LINE_CROWD = {
+  clients: LINE_CLIENTS,
+  start: `POST /silent/ HTTP/1.1\r\n${CROWD_FIELDS}`,
+  bytes: SHORT_LINE_TEXT.length,
+};
+
+const LINE_CROWDS = {
+  'incomplete heads of short lines': { ...LINE_CROWD, block: SHORT_LINE_TEXT },
+  'requests with heads of short lines that wait for their answers': {
+    ...LINE_CROWD,
+    start: `${LINE_CROWD.start}${SHORT_LINE_TEXT}\r\n`,
+    block: '',
+    bytes: 0,
+  },
+};
+
+/** A worker that does not answer. */
+const SILENT_ROUTE: CrowdRoute = { name: 'silent', kind: 'safe', answer: () => undefined };
+
+// Guards against heads that need far more memory than their bytes.
+for (const [name, crowd] of Object.entries(LINE_CROWDS)) {
+  test(`a VM of 160 MB stays within its memory and descriptors and serves: ${name}`, async (context) => {
+    const options = { ip: IP, ...SMALLEST_LIMITS, routes: [SILENT_ROUTE] };
+    const vm = await startCrowdVm(context, options);
+    await checkCrowds(context, vm, [crowd], { stayMs: LINES_STAY_MS });
+  });
+}
