fix(ingress): handshakes of TLS counted as parts of heads, and were paused

Cause: connections that had been added counted all that they received before their first answer, also the bytes of a TLS handshake; of many new connections those of a TLS server were paused below TLS.

Change: what a connection has received when it is added does not count; only plain connections take turns.

--- a/packages/ingress/src/CallerConnections.ts
+++ b/packages/ingress/src/CallerConnections.ts
@@ -28,6 +28,8 @@
 interface CallerConnection {
   /** Answers that are not sent completely, in the order of their requests. */
   readonly owed: Set<ServerResponse>;
+  /** Bytes that had been received when the connection was added, those of a TLS handshake. */
+  readonly startBytes: number;
   /** Whether the caller was told that the connection closes after an answer. */
   isClosing: boolean;
   /** Bytes that are still to be written because what follows the last request is malformed; then the connection ends. */
@@ -104,7 +106,9 @@
     const isTls = server instanceof TlsServer;
     server.on('connection', (socket: Socket) => {
       this.#add(socket);
-      if (isTls && !socket.destroyed) this.#addHandshake(socket);
+      if (socket.destroyed) return;
+      if (isTls) this.#addHandshake(socket);
+      else this.#paceNew(socket);
     });
     server.on('secureConnection', (socket: TLSSocket) => this.#replaceHandshake(socket));
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -261,8 +265,10 @@
 
   /** Estimates the memory of what was received of a request's head. */
   #measurePartialHead(socket: Socket): number {
-    const receivedBytes = socket.bytesRead - (this.#connections.get(socket)?.idleAtBytes ?? 0);
-    return HEAD_MEMORY_FACTOR * receivedBytes;
+    const connection = this.#connections.get(socket);
+    if (connection === undefined) return 0;
+    const { startBytes, idleAtBytes = startBytes } = connection;
+    return HEAD_MEMORY_FACTOR * (socket.bytesRead - idleAtBytes);
   }
 
   #remove(socket: Socket): void {
@@ -291,10 +297,15 @@
       return;
     }
     const owed = new Set<ServerResponse>();
-    const connection = { owed, isClosing: false, refusal: undefined, idleAtBytes: undefined };
+    const connection: CallerConnection = {
+      owed,
+      startBytes: socket.bytesRead,
+      isClosing: false,
+      refusal: undefined,
+      idleAtBytes: undefined,
+    };
     this.#connections.set(socket, connection);
     this.#waiting.add(socket);
-    this.#paceNew(socket);
     socket.once('close', () => {
       this.#remove(socket);
       closeQueued(owed);
