fix(forwarder): an error in decoding a head would have ended the process

Cause: decode the head before the part of FrontServer that answers unexpected errors. No head is known that makes the decoding fail; this was found by reading.

Change: all of the admission is in that part again.

Evidence: 'a request is refused as not run if its head cannot be decoded' fails without the change and passes; 239 of 239 tests of front and exchange.

--- a/packages/forwarder/src/exchange/unexpectedErrors.test.ts
+++ b/packages/forwarder/src/exchange/unexpectedErrors.test.ts
@@ -43,6 +43,16 @@
   assert.equal(forwarder.workers[0]?.heads.length, 0);
 });
 
+// Nothing else catches such an error, so it would end the process with all requests in progress.
+test('a request is refused as not run if its head cannot be decoded', async (context) => {
+  const forwarder = await startTestForwarder(context, [answerAtOnce]);
+  const protocol = { ...forwarder.state.options.protocol, decodeRequest: abortUnexpectedly };
+  Object.assign(forwarder.state.options, { protocol });
+  const answer = await forwarder.call('unsafe', {}, 'body');
+  assert.equal(answer.status, 503);
+  assert.equal(forwarder.workers[0]?.heads.length, 0);
+});
+
 test('a request is refused as not run if its placement fails unexpectedly', async (context) => {
   const forwarder = await startTestForwarder(context, [answerAtOnce]);
   forwarder.state.fleet.listCandidates = abortUnexpectedly;
--- a/packages/forwarder/src/front/FrontServer.ts
+++ b/packages/forwarder/src/front/FrontServer.ts
@@ -102,6 +102,18 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.state.ingress.connections.addAnswer(response)) return;
+    try {
+      await this.#admit(request, response);
+    } catch (thrown) {
+      this.state.options.logger.error('request failed unexpectedly', {
+        error: toSardinegradeError(thrown),
+      });
+      new CallerAnswer(this.state, response).settle(NOT_ADMITTED);
+    }
+  }
+
+  /** Starts the exchange of a request that is admitted; replies to others. */
+  async #admit(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const caller = decodeCaller(this.state, request);
     const release = this.state.ingress.claimRequest(request, this.state.findWorkspace(caller));
     if (release === undefined) {
@@ -111,19 +123,12 @@
       return;
     }
     response.once('close', release);
-    try {
-      const admitted = await admitRequest(this.state, request, response, caller);
-      // The caller may have left while the origin of its stream was fetched.
-      if (admitted === undefined || response.destroyed) return;
-      const exchange = new Exchange(this.state, request, response, admitted);
-      this.#exchanges.add(exchange);
-      response.once('close', () => this.#exchanges.delete(exchange));
-      exchange.start();
-    } catch (thrown) {
-      this.state.options.logger.error('request failed unexpectedly', {
-        error: toSardinegradeError(thrown),
-      });
-      new CallerAnswer(this.state, response).settle(NOT_ADMITTED);
-    }
+    const admitted = await admitRequest(this.state, request, response, caller);
+    // The caller may have left while the origin of its stream was fetched.
+    if (admitted === undefined || response.destroyed) return;
+    const exchange = new Exchange(this.state, request, response, admitted);
+    this.#exchanges.add(exchange);
+    response.once('close', () => this.#exchanges.delete(exchange));
+    exchange.start();
   }
 }
